--- /dev/null
+++ b/jayhead-config/src/main/java/io/jayhead/config/package-info.java
@@ -0,0 +1,2 @@
+/** Fleet text and settings: YAML parsing and validation. */
+package io.jayhead.config;
--- /dev/null
+++ b/jayhead-ctl/src/main/java/io/jayhead/ctl/package-info.java
@@ -0,0 +1,2 @@
+/** The command line of operators. */
+package io.jayhead.ctl;
--- /dev/null
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** The router daemon. */
+package io.jayhead.daemon;
--- /dev/null
+++ b/jayhead-dispatch/src/main/java/io/jayhead/dispatch/package-info.java
@@ -0,0 +1,2 @@
+/** Pure decision logic for attempts, retries, resumption and verdicts. */
+package io.jayhead.dispatch;
--- /dev/null
+++ b/jayhead-edge/src/main/java/io/jayhead/edge/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP interface for callers and operators. */
+package io.jayhead.edge;
--- /dev/null
+++ b/jayhead-load/src/main/java/io/jayhead/load/package-info.java
@@ -0,0 +1,2 @@
+/** Open-loop load tool. */
+package io.jayhead.load;
--- /dev/null
+++ b/jayhead-model/src/main/java/io/jayhead/model/BudgetName.java
@@ -0,0 +1,35 @@
+package io.jayhead.model;
+
+/**
+ * Identifies a budget of an organisation.
+ *
+ * @param value the identifier, not blank
+ */
+public record BudgetName(String value) implements Comparable<BudgetName> {
+
+    /** Checks the identifier. */
+    public BudgetName {
+        Checks.requireNotBlank(value, "BudgetName");
+    }
+
+    /**
+     * Returns the identifier for the given text.
+     *
+     * @param value the identifier, not blank
+     * @return the identifier
+     * @throws IllegalArgumentException if the text is blank
+     */
+    public static BudgetName of(String value) {
+        return new BudgetName(value);
+    }
+
+    @Override
+    public int compareTo(BudgetName other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/jayhead-model/src/main/java/io/jayhead/model/NotRunProof.java
@@ -0,0 +1,11 @@
+package io.jayhead.model;
+
+/** Gives the reason why a request certainly did not run. */
+public enum NotRunProof {
+    /** The request was refused before it was handed to an upstream. */
+    BEFORE_DISPATCH,
+    /** The connection to the upstream failed before the first byte of the request was written. */
+    CONNECT_FAILED,
+    /** The upstream answered with a documented refusal. */
+    UPSTREAM_REFUSED
+}
--- /dev/null
+++ b/jayhead-model/src/main/java/io/jayhead/model/Verdict.java
@@ -0,0 +1,95 @@
+package io.jayhead.model;
+
+/**
+ * Says whether a request may have run at an upstream.
+ *
+ * <p>A {@link NotRun} verdict needs a proof. Without one, the verdict after a failure is {@link MayHaveRun}.
+ */
+public sealed interface Verdict permits Verdict.NotRun, Verdict.Ran, Verdict.MayHaveRun {
+
+    /**
+     * Returns the verdict of a request that did not run.
+     *
+     * @param proof why it is certain that the request did not run
+     * @return the verdict
+     */
+    static Verdict notRun(NotRunProof proof) {
+        return new NotRun(proof);
+    }
+
+    /**
+     * Returns the verdict of a request that ran to its end.
+     *
+     * @return the verdict
+     */
+    static Verdict ran() {
+        return Ran.INSTANCE;
+    }
+
+    /**
+     * Returns the verdict of a request whose outcome is unknown.
+     *
+     * @return the verdict
+     */
+    static Verdict mayHaveRun() {
+        return MayHaveRun.INSTANCE;
+    }
+
+    /**
+     * Returns the name that callers see.
+     *
+     * @return {@code not_run}, {@code ran} or {@code may_have_run}
+     */
+    String code();
+
+    /**
+     * Tells whether the request certainly did not run.
+     *
+     * @return true for {@link NotRun}
+     */
+    default boolean isNotRun() {
+        return this instanceof NotRun;
+    }
+
+    /**
+     * The request did not run.
+     *
+     * @param proof why this is certain
+     */
+    record NotRun(NotRunProof proof) implements Verdict {
+
+        /** Checks that there is a proof. */
+        public NotRun {
+            if (proof == null) {
+                throw new IllegalArgumentException("a not-run verdict needs a proof");
+            }
+        }
+
+        @Override
+        public String code() {
+            return "not_run";
+        }
+    }
+
+    /** The request ran to its end. */
+    enum Ran implements Verdict {
+        /** The only instance. */
+        INSTANCE;
+
+        @Override
+        public String code() {
+            return "ran";
+        }
+    }
+
+    /** The request was sent and its outcome is unknown. */
+    enum MayHaveRun implements Verdict {
+        /** The only instance. */
+        INSTANCE;
+
+        @Override
+        public String code() {
+            return "may_have_run";
+        }
+    }
+}
--- /dev/null
+++ b/jayhead-model/src/main/java/io/jayhead/model/fleet/BudgetSpec.java
@@ -0,0 +1,19 @@
+package io.jayhead.model.fleet;
+
+import io.jayhead.model.BudgetId;
+import io.jayhead.model.ServiceName;
+import java.util.List;
+
+/**
+ * Describes a prepaid budget.
+ *
+ * @param id the organisation and the name
+ * @param services the services that draw on it
+ */
+public record BudgetSpec(BudgetId id, List<ServiceName> services) {
+
+    /** Copies the list. */
+    public BudgetSpec {
+        services = List.copyOf(services);
+    }
+}
--- /dev/null
+++ b/jayhead-model/src/main/java/io/jayhead/model/fleet/FleetSpec.java
@@ -0,0 +1,100 @@
+package io.jayhead.model.fleet;
+
+import io.jayhead.model.OrganisationName;
+import io.jayhead.model.ServiceName;
+import io.jayhead.model.UpstreamName;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+
+/**
+ * Describes the whole fleet; immutable, with look-ups by name.
+ *
+ * @param name the name of the fleet
+ * @param models the models by name
+ * @param upstreams the upstreams by name
+ * @param services the services by name
+ * @param organisations the organisations by name
+ * @param budgets the budgets
+ * @param organisationsByKeyDigest the organisations by the digest of each API key
+ */
+public record FleetSpec(
+        String name,
+        Map<String, ModelSpec> models,
+        Map<UpstreamName, UpstreamSpec> upstreams,
+        Map<ServiceName, ServiceSpec> services,
+        Map<OrganisationName, OrganisationSpec> organisations,
+        List<BudgetSpec> budgets,
+        Map<String, OrganisationSpec> organisationsByKeyDigest) {
+
+    /** Copies the collections. */
+    public FleetSpec {
+        models = Map.copyOf(models);
+        upstreams = Map.copyOf(upstreams);
+        services = Map.copyOf(services);
+        organisations = Map.copyOf(organisations);
+        budgets = List.copyOf(budgets);
+        organisationsByKeyDigest = Map.copyOf(organisationsByKeyDigest);
+    }
+
+    /**
+     * Returns a specification from lists whose names are already known to be unique.
+     *
+     * @param name the name of the fleet
+     * @param models the models
+     * @param upstreams the upstreams
+     * @param services the services
+     * @param organisations the organisations
+     * @param budgets the budgets
+     * @return the specification
+     */
+    public static FleetSpec of(
+            String name,
+            List<ModelSpec> models,
+            List<UpstreamSpec> upstreams,
+            List<ServiceSpec> services,
+            List<OrganisationSpec> organisations,
+            List<BudgetSpec> budgets) {
+        Map<String, OrganisationSpec> byDigest = organisations.stream()
+                .flatMap(organisation ->
+                        organisation.apiKeyDigests().stream().map(digest -> Map.entry(digest, organisation)))
+                .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue));
+        return new FleetSpec(
+                name,
+                index(models, ModelSpec::name),
+                index(upstreams, UpstreamSpec::name),
+                index(services, ServiceSpec::name),
+                index(organisations, OrganisationSpec::name),
+                budgets,
+                byDigest);
+    }
+
+    /**
+     * Returns a fleet without services.
+     *
+     * @return the empty fleet
+     */
+    public static FleetSpec empty() {
+        return of("empty", List.of(), List.of(), List.of(), List.of(), List.of());
+    }
+
+    /**
+     * Finds the budget that pays for an organisation's use of a service.
+     *
+     * @param organisation the organisation
+     * @param service the service
+     * @return the budget, or empty if the organisation may not use the service
+     */
+    public Optional<BudgetSpec> budgetFor(OrganisationName organisation, ServiceName service) {
+        return budgets.stream()
+                .filter(budget -> budget.id().organisation().equals(organisation))
+                .filter(budget -> budget.services().contains(service))
+                .findFirst();
+    }
+
+    private static <K, V> Map<K, V> index(List<V> values, Function<V, K> key) {
+        return values.stream().collect(Collectors.toMap(key, Function.identity()));
+    }
+}
--- /dev/null
+++ b/jayhead-model/src/main/java/io/jayhead/model/package-info.java
@@ -0,0 +1,2 @@
+/** Shared value types: identifiers, verdicts, errors, request kinds and the fleet specification. */
+package io.jayhead.model;
--- /dev/null
+++ b/jayhead-peer/src/main/java/io/jayhead/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Protocol between routers. */
+package io.jayhead.peer;
--- /dev/null
+++ b/jayhead-platform/src/main/java/io/jayhead/platform/package-info.java
@@ -0,0 +1,2 @@
+/** Client of the platform object API and VM list. */
+package io.jayhead.platform;
--- /dev/null
+++ b/jayhead-routing/src/main/java/io/jayhead/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Pure decision logic that chooses an upstream. */
+package io.jayhead.routing;
--- /dev/null
+++ b/jayhead-settlement/src/main/java/io/jayhead/settlement/package-info.java
@@ -0,0 +1,2 @@
+/** Pure decision logic for charges, booking claims and reclaim. */
+package io.jayhead.settlement;
--- /dev/null
+++ b/jayhead-standins/src/main/java/io/jayhead/standins/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-ins for the platform, a model engine and a booking service. */
+package io.jayhead.standins;
