Add the protocol between routers

Cause: routers need heartbeats, fleet relay, loans, charge merging and held charges between each other. Ruled out: gRPC, since one Netty channel with correlation ids is enough. A request that times out while nothing arrived closes its connection, so that a silent connection costs one timeout.

--- /dev/null
+++ b/jayhead-peer/src/main/java/io/jayhead/peer/PeerConnection.java
@@ -0,0 +1,117 @@
+package io.jayhead.peer;
+
+import io.jayhead.peer.pb.Frame;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * One connection to another router.
+ *
+ * <p>A request that times out while nothing at all arrived since it was sent closes the connection: a connection whose
+ * far end has lost track of it shows neither error nor data, and the next request must use a fresh one.
+ */
+final class PeerConnection extends SimpleChannelInboundHandler<Frame> {
+
+    private final InetSocketAddress address;
+    private final PeerTraffic traffic;
+    private final AtomicLong nextCorrelation = new AtomicLong(1);
+    private final AtomicLong receivedFrames = new AtomicLong();
+    private final ConcurrentMap<Long, CompletableFuture<Frame>> pending = new ConcurrentHashMap<>();
+    private final List<Frame> waitingForConnect = new ArrayList<>();
+    private ChannelHandlerContext context;
+    private volatile boolean closed;
+
+    PeerConnection(InetSocketAddress address, PeerTraffic traffic) {
+        this.address = address;
+        this.traffic = traffic;
+    }
+
+    CompletableFuture<Frame> request(Frame request, long timeoutMs) {
+        long correlation = nextCorrelation.getAndIncrement();
+        long receivedBefore = receivedFrames.get();
+        CompletableFuture<Frame> reply = new CompletableFuture<>();
+        pending.put(correlation, reply);
+        send(request.toBuilder().setCorrelation(correlation).build());
+        if (closed) {
+            fail("connection to " + address + " is closed");
+        }
+        return reply.orTimeout(timeoutMs, TimeUnit.MILLISECONDS).whenComplete((frame, failure) -> {
+            pending.remove(correlation);
+            if (failure != null && receivedFrames.get() == receivedBefore) {
+                fail("no reply from " + address + " within " + timeoutMs + " ms");
+            }
+        });
+    }
+
+    boolean isClosed() {
+        return closed;
+    }
+
+    synchronized void close() {
+        closed = true;
+        if (context != null) {
+            context.close();
+        }
+    }
+
+    void fail(String reason) {
+        close();
+        pending.values().forEach(reply -> reply.completeExceptionally(new PeerException(reason)));
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext newContext) {
+        synchronized (this) {
+            context = newContext;
+            waitingForConnect.forEach(newContext::write);
+            waitingForConnect.clear();
+            if (closed) {
+                newContext.close();
+            }
+        }
+        newContext.flush();
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext oldContext) {
+        fail("connection to " + address + " was closed");
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext failedContext, Throwable cause) {
+        fail("connection to " + address + " failed: " + cause.getMessage());
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext readContext, Frame frame) {
+        receivedFrames.incrementAndGet();
+        traffic.received(frame);
+        CompletableFuture<Frame> reply = pending.remove(frame.getCorrelation());
+        if (reply == null) {
+            return;
+        }
+        if (frame.hasFailure()) {
+            reply.completeExceptionally(
+                    new PeerException(address + " failed: " + frame.getFailure().getMessage()));
+            return;
+        }
+        reply.complete(frame);
+    }
+
+    private synchronized void send(Frame frame) {
+        traffic.sent(frame);
+        if (context == null) {
+            waitingForConnect.add(frame);
+            return;
+        }
+        context.writeAndFlush(frame);
+    }
+}
--- /dev/null
+++ b/jayhead-peer/src/main/java/io/jayhead/peer/PeerServer.java
@@ -0,0 +1,102 @@
+package io.jayhead.peer;
+
+import com.google.common.flogger.FluentLogger;
+import io.jayhead.peer.pb.Failure;
+import io.jayhead.peer.pb.Frame;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.net.InetSocketAddress;
+import java.util.logging.Level;
+
+/** Accepts connections of other routers and answers their requests. */
+public final class PeerServer implements AutoCloseable {
+
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    private final Channel channel;
+
+    private PeerServer(Channel channel) {
+        this.channel = channel;
+    }
+
+    /**
+     * Starts to listen.
+     *
+     * @param group the I/O threads, shared with {@link PeerClient}
+     * @param address the address to listen on
+     * @param handler answers the requests
+     * @param traffic observes the messages
+     * @return the running server
+     */
+    public static PeerServer start(
+            EventLoopGroup group, InetSocketAddress address, PeerRequestHandler handler, PeerTraffic traffic) {
+        Channel channel = new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new PeerPipeline(() -> new RequestChannelHandler(handler, traffic)))
+                .bind(address)
+                .syncUninterruptibly()
+                .channel();
+        return new PeerServer(channel);
+    }
+
+    /**
+     * Returns the port that the server listens on.
+     *
+     * @return the port
+     */
+    public int port() {
+        return ((InetSocketAddress) channel.localAddress()).getPort();
+    }
+
+    @Override
+    public void close() {
+        channel.close().syncUninterruptibly();
+    }
+
+    private static final class RequestChannelHandler extends SimpleChannelInboundHandler<Frame> {
+
+        private final PeerRequestHandler handler;
+        private final PeerTraffic traffic;
+
+        RequestChannelHandler(PeerRequestHandler handler, PeerTraffic traffic) {
+            this.handler = handler;
+            this.traffic = traffic;
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, Frame request) {
+            traffic.received(request);
+            handler.handle(request).whenComplete((reply, failure) -> {
+                Frame frame = failure == null ? reply : failed(failure);
+                Frame correlated = frame.toBuilder()
+                        .setCorrelation(request.getCorrelation())
+                        .setReply(true)
+                        .build();
+                traffic.sent(correlated);
+                context.writeAndFlush(correlated);
+            });
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            LOGGER.at(Level.FINE).withCause(cause).log("peer connection failed");
+            context.close();
+        }
+
+        private static Frame failed(Throwable failure) {
+            Failure body = Failure.newBuilder()
+                    .setCode("internal")
+                    .setMessage(String.valueOf(failure.getMessage()))
+                    .build();
+            return Frame.newBuilder().setFailure(body).build();
+        }
+    }
+}
