Add the callers' HTTP interface

Cause: callers need a stable interface over HTTP/1.1. Ruled out: Jooby's own server-sent events, which only serve GET and cannot abort a connection.

--- /dev/null
+++ b/jayhead-edge/src/main/java/io/jayhead/edge/ErrorBody.java
@@ -0,0 +1,51 @@
+package io.jayhead.edge;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.jayhead.model.ErrorCode;
+import io.jayhead.model.Verdict;
+
+/** Writes the error document that callers receive. */
+public final class ErrorBody {
+
+    private ErrorBody() {}
+
+    /**
+     * Returns the error document.
+     *
+     * @param code the error code
+     * @param verdict whether the request may have run
+     * @param message the message for people
+     * @param requestId the request identifier; empty if there is none yet
+     * @return JSON on one line
+     */
+    public static String of(ErrorCode code, Verdict verdict, String message, String requestId) {
+        return of(code, verdict, message, requestId, "");
+    }
+
+    /**
+     * Returns the error document with the path where the status can be read.
+     *
+     * @param code the error code
+     * @param verdict whether the request may have run
+     * @param message the message for people
+     * @param requestId the request identifier; empty if there is none yet
+     * @param statusPath where the caller can read the outcome; empty if nowhere
+     * @return JSON on one line
+     */
+    public static String of(ErrorCode code, Verdict verdict, String message, String requestId, String statusPath) {
+        ObjectNode error = JsonNodeFactory.instance.objectNode();
+        error.put("code", code.code());
+        error.put("verdict", verdict.code());
+        error.put("message", message);
+        if (!requestId.isEmpty()) {
+            error.put("request_id", requestId);
+        }
+        if (!statusPath.isEmpty()) {
+            error.put("status_path", statusPath);
+        }
+        ObjectNode root = JsonNodeFactory.instance.objectNode();
+        root.set("error", error);
+        return root.toString();
+    }
+}
--- /dev/null
+++ b/jayhead-edge/src/main/java/io/jayhead/edge/IdempotencyKeys.java
@@ -0,0 +1,47 @@
+package io.jayhead.edge;
+
+import com.fasterxml.jackson.core.JsonPointer;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.jayhead.model.fleet.KeySource;
+import java.io.IOException;
+import java.util.Optional;
+
+/** Finds the idempotency key of a request. */
+public final class IdempotencyKeys {
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private IdempotencyKeys() {}
+
+    /**
+     * Finds the idempotency key.
+     *
+     * @param source where the service keeps it
+     * @param request the request
+     * @return the key, or empty if the request has none
+     */
+    public static Optional<String> find(KeySource source, CallerRequest request) {
+        if (source instanceof KeySource.Header header) {
+            return request.header(header.name()).filter(value -> !value.isBlank());
+        }
+        if (source instanceof KeySource.Pointer pointer) {
+            return findInBody(pointer.pointer(), request.body());
+        }
+        return Optional.empty();
+    }
+
+    private static Optional<String> findInBody(String pointer, byte[] body) {
+        try {
+            JsonNode root = MAPPER.readTree(body);
+            if (root == null) {
+                return Optional.empty();
+            }
+            JsonNode value = root.at(JsonPointer.compile(pointer));
+            boolean usable = value.isTextual() || value.isIntegralNumber();
+            return usable ? Optional.of(value.asText()).filter(text -> !text.isBlank()) : Optional.empty();
+        } catch (IOException e) {
+            return Optional.empty();
+        }
+    }
+}
