Read YAML with lines and paths for problem messages

Cause: problems of fleet text and settings have to name line and field. Ruled out: Jackson data binding, which stops at the first problem and has no path for unknown references; aliases, which allow small texts to expand.

--- /dev/null
+++ b/jayhead-config/src/main/java/io/jayhead/config/yaml/package-info.java
@@ -0,0 +1,2 @@
+/** YAML trees whose values keep their line and path for problem messages. */
+package io.jayhead.config.yaml;
