--- /dev/null
+++ b/jayhead-config/src/main/java/io/jayhead/config/fleet/KeySourceReader.java
@@ -0,0 +1,55 @@
+package io.jayhead.config.fleet;
+
+import io.jayhead.config.yaml.YamlSection;
+import io.jayhead.config.yaml.YamlValue;
+import io.jayhead.model.fleet.KeySource;
+import java.util.Optional;
+import java.util.Set;
+import java.util.regex.Pattern;
+
+/** Reads where the idempotency key of a service is found. */
+final class KeySourceReader {
+
+    static final String RULE = "either {header: NAME} or {pointer: /FIELD}";
+
+    private static final String HEADER_RULE = "the name of a header of 1 to 64 characters";
+    private static final String POINTER_RULE = "a JSON pointer of at most 200 characters, such as /order";
+    private static final Pattern HEADER = Pattern.compile("[A-Za-z0-9!#$%&'*+.^_`|~-]{1,64}");
+    private static final Pattern POINTER = Pattern.compile("(/([^~/]|~[01])*)+");
+
+    /** Bounds the recursion of the pattern as well as the field. */
+    private static final int MAX_POINTER_CHARACTERS = 200;
+
+    private KeySourceReader() {}
+
+    static Optional<KeySource> read(YamlValue value) {
+        return value.section().flatMap(KeySourceReader::read);
+    }
+
+    private static Optional<KeySource> read(YamlSection section) {
+        section.allowOnly(Set.of("header", "pointer"));
+        boolean header = section.optional("header").isPresent();
+        boolean pointer = section.optional("pointer").isPresent();
+        if (header == pointer) {
+            section.reject(RULE, header ? "both" : "neither");
+            return Optional.empty();
+        }
+        return header
+                ? section.optional("header")
+                        .flatMap(value -> value.text(HEADER_RULE, KeySourceReader::header))
+                        .map(KeySource.Header::new)
+                : section.optional("pointer")
+                        .flatMap(value -> value.text(POINTER_RULE, KeySourceReader::pointer))
+                        .map(KeySource.Pointer::new);
+    }
+
+    private static Optional<String> header(String text) {
+        return Optional.of(text).filter(value -> HEADER.matcher(value).matches());
+    }
+
+    private static Optional<String> pointer(String text) {
+        return Optional.of(text)
+                .filter(value -> value.length() <= MAX_POINTER_CHARACTERS)
+                .filter(value -> POINTER.matcher(value).matches());
+    }
+}
--- /dev/null
+++ b/jayhead-config/src/main/java/io/jayhead/config/fleet/package-info.java
@@ -0,0 +1,2 @@
+/** Fleet text: parsing, validation and differences. */
+package io.jayhead.config.fleet;
