Parse and validate daemon settings

Cause: a daemon must not start with settings that it ignores or misreads. Ruled out: host names, since a process learns its addresses from its settings. Conclusion: unknown keys, wrong types and ranges are reported by line.

--- /dev/null
+++ b/jayhead-config/src/main/java/io/jayhead/config/settings/SettingsReader.java
@@ -0,0 +1,137 @@
+package io.jayhead.config.settings;
+
+import io.jayhead.config.fleet.ConfigProblems;
+import io.jayhead.config.yaml.Formats;
+import io.jayhead.config.yaml.YamlSection;
+import io.jayhead.config.yaml.YamlValue;
+import io.jayhead.model.AvailabilityZone;
+import io.jayhead.model.VmName;
+import java.net.InetSocketAddress;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+/** Reads the settings from the root of their text. */
+final class SettingsReader {
+
+    private static final String CALLERS = "callers_address";
+    private static final String OPERATORS = "operators_address";
+    private static final String PEERS = "peers_address";
+    private static final Set<String> REQUIRED_KEYS = Set.of(
+            "vm",
+            "availability_zone",
+            "region",
+            CALLERS,
+            OPERATORS,
+            PEERS,
+            "platform_address",
+            "operator_credential_sha256");
+    private static final String LEVEL_RULE =
+            Stream.of(LogLevel.values()).map(LogLevel::configName).collect(Collectors.joining(", ", "one of ", ""));
+
+    private final YamlSection root;
+    private final ConfigProblems problems;
+
+    SettingsReader(YamlSection root, ConfigProblems problems) {
+        this.root = root;
+        this.problems = problems;
+    }
+
+    Optional<DaemonSettings> read() {
+        root.allowOnly(knownKeys());
+        Optional<String> vm = name("vm");
+        Optional<String> zone = name("availability_zone");
+        Optional<String> region = name("region");
+        Optional<InetSocketAddress> callers = endpoint(CALLERS);
+        Optional<InetSocketAddress> operators = endpoint(OPERATORS);
+        Optional<InetSocketAddress> peers = endpoint(PEERS);
+        requireDistinctAddresses();
+        requireReachable(peers);
+        Optional<String> platform = root.required("platform_address", Formats.URL_RULE)
+                .flatMap(value -> value.text(Formats.URL_RULE, Formats::httpUrl));
+        Optional<String> digest = root.required("operator_credential_sha256", Formats.DIGEST_RULE)
+                .flatMap(value -> value.digest(Formats.DIGEST_RULE, Formats.DIGEST));
+        Map<NumberSetting, Long> numbers = numbers();
+        LogLevel level = root.optional("log_level")
+                .flatMap(value -> value.text(LEVEL_RULE, LogLevel::parse))
+                .orElse(LogLevel.INFO);
+        return problems.unlessReportedSince(
+                0,
+                () -> new DaemonSettings(
+                        VmName.of(vm.orElseThrow()),
+                        AvailabilityZone.of(zone.orElseThrow()),
+                        region.orElseThrow(),
+                        callers.orElseThrow(),
+                        operators.orElseThrow(),
+                        peers.orElseThrow(),
+                        platform.orElseThrow(),
+                        digest.orElseThrow(),
+                        numbers.get(NumberSetting.CHARGE_PARTITIONS).intValue(),
+                        numbers.get(NumberSetting.FRESHNESS_LIMIT_MS),
+                        numbers.get(NumberSetting.GRANT_INITIAL_TOKENS),
+                        numbers.get(NumberSetting.SHUTDOWN_LIMIT_MS),
+                        numbers.get(NumberSetting.PEER_HEARTBEAT_MS),
+                        numbers.get(NumberSetting.UPSTREAM_POLL_MS),
+                        numbers.get(NumberSetting.UPSTREAM_FRESHNESS_MS),
+                        numbers.get(NumberSetting.CHARGE_LINGER_MS),
+                        numbers.get(NumberSetting.FIRST_BYTE_TIMEOUT_MS),
+                        numbers.get(NumberSetting.BETWEEN_TOKENS_TIMEOUT_MS),
+                        numbers.get(NumberSetting.QUEUE_LIMIT).intValue(),
+                        level));
+    }
+
+    private static Set<String> knownKeys() {
+        Stream<String> numbers = Stream.of(NumberSetting.values()).map(NumberSetting::key);
+        return Stream.of(REQUIRED_KEYS.stream(), numbers, Stream.of("log_level"))
+                .flatMap(keys -> keys)
+                .collect(Collectors.toUnmodifiableSet());
+    }
+
+    private Optional<String> name(String key) {
+        return root.required(key, Formats.NAME_RULE).flatMap(value -> value.text(Formats.NAME_RULE, Formats::name));
+    }
+
+    private Optional<InetSocketAddress> endpoint(String key) {
+        return root.required(key, Formats.ENDPOINT_RULE)
+                .flatMap(value -> value.text(Formats.ENDPOINT_RULE, Formats::endpoint));
+    }
+
+    private void requireDistinctAddresses() {
+        Map<String, String> keys = new HashMap<>();
+        for (String key : List.of(CALLERS, OPERATORS, PEERS)) {
+            Optional<YamlValue> value = root.optional(key);
+            Optional<String> earlier = value.flatMap(YamlValue::peek).map(text -> keys.putIfAbsent(text, key));
+            earlier.ifPresent(other -> value.get().reject("an address of its own", "the address of " + other));
+        }
+    }
+
+    /** Peers connect to the registered address, so it cannot be the wildcard. */
+    private void requireReachable(Optional<InetSocketAddress> peers) {
+        if (peers.filter(address -> address.getAddress().isAnyLocalAddress()).isPresent()) {
+            root.optional(PEERS).orElseThrow().reject("an address that peers can connect to");
+        }
+    }
+
+    private Map<NumberSetting, Long> numbers() {
+        Map<NumberSetting, Long> numbers = new EnumMap<>(NumberSetting.class);
+        Stream.of(NumberSetting.values()).forEach(setting -> numbers.put(setting, setting.read(root)));
+        requireLess(numbers, NumberSetting.PEER_HEARTBEAT_MS, NumberSetting.FRESHNESS_LIMIT_MS);
+        requireLess(numbers, NumberSetting.UPSTREAM_POLL_MS, NumberSetting.UPSTREAM_FRESHNESS_MS);
+        return numbers;
+    }
+
+    /** A period as long as the limit it feeds would make the limit pass between two reports. */
+    private void requireLess(Map<NumberSetting, Long> numbers, NumberSetting period, NumberSetting limit) {
+        if (numbers.get(period) < numbers.get(limit)) {
+            return;
+        }
+        root.optional(period.key())
+                .or(() -> root.optional(limit.key()))
+                .ifPresent(value -> value.reject(period.key() + " less than " + limit.key()));
+    }
+}
--- /dev/null
+++ b/jayhead-config/src/main/java/io/jayhead/config/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Settings of one daemon: parsing and validation. */
+package io.jayhead.config.settings;
--- /dev/null
+++ b/jayhead-config/src/test/java/io/jayhead/config/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the configuration texts. */
+package io.jayhead.config.settings;
