Add a client of the operator interface

Cause: the command line must know whether a write may have reached a router. Conclusion: an unknown outcome is never answered by a second write.

--- /dev/null
+++ b/jayhead-ctl/src/main/java/io/jayhead/ctl/router/OperatorRequest.java
@@ -0,0 +1,63 @@
+package io.jayhead.ctl.router;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Describes a request to the operator interface.
+ *
+ * @param method the HTTP method
+ * @param path the path segments below the version
+ * @param body the JSON body, if any
+ */
+public record OperatorRequest(String method, List<String> path, Optional<JsonNode> body) {
+
+    private static final JsonNodeFactory JSON = JsonNodeFactory.instance;
+
+    /** Copies the list. */
+    public OperatorRequest {
+        path = List.copyOf(path);
+    }
+
+    /**
+     * Returns a request that reads.
+     *
+     * @param path the path segments below the version
+     * @return the request
+     */
+    public static OperatorRequest read(String... path) {
+        return new OperatorRequest("GET", List.of(path), Optional.empty());
+    }
+
+    /**
+     * Returns a request that writes the fleet text.
+     *
+     * @param expectedVersion the version that the text replaces
+     * @param changeId identifies this change
+     * @param text the new text
+     * @return the request
+     */
+    public static OperatorRequest writeFleet(long expectedVersion, String changeId, String text) {
+        JsonNode body = JSON.objectNode()
+                .put("expected_version", expectedVersion)
+                .put("change_id", changeId)
+                .put("text", text);
+        return new OperatorRequest("PUT", List.of("fleet"), Optional.of(body));
+    }
+
+    /**
+     * Returns a request that tops up a budget.
+     *
+     * @param organisation the organisation
+     * @param budget the budget
+     * @param id identifies the top-up, which counts once
+     * @param tokens the tokens paid
+     * @return the request
+     */
+    public static OperatorRequest topUp(String organisation, String budget, String id, long tokens) {
+        JsonNode body = JSON.objectNode().put("id", id).put("tokens", tokens);
+        return new OperatorRequest("POST", List.of("budgets", organisation, budget, "topups"), Optional.of(body));
+    }
+}
--- /dev/null
+++ b/jayhead-ctl/src/main/java/io/jayhead/ctl/router/RouterClient.java
@@ -0,0 +1,98 @@
+package io.jayhead.ctl.router;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.MissingNode;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import okhttp3.HttpUrl;
+import okhttp3.MediaType;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+import okhttp3.ResponseBody;
+
+/** Sends single requests to the operator interface of a router. */
+public final class RouterClient {
+
+    private static final MediaType JSON = MediaType.get("application/json");
+    private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
+
+    /** Holds a fleet text of 900,000 bytes even if JSON escapes each byte with six. */
+    private static final long MAX_ANSWER_BYTES = 8_000_000;
+
+    private final ObjectMapper mapper = new ObjectMapper();
+    private final OkHttpClient client;
+    private final String credential;
+
+    /**
+     * Creates a client.
+     *
+     * @param credential the bearer credential of operators
+     * @param timeout the longest time of one request
+     */
+    public RouterClient(String credential, Duration timeout) {
+        this.credential = credential;
+        // A write is repeated only by the caller, who knows whether that is safe. A redirect could
+        // lead the credential to another host.
+        this.client = new OkHttpClient.Builder()
+                .retryOnConnectionFailure(false)
+                .followRedirects(false)
+                .connectTimeout(CONNECT_TIMEOUT)
+                .readTimeout(timeout)
+                .callTimeout(timeout)
+                .eventListener(new SendMark.Listener())
+                .build();
+    }
+
+    /**
+     * Sends one request.
+     *
+     * @param router the address of the router
+     * @param request the request
+     * @return the reply
+     */
+    public Reply send(HttpUrl router, OperatorRequest request) {
+        SendMark mark = new SendMark();
+        Request httpRequest = new Request.Builder()
+                .url(url(router, request.path()))
+                .header("Authorization", "Bearer " + credential)
+                .method(request.method(), request.body().map(this::encode).orElse(null))
+                .tag(SendMark.class, mark)
+                .build();
+        try (Response response = client.newCall(httpRequest).execute()) {
+            return decode(response);
+        } catch (IOException e) {
+            // Connections that are open may be silent for good while new ones work.
+            client.connectionPool().evictAll();
+            return new Reply.NoAnswer(mark.isSent(), e.getClass().getSimpleName() + ": " + e.getMessage());
+        }
+    }
+
+    private static HttpUrl url(HttpUrl router, List<String> path) {
+        HttpUrl.Builder url = router.newBuilder().addPathSegments("operator/v1");
+        path.forEach(url::addPathSegment);
+        return url.build();
+    }
+
+    private RequestBody encode(JsonNode body) {
+        return RequestBody.create(body.toString(), JSON);
+    }
+
+    private Reply decode(Response response) throws IOException {
+        ResponseBody body = response.body();
+        if (body.source().request(MAX_ANSWER_BYTES + 1)) {
+            return new Reply.NoAnswer(true, "an answer of more than " + MAX_ANSWER_BYTES + " bytes");
+        }
+        try {
+            return new Reply.Answer(response.code(), mapper.readTree(body.string()));
+        } catch (JsonProcessingException e) {
+            return response.isSuccessful()
+                    ? new Reply.NoAnswer(true, "an answer that is not JSON")
+                    : new Reply.Answer(response.code(), MissingNode.getInstance());
+        }
+    }
+}
--- /dev/null
+++ b/jayhead-ctl/src/main/java/io/jayhead/ctl/router/package-info.java
@@ -0,0 +1,2 @@
+/** Client of the operator interface of routers. */
+package io.jayhead.ctl.router;
