Add the commands of jayheadctl

Cause: operators need to validate, compare and apply fleet texts, top up and query. Ruled out: a credential option, since other users of a machine see command lines; another apply after a lost reply, since reading the change id back is enough. Change: the seven commands with exit codes 0, 1, 2 and 3. Conclusion: a lost reply ends as done, conflict or outcome unknown, after one write.

--- /dev/null
+++ b/jayhead-ctl/src/main/java/io/jayhead/ctl/Credential.java
@@ -0,0 +1,41 @@
+package io.jayhead.ctl;
+
+import io.jayhead.ctl.command.UsageException;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.Optional;
+import java.util.regex.Pattern;
+
+/** Reads the credential of operators; the command line is no source, as other users of the machine can see it. */
+final class Credential {
+
+    static final String VARIABLE = "JAYHEAD_CREDENTIAL";
+
+    /** Printable ASCII without spaces, as a bearer token in a header has to be. */
+    private static final Pattern TOKEN = Pattern.compile("[!-~]{1,4096}");
+
+    private Credential() {}
+
+    /** Returns the credential of the file, or else of the environment. */
+    static String read(Optional<Path> file, Map<String, String> environment) {
+        String text = file.map(Credential::readFile)
+                .or(() -> Optional.ofNullable(environment.get(VARIABLE)))
+                .orElseThrow(
+                        () -> new UsageException("this command needs --credential-file or the variable " + VARIABLE))
+                .strip();
+        if (!TOKEN.matcher(text).matches()) {
+            throw new UsageException("the credential is empty or has characters that a header cannot hold");
+        }
+        return text;
+    }
+
+    private static String readFile(Path file) {
+        try {
+            return Files.readString(file);
+        } catch (IOException e) {
+            throw new UsageException(file + ": cannot be read: " + e);
+        }
+    }
+}
--- /dev/null
+++ b/jayhead-ctl/src/main/java/io/jayhead/ctl/Jayheadctl.java
@@ -0,0 +1,68 @@
+package io.jayhead.ctl;
+
+import io.jayhead.ctl.command.Command;
+import io.jayhead.ctl.command.Console;
+import io.jayhead.ctl.command.ExitCode;
+import io.jayhead.ctl.command.Session;
+import io.jayhead.ctl.command.UsageException;
+import io.jayhead.ctl.router.RouterClient;
+import io.jayhead.ctl.router.RouterGroup;
+import java.util.Map;
+
+/** Runs one command line. */
+public final class Jayheadctl {
+
+    private static final String UNPACKAGED_VERSION = "development";
+
+    private final Console console;
+    private final Map<String, String> environment;
+
+    /**
+     * Creates a runner.
+     *
+     * @param console the output
+     * @param environment the environment variables
+     */
+    public Jayheadctl(Console console, Map<String, String> environment) {
+        this.console = console;
+        this.environment = Map.copyOf(environment);
+    }
+
+    /**
+     * Runs a command line.
+     *
+     * @param args the arguments
+     * @return the exit code
+     */
+    public ExitCode run(String... args) {
+        try {
+            return run(CommandLine.parse(args));
+        } catch (UsageException e) {
+            console.problem(e.getMessage());
+            return ExitCode.INVALID;
+        }
+    }
+
+    private ExitCode run(CommandLine line) {
+        if (line.isHelp()) {
+            CommandLine.printHelp(console.out());
+            return ExitCode.DONE;
+        }
+        if (line.isVersion()) {
+            console.print("jayheadctl " + version());
+            return ExitCode.DONE;
+        }
+        Command command = line.command();
+        return command.run(new Session(line.arguments(), console, () -> connect(line)));
+    }
+
+    private RouterGroup connect(CommandLine line) {
+        String credential = Credential.read(line.credentialFile(), environment);
+        return new RouterGroup(new RouterClient(credential, line.timeout()), line.routers());
+    }
+
+    private static String version() {
+        String version = Jayheadctl.class.getPackage().getImplementationVersion();
+        return version == null ? UNPACKAGED_VERSION : version;
+    }
+}
--- /dev/null
+++ b/jayhead-ctl/src/main/java/io/jayhead/ctl/JayheadctlMain.java
@@ -0,0 +1,19 @@
+package io.jayhead.ctl;
+
+import io.jayhead.ctl.command.Console;
+
+/** Starts the command line of operators. */
+public final class JayheadctlMain {
+
+    private JayheadctlMain() {}
+
+    /**
+     * Runs one command and exits with its code.
+     *
+     * @param args the arguments
+     */
+    public static void main(String[] args) {
+        Console console = new Console(System.out, System.err);
+        System.exit(new Jayheadctl(console, System.getenv()).run(args).status());
+    }
+}
--- /dev/null
+++ b/jayhead-ctl/src/main/java/io/jayhead/ctl/command/Console.java
@@ -0,0 +1,30 @@
+package io.jayhead.ctl.command;
+
+import java.io.PrintStream;
+
+/**
+ * Holds the streams that a command writes to.
+ *
+ * @param out receives results
+ * @param err receives problems
+ */
+public record Console(PrintStream out, PrintStream err) {
+
+    /**
+     * Prints one line of a result.
+     *
+     * @param line the line
+     */
+    public void print(Object line) {
+        out.println(line);
+    }
+
+    /**
+     * Prints one line about a problem.
+     *
+     * @param line the line
+     */
+    public void problem(Object line) {
+        err.println(line);
+    }
+}
--- /dev/null
+++ b/jayhead-ctl/src/main/java/io/jayhead/ctl/command/UsageException.java
@@ -0,0 +1,16 @@
+package io.jayhead.ctl.command;
+
+/** Reports wrong usage or input that cannot be read. */
+public final class UsageException extends RuntimeException {
+
+    private static final long serialVersionUID = 1L;
+
+    /**
+     * Creates an exception.
+     *
+     * @param message the message for people
+     */
+    public UsageException(String message) {
+        super(message);
+    }
+}
--- /dev/null
+++ b/jayhead-ctl/src/main/java/io/jayhead/ctl/command/package-info.java
@@ -0,0 +1,2 @@
+/** Commands of operators. */
+package io.jayhead.ctl.command;
--- /dev/null
+++ b/jayhead-ctl/src/test/java/io/jayhead/ctl/ApplyTest.java
@@ -0,0 +1,130 @@
+package io.jayhead.ctl;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.jayhead.ctl.command.ExitCode;
+import java.io.IOException;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class ApplyTest {
+
+    private final RouterStub first = new RouterStub();
+    private final RouterStub second = new RouterStub();
+
+    @AfterEach
+    void closeRouters() throws IOException {
+        first.close();
+        second.close();
+    }
+
+    // Guards against a blind write that ignores the version the operator saw.
+    @Test
+    void showsTheChangesAndSendsTheVersionThatItRead() {
+        first.reads(RouterStub.fleet(7, "a")).writes(RouterStub.json(200, "{\"version\":8,\"state\":\"accepted\"}"));
+        CtlRun run = apply();
+        assertEquals(ExitCode.DONE, run.code(), run::err);
+        assertTrue(run.out().contains("services/plan added"), run::out);
+        assertTrue(run.out().contains("version 8 accepted"), run::out);
+        assertEquals(7, first.written.get(0).path("expected_version").asLong());
+        assertEquals(36, first.written.get(0).path("change_id").asText().length());
+        assertTrue(first.written.get(0).path("text").asText().startsWith("fleet: demo"));
+        assertEquals("Bearer secret", first.requests.get(0).getHeader("Authorization"));
+    }
+
+    // Guards against an accepted state that the router did not report.
+    @Test
+    void failsOnASuccessWithoutAnAcceptedState() {
+        first.reads(RouterStub.fleet(7, "a")).writes(RouterStub.json(200, "{\"version\":8}"));
+        assertEquals(ExitCode.FAILED, apply().code());
+    }
+
+    // Guards against a conflict that looks like any other failure to a script.
+    @Test
+    void namesTheWinnerOfAConflict() {
+        first.reads(RouterStub.fleet(7, "a"))
+                .writes(RouterStub.json(409, "{\"error\":{\"code\":\"conflict\"},\"version\":9}"));
+        CtlRun run = apply();
+        assertEquals(ExitCode.CONFLICT, run.code());
+        assertTrue(run.err().contains("version 9"), run::err);
+    }
+
+    // Guards against a text that overwrites a version the operator has not seen.
+    @Test
+    void writesNothingWhenALaterVersionIsInForce() {
+        first.reads(RouterStub.fleet(7, "a"));
+        CtlRun run = apply("--expected-version", "6");
+        assertEquals(ExitCode.CONFLICT, run.code());
+        assertTrue(run.err().contains("version 7 of change a"), run::err);
+        assertTrue(first.written.isEmpty());
+    }
+
+    // Guards against a second write after a lost reply; a router may report the old version for a while.
+    @Test
+    void readsBackAfterALostReply() {
+        second.changesFrom = first;
+        first.reads(RouterStub.fleet(7, "a"), RouterStub.lost()).writes(RouterStub.lost());
+        second.reads(RouterStub.fleet(7, "a"), RouterStub.fleet(8, RouterStub.LAST_CHANGE));
+        CtlRun run = apply();
+        assertEquals(ExitCode.DONE, run.code(), run::err);
+        assertTrue(run.out().contains("version 8 written"), run::out);
+        assertEquals(1, first.written.size());
+        assertTrue(second.written.isEmpty());
+    }
+
+    // Guards against success reported for another operator's change.
+    @Test
+    void reportsAConflictWhenTheReadBackShowsAnotherChange() {
+        first.reads(RouterStub.fleet(7, "a"), RouterStub.fleet(8, "b"))
+                .writes(RouterStub.error(504, "deadline_exceeded", "may_have_run"));
+        CtlRun run = apply();
+        assertEquals(ExitCode.CONFLICT, run.code());
+        assertTrue(run.err().contains("version 8 of change b"), run::err);
+    }
+
+    // Guards against a definite loss reported where the change may have been in force for a time.
+    @Test
+    void leavesTheOutcomeOpenWhenSeveralVersionsFollowed() {
+        first.reads(RouterStub.fleet(7, "a"), RouterStub.fleet(9, "b")).writes(RouterStub.lost());
+        assertTrue(apply().err().contains("outcome unknown"));
+    }
+
+    // Guards against "done" or "not applied" for a write that may still be on its way.
+    @Test
+    void failsWhenTheChangeNeverShows() {
+        first.reads(RouterStub.fleet(7, "a")).writes(RouterStub.lost());
+        CtlRun run = apply();
+        assertEquals(ExitCode.FAILED, run.code());
+        assertTrue(run.err().contains("outcome unknown"), run::err);
+        assertEquals(1, first.written.size());
+        assertTrue(second.requests.isEmpty());
+    }
+
+    // Guards against a whole fleet that cannot be changed because one router takes no writes.
+    @Test
+    void writesThroughTheNextRouterAfterAProvenRefusal() {
+        first.reads(RouterStub.fleet(7, "a")).writes(RouterStub.error(503, "shutting_down", "not_run"));
+        second.writes(RouterStub.json(200, "{\"version\":8,\"state\":\"accepted\"}"));
+        assertEquals(ExitCode.DONE, apply().code());
+        assertEquals(first.written, second.written);
+    }
+
+    // Guards against a router that is down being taken for a lost reply.
+    @Test
+    void writesThroughTheNextRouterWhenTheFirstIsNotReachable() throws IOException {
+        first.close();
+        second.reads(RouterStub.fleet(7, "a")).writes(RouterStub.json(200, "{\"version\":8,\"state\":\"accepted\"}"));
+        CtlRun run = apply();
+        assertEquals(ExitCode.DONE, run.code(), run::err);
+        assertEquals(1, second.written.size());
+    }
+
+    private CtlRun apply(String... options) {
+        String[] args = new String[options.length + 6];
+        System.arraycopy(options, 0, args, 0, options.length);
+        String[] command = {"--router", first.url(), "--router", second.url(), "apply", CtlRun.fleetFile()};
+        System.arraycopy(command, 0, args, options.length, command.length);
+        return CtlRun.of(args);
+    }
+}
--- /dev/null
+++ b/jayhead-ctl/src/test/java/io/jayhead/ctl/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the command line of operators. */
+package io.jayhead.ctl;
