--- a/jayhead-config/src/main/java/io/jayhead/config/fleet/FleetNames.java
+++ b/jayhead-config/src/main/java/io/jayhead/config/fleet/FleetNames.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Function;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 /**
@@ -39,6 +40,13 @@
                 NamedSection.names(sections.organisations()));
     }
 
+    Set<String> servicesOf(RequestKind kind) {
+        return services.entrySet().stream()
+                .filter(entry -> entry.getValue().equals(Optional.of(kind)))
+                .map(Map.Entry::getKey)
+                .collect(Collectors.toUnmodifiableSet());
+    }
+
     static Optional<UpstreamType> upstreamType(String text) {
         return Stream.of(UpstreamType.values())
                 .filter(type -> configName(type).equals(text))
--- a/jayhead-config/src/main/java/io/jayhead/config/fleet/ServiceReader.java
+++ b/jayhead-config/src/main/java/io/jayhead/config/fleet/ServiceReader.java
@@ -10,7 +10,6 @@
 import io.jayhead.model.fleet.ServiceSpec;
 import io.jayhead.model.fleet.UpstreamType;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.regex.Pattern;
@@ -44,11 +43,13 @@
     private final FleetNames names;
     private final ConfigProblems problems;
     private final DependencyReader dependencyReader;
+    private final Set<String> statusReads;
 
     ServiceReader(FleetNames names, ConfigProblems problems) {
         this.names = names;
         this.problems = problems;
         this.dependencyReader = new DependencyReader(names);
+        this.statusReads = names.servicesOf(RequestKind.STATUS_READ);
     }
 
     Optional<ServiceSpec> read(NamedSection named) {
@@ -148,10 +149,6 @@
             section.forbid("status_service", "no status service except on a booking");
             return Optional.empty();
         }
-        Set<String> statusReads = names.services().entrySet().stream()
-                .filter(entry -> entry.getValue().equals(Optional.of(RequestKind.STATUS_READ)))
-                .map(Map.Entry::getKey)
-                .collect(Collectors.toUnmodifiableSet());
         return section.optional("status_service").flatMap(value -> References.read(value, statusReads, STATUS_RULE));
     }
 }
