Test silent connections and the diff command

Cause: two paths of jayheadctl had no test. Change: a write on a silent connection is read back; diff against no fleet yet. Conclusion: neither path writes a second time.

--- a/jayhead-ctl/src/test/java/io/jayhead/ctl/ApplyTest.java
+++ b/jayhead-ctl/src/test/java/io/jayhead/ctl/ApplyTest.java
@@ -73,6 +73,16 @@
         assertTrue(second.written.isEmpty());
     }
 
+    // Guards against an apply that hangs on a connection that is open but silent.
+    @Test
+    void readsBackAfterASilentConnection() {
+        first.reads(RouterStub.fleet(7, "a"), RouterStub.fleet(8, RouterStub.LAST_CHANGE))
+                .writes(RouterStub.silent());
+        CtlRun run = apply("--timeout-ms", "500");
+        assertEquals(ExitCode.DONE, run.code(), run::err);
+        assertEquals(1, first.written.size());
+    }
+
     // Guards against success reported for another operator's change.
     @Test
     void reportsAConflictWhenTheReadBackShowsAnotherChange() {
--- a/jayhead-ctl/src/test/java/io/jayhead/ctl/JayheadctlTest.java
+++ b/jayhead-ctl/src/test/java/io/jayhead/ctl/JayheadctlTest.java
@@ -65,6 +65,16 @@
         assertTrue(run.err().startsWith("line 2: colour: "), run::err);
     }
 
+    // Guards against a comparison that changes something or fails where a fleet has no text yet.
+    @Test
+    void comparesAFileWithTheTextInForce() {
+        router.reads(RouterStub.error(404, "not_found", "not_run"));
+        CtlRun run = CtlRun.of("--router", router.url(), "diff", CtlRun.fleetFile());
+        assertEquals(ExitCode.DONE, run.code(), run::err);
+        assertTrue(run.out().contains("models/large added: adapter plan-adapter, weights large-v3"), run::out);
+        assertTrue(router.written.isEmpty());
+    }
+
     // Guards against a credential of the environment that overrides the file, and against none at all.
     @Test
     void readsTheCredentialFromTheFileOrTheEnvironment() throws IOException {
--- a/jayhead-ctl/src/test/java/io/jayhead/ctl/RouterStub.java
+++ b/jayhead-ctl/src/test/java/io/jayhead/ctl/RouterStub.java
@@ -6,6 +6,8 @@
 import java.io.UncheckedIOException;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.logging.Level;
+import java.util.logging.Logger;
 import okhttp3.mockwebserver.Dispatcher;
 import okhttp3.mockwebserver.MockResponse;
 import okhttp3.mockwebserver.MockWebServer;
@@ -18,6 +20,9 @@
     /** Stands for the last change id received by any router of the test. */
     static final String LAST_CHANGE = "LAST_CHANGE";
 
+    /** Kept, as a logger without references loses its level. */
+    private static final Logger SERVER_LOG = Logger.getLogger(MockWebServer.class.getName());
+
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
     private final MockWebServer server = new MockWebServer();
@@ -28,6 +33,8 @@
     RouterStub changesFrom = this;
 
     RouterStub() {
+        // The lost and silent connections of these tests are no warnings.
+        SERVER_LOG.setLevel(Level.OFF);
         server.setDispatcher(new Dispatcher() {
             @Override
             public MockResponse dispatch(RecordedRequest request) {
@@ -71,6 +78,10 @@
         return new MockResponse().setSocketPolicy(SocketPolicy.DISCONNECT_AFTER_REQUEST);
     }
 
+    static MockResponse silent() {
+        return new MockResponse().setSocketPolicy(SocketPolicy.NO_RESPONSE);
+    }
+
     private MockResponse answer(RecordedRequest request) {
         requests.add(request);
         if (request.getMethod().equals("GET")) {
