Name expected and found in messages about YAML syntax

Cause: SnakeYAML's own wording gave "found found unexpected end of stream". Change: its messages are split into what was expected and what was found. Conclusion: syntax errors read like the other problems.

--- a/jayhead-config/src/main/java/io/jayhead/config/yaml/YamlText.java
+++ b/jayhead-config/src/main/java/io/jayhead/config/yaml/YamlText.java
@@ -3,6 +3,8 @@
 import java.io.StringReader;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.yaml.snakeyaml.LoaderOptions;
 import org.yaml.snakeyaml.Yaml;
 import org.yaml.snakeyaml.error.Mark;
@@ -27,6 +29,9 @@
 
     private static final String WHOLE_TEXT = "text";
 
+    /** The form of SnakeYAML's messages about an unexpected token. */
+    private static final Pattern MISMATCH = Pattern.compile("expected (?<expected>.*), but found (?<found>.*)");
+
     private YamlText() {}
 
     /**
@@ -52,13 +57,24 @@
                     "printable characters",
                     String.format("character U+%04X", codePoint));
         } catch (MarkedYAMLException e) {
-            problems.report(lineOf(e.getProblemMark()), WHOLE_TEXT, "valid YAML", e.getProblem());
+            reportSyntax(e, problems);
         } catch (YAMLException e) {
             problems.report(1, WHOLE_TEXT, "valid YAML", firstLine(e));
         }
         return Optional.empty();
     }
 
+    private static void reportSyntax(MarkedYAMLException exception, ProblemSink problems) {
+        int line = lineOf(exception.getProblemMark());
+        String problem = String.valueOf(exception.getProblem()).replace('\n', ' ');
+        Matcher mismatch = MISMATCH.matcher(problem);
+        if (mismatch.matches()) {
+            problems.report(line, WHOLE_TEXT, mismatch.group("expected"), mismatch.group("found"));
+            return;
+        }
+        problems.report(line, WHOLE_TEXT, "valid YAML", problem.replaceFirst("^found ", ""));
+    }
+
     private static boolean isAcceptable(String text, ProblemSink problems) {
         int depth = 0;
         for (Event event : yaml().parse(new StringReader(text))) {
--- a/jayhead-config/src/test/java/io/jayhead/config/fleet/FleetParserTest.java
+++ b/jayhead-config/src/test/java/io/jayhead/config/fleet/FleetParserTest.java
@@ -1,6 +1,7 @@
 package io.jayhead.config.fleet;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.jayhead.config.TestTexts;
@@ -64,6 +65,7 @@
         assertEquals(1, problems.size(), () -> render(problems));
         assertEquals(line, problems.get(0).line());
         assertEquals(field, problems.get(0).field());
+        assertFalse(problems.get(0).toString().contains("found found"));
     }
 
     // Guards against an accepted text that the platform then refuses as too large.
