Serve the stand-ins over Netty with faults on each connection

Cause: tests need stand-ins whose open connections go silent while new ones work, whose replies are lost after the write, and that freeze. Ruled out: Jooby, because its API gives no access to the channel beneath a request, which the silent fault needs before the HTTP codec. Change: a small server on the Netty HTTP codec, one control thread that owns a stand-in's state, and a board of the faults in force.

--- /dev/null
+++ b/jayhead-standins/src/main/java/io/jayhead/standins/fault/package-info.java
@@ -0,0 +1,2 @@
+/** Faults that tests order from a running stand-in. */
+package io.jayhead.standins.fault;
--- /dev/null
+++ b/jayhead-standins/src/main/java/io/jayhead/standins/http/Exchange.java
@@ -0,0 +1,142 @@
+package io.jayhead.standins.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Queue;
+
+/** Sends the answer to one request. All methods are called from the control thread. */
+public final class Exchange {
+
+    /** Short against the freezes that tests order, which last hundreds of milliseconds. */
+    private static final long FREEZE_POLL_MS = 10;
+
+    private final StandinContext context;
+    private final Channel channel;
+    private final Request request;
+    private final boolean keepAlive;
+    private final Queue<Runnable> heldWrites = new ArrayDeque<>();
+
+    Exchange(StandinContext context, Channel channel, Request request, boolean keepAlive) {
+        this.context = context;
+        this.channel = channel;
+        this.request = request;
+        this.keepAlive = keepAlive;
+    }
+
+    /** Tells whether the caller's connection is still open. */
+    public boolean isOpen() {
+        return channel.isActive();
+    }
+
+    /**
+     * Runs a task on the control thread once the caller's connection is closed.
+     *
+     * @param task the task
+     */
+    public void onClose(Runnable task) {
+        channel.closeFuture().addListener(ignored -> {
+            if (!context.control().isShutdown()) {
+                context.control().execute(task);
+            }
+        });
+    }
+
+    /**
+     * Sends a complete answer, or closes the connection where a fault drops the reply.
+     *
+     * @param response the answer
+     */
+    public void respond(Response response) {
+        if (response.isSuccess() && dropsReply()) {
+            channel.close();
+            return;
+        }
+        ByteBuf body = Unpooled.copiedBuffer(response.body(), StandardCharsets.UTF_8);
+        DefaultFullHttpResponse message =
+                new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(response.status()), body);
+        message.headers().set(HttpHeaderNames.CONTENT_TYPE, response.contentType());
+        message.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+        response.headers().forEach((name, value) -> message.headers().set(name, value));
+        HttpUtil.setKeepAlive(message, keepAlive);
+        send(() -> writeLast(message));
+    }
+
+    /** Starts an event stream, or closes the connection where a fault drops the reply. */
+    public void openEvents() {
+        if (dropsReply()) {
+            channel.close();
+            return;
+        }
+        HttpResponse message = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+        message.headers().set(HttpHeaderNames.CONTENT_TYPE, "text/event-stream");
+        message.headers().set(HttpHeaderNames.CACHE_CONTROL, "no-cache");
+        HttpUtil.setTransferEncodingChunked(message, true);
+        HttpUtil.setKeepAlive(message, keepAlive);
+        send(() -> channel.writeAndFlush(message));
+    }
+
+    /**
+     * Sends and flushes one event.
+     *
+     * @param data the value written as the event's data
+     */
+    public void event(Object data) {
+        String text = "data: " + Json.write(data) + "\n\n";
+        send(() -> channel.writeAndFlush(new DefaultHttpContent(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8))));
+    }
+
+    /** Ends the event stream. */
+    public void endEvents() {
+        send(() -> writeLast(LastHttpContent.EMPTY_LAST_CONTENT));
+    }
+
+    private boolean dropsReply() {
+        return request.isWrite()
+                && !ControlPaths.contains(request)
+                && context.faults().takeDrop(request.path());
+    }
+
+    private void writeLast(Object message) {
+        var written = channel.writeAndFlush(message);
+        if (!keepAlive) {
+            written.addListener(ChannelFutureListener.CLOSE);
+        }
+    }
+
+    private void send(Runnable write) {
+        if (heldWrites.isEmpty() && !isFrozen()) {
+            write.run();
+            return;
+        }
+        heldWrites.add(write);
+        if (heldWrites.size() == 1) {
+            context.after(FREEZE_POLL_MS, this::releaseHeldWrites);
+        }
+    }
+
+    private void releaseHeldWrites() {
+        if (isFrozen()) {
+            context.after(FREEZE_POLL_MS, this::releaseHeldWrites);
+            return;
+        }
+        heldWrites.forEach(Runnable::run);
+        heldWrites.clear();
+    }
+
+    private boolean isFrozen() {
+        return !ControlPaths.contains(request) && context.faults().isFrozen(request.path());
+    }
+}
--- /dev/null
+++ b/jayhead-standins/src/main/java/io/jayhead/standins/http/RequestDecoder.java
@@ -0,0 +1,61 @@
+package io.jayhead.standins.http;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+
+/** Turns Netty's requests into values and passes them to the control thread. */
+final class RequestDecoder extends SimpleChannelInboundHandler<FullHttpRequest> {
+
+    private final StandinContext context;
+    private final RequestGate gate;
+    private final Connections connections;
+
+    RequestDecoder(StandinContext context, RequestGate gate, Connections connections) {
+        this.context = context;
+        this.gate = gate;
+        this.connections = connections;
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext channelContext, FullHttpRequest message) {
+        Request request = decode(message);
+        connections.requested(channelContext.channel(), request.path());
+        Exchange exchange = new Exchange(context, channelContext.channel(), request, HttpUtil.isKeepAlive(message));
+        context.control().execute(() -> gate.handle(request, exchange, channelContext.channel()));
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext channelContext, Throwable cause) {
+        // A caller that resets its connection is an ordinary event here.
+        channelContext.close();
+    }
+
+    private static Request decode(FullHttpRequest message) {
+        QueryStringDecoder uri = new QueryStringDecoder(message.uri());
+        Map<String, String> query = new HashMap<>();
+        uri.parameters().forEach((name, values) -> query.put(name, values.get(0)));
+        Map<String, String> headers = new HashMap<>();
+        message.headers().forEach(header -> headers.put(header.getKey().toLowerCase(Locale.ROOT), header.getValue()));
+        List<String> segments = Arrays.stream(uri.rawPath().split("/"))
+                .filter(segment -> !segment.isEmpty())
+                .map(QueryStringDecoder::decodeComponent)
+                .toList();
+        return new Request(
+                message.method().name(),
+                uri.rawPath(),
+                segments,
+                query,
+                headers,
+                message.content().toString(StandardCharsets.UTF_8),
+                message.content().readableBytes());
+    }
+}
--- /dev/null
+++ b/jayhead-standins/src/main/java/io/jayhead/standins/http/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP server, exchanges and JSON shared by the stand-ins. */
+package io.jayhead.standins.http;
