--- /dev/null
+++ b/jayhead-standins/src/main/java/io/jayhead/standins/platform/VmView.java
@@ -0,0 +1,18 @@
+package io.jayhead.standins.platform;
+
+/**
+ * Describes a VM in the VM list.
+ *
+ * @param name its name
+ * @param availabilityZone its availability zone
+ * @param state {@code live} or {@code leaving}
+ */
+public record VmView(String name, String availabilityZone, String state) {
+
+    /** Checks the state. */
+    public VmView {
+        if (!"live".equals(state) && !"leaving".equals(state)) {
+            throw new IllegalArgumentException("state must be live or leaving: " + state);
+        }
+    }
+}
