Add the model engine stand-in

Cause: routing, resume, fencing and billing need an engine with batching and exact token counts. Ruled out: refusals of a known request id, because a refusal claims that the request did not run. Change: continuous batching, prefix cache, resume and cancel of streams, fencing, lagging load reports.

--- /dev/null
+++ b/jayhead-standins/src/main/java/io/jayhead/standins/engine/EngineStandin.java
@@ -0,0 +1,235 @@
+package io.jayhead.standins.engine;
+
+import com.google.common.flogger.FluentLogger;
+import io.jayhead.standins.fault.FaultKind;
+import io.jayhead.standins.http.Exchange;
+import io.jayhead.standins.http.Json;
+import io.jayhead.standins.http.Request;
+import io.jayhead.standins.http.Response;
+import io.jayhead.standins.http.Standin;
+import io.jayhead.standins.http.StandinContext;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/** Serves the protocol of a model engine: streams, resume, cancel, fencing, load and cache events. */
+public final class EngineStandin implements Standin {
+
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private static final int DEFAULT_PRIORITY = 5;
+    private static final long MIN_SAMPLE_MS = 10;
+    private static final long SAMPLES_PER_LAG = 10;
+
+    private final EngineOptions options;
+    private final StandinContext context;
+    private final RunRecords records;
+    private final FenceRegister fences = new FenceRegister();
+    private final CacheEventLog cacheEvents;
+    private final LoadHistory loads;
+    private final Batch batch;
+    private long arrivals;
+
+    /**
+     * Creates an idle engine.
+     *
+     * @param options its identity and speed
+     * @param context its control thread and faults
+     */
+    public EngineStandin(EngineOptions options, StandinContext context) {
+        this.options = options;
+        this.context = context;
+        records = new RunRecords(options.maxRecords());
+        cacheEvents = new CacheEventLog(options.cacheLagMs());
+        loads = new LoadHistory(options.loadLagMs());
+        batch = new Batch(options, context, cacheEvents);
+        context.control().execute(this::sampleLoad);
+    }
+
+    @Override
+    public Set<FaultKind> faults() {
+        return FaultKind.commonAnd(FaultKind.DRAINING, FaultKind.CACHE_GAP);
+    }
+
+    @Override
+    public void handle(Request request, Exchange exchange) {
+        if (request.matches("POST", 2, "v1", "generate")) {
+            generate(request, exchange);
+        } else if (request.matches("GET", 4, "v1", "requests")
+                && request.segments().get(3).equals("stream")) {
+            resume(request, exchange);
+        } else if (request.matches("GET", 3, "v1", "requests")) {
+            find(request, exchange).ifPresent(run -> exchange.respond(Response.json(200, status(run))));
+        } else if (request.matches("DELETE", 3, "v1", "requests")) {
+            cancel(request, exchange);
+        } else if (request.matches("GET", 2, "v1", "load")) {
+            exchange.respond(Response.json(200, load()));
+        } else if (request.matches("GET", 3, "v1", "cache", "events")) {
+            exchange.respond(Response.json(200, cacheEvents.since(request.number("since", 0), context.nowMs())));
+        } else if (request.matches("POST", 2, "v1", "fence")) {
+            fence(Json.read(request.body(), FenceBody.class), exchange);
+        } else if (request.matches("GET", 1, "executions")) {
+            exchange.respond(Response.json(200, new Executions(batch.executions())));
+        } else if (request.matches("GET", 2, "v1", "totals")) {
+            exchange.respond(Response.json(200, batch.totals()));
+        } else {
+            exchange.respond(Response.error(404, "not_found"));
+        }
+    }
+
+    private void generate(Request request, Exchange exchange) {
+        String id = request.header("x-request-id")
+                .filter(value -> !value.isBlank())
+                .orElseThrow(() -> new IllegalArgumentException("X-Request-Id is required"));
+        GenerateBody body = Json.read(request.body(), GenerateBody.class);
+        Optional<Run> known = records.find(id);
+        if (known.isPresent()) {
+            join(known.get(), body, exchange);
+            return;
+        }
+        Optional<Response> refusal = refusal(request, body);
+        if (refusal.isPresent()) {
+            exchange.respond(refusal.get());
+            return;
+        }
+        String holder = request.header("x-fence-holder").orElse("");
+        int priority = (int) request.headerNumber("x-priority", DEFAULT_PRIORITY);
+        Run run = new Run(id, holder, priority, arrivals++, body);
+        records.add(run);
+        LOG.atFine().log("%s accepts %s at priority %d", options.name(), id, priority);
+        stream(run, 0, exchange);
+        batch.add(run);
+    }
+
+    /** Joins a known request. No refusal applies, because a refusal would claim that the request did not run. */
+    private void join(Run run, GenerateBody body, Exchange exchange) {
+        if (!run.body().equals(body)) {
+            exchange.respond(Response.error(422, "request_id_reused"));
+            return;
+        }
+        stream(run, 0, exchange);
+    }
+
+    private Optional<Response> refusal(Request request, GenerateBody body) {
+        if (!options.serves(body.model())) {
+            return Optional.of(Response.error(400, "unknown_model"));
+        }
+        if (isFenced(request)) {
+            return Optional.of(Response.error(409, "fenced"));
+        }
+        if (isDraining()) {
+            return Optional.of(Response.error(503, "draining"));
+        }
+        return batch.isFull() ? Optional.of(Response.error(503, "overloaded")) : Optional.empty();
+    }
+
+    private boolean isFenced(Request request) {
+        Optional<String> holder = request.header("x-fence-holder");
+        if (!options.checksFencing() || holder.isEmpty()) {
+            return false;
+        }
+        long number = request.headerNumber("x-fence-number", 0);
+        if (fences.isStale(holder.get(), number)) {
+            return true;
+        }
+        fences.raise(holder.get(), number);
+        return false;
+    }
+
+    private void resume(Request request, Exchange exchange) {
+        long from = request.number("from", 0);
+        if (from < 0 || from > Integer.MAX_VALUE) {
+            throw new IllegalArgumentException("from must be a token index: " + from);
+        }
+        find(request, exchange).ifPresent(run -> stream(run, (int) from, exchange));
+    }
+
+    private void stream(Run run, int firstIndex, Exchange exchange) {
+        StreamReader reader = new StreamReader(exchange, firstIndex);
+        exchange.openEvents();
+        run.attach(reader);
+        exchange.onClose(() -> run.detach(reader));
+    }
+
+    private void cancel(Request request, Exchange exchange) {
+        find(request, exchange).ifPresent(run -> {
+            batch.cancel(run);
+            exchange.respond(Response.json(200, status(run)));
+        });
+    }
+
+    private Optional<Run> find(Request request, Exchange exchange) {
+        Optional<Run> run = records.find(request.segments().get(2));
+        if (run.isEmpty()) {
+            exchange.respond(Response.error(404, "not_found"));
+        }
+        return run;
+    }
+
+    /** Raises a holder's number. An engine that ignores fencing tokens cancels nothing. */
+    private void fence(FenceBody body, Exchange exchange) {
+        if (options.checksFencing()) {
+            if (fences.isStale(body.holder(), body.number())) {
+                exchange.respond(Response.error(409, "fenced"));
+                return;
+            }
+            if (fences.raise(body.holder(), body.number())) {
+                List<RunUsage> cancelled = batch.cancelHolder(body.holder());
+                fences.addCancelled(body.holder(), cancelled);
+                LOG.atInfo().log(
+                        "%s fences %s at %d, cancelled %d",
+                        options.name(), body.holder(), body.number(), cancelled.size());
+            }
+        }
+        exchange.respond(Response.json(200, new Fenced(fences.cancelled(body.holder()))));
+    }
+
+    private LoadReport load() {
+        if (options.loadLagMs() == 0) {
+            loads.add(currentLoad());
+        }
+        long nowMs = context.nowMs();
+        LoadSample shown = loads.visible(nowMs);
+        return new LoadReport(
+                shown.queued(),
+                shown.running(),
+                options.maxBatch(),
+                loads.tokensPerSecond(shown),
+                shown.draining(),
+                nowMs - shown.atMs(),
+                options.models(),
+                options.adapters());
+    }
+
+    private void sampleLoad() {
+        loads.add(currentLoad());
+        context.after(Math.max(MIN_SAMPLE_MS, options.loadLagMs() / SAMPLES_PER_LAG), this::sampleLoad);
+    }
+
+    private LoadSample currentLoad() {
+        return new LoadSample(
+                context.nowMs(), batch.queued(), batch.running(), batch.totals().outputTokens(), isDraining());
+    }
+
+    private boolean isDraining() {
+        return context.faults().isActive(FaultKind.DRAINING, "");
+    }
+
+    private static Status status(Run run) {
+        return new Status(run.state().text(), run.promptTokens(), run.producedTokens());
+    }
+
+    private record Status(String state, int promptTokens, int outputTokens) {}
+
+    private record FenceBody(String holder, long number) {
+        private FenceBody {
+            if (holder == null || holder.isEmpty()) {
+                throw new IllegalArgumentException("holder is required");
+            }
+        }
+    }
+
+    private record Fenced(List<RunUsage> cancelled) {}
+
+    private record Executions(Map<String, Integer> executions) {}
+}
--- /dev/null
+++ b/jayhead-standins/src/main/java/io/jayhead/standins/engine/RunRecords.java
@@ -0,0 +1,32 @@
+package io.jayhead.standins.engine;
+
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+
+/** Remembers requests by id and forgets the oldest ended ones beyond a limit. */
+final class RunRecords {
+
+    private final int maxRecords;
+    private final Map<String, Run> oldestFirst = new LinkedHashMap<>();
+
+    RunRecords(int maxRecords) {
+        this.maxRecords = maxRecords;
+    }
+
+    Optional<Run> find(String id) {
+        return Optional.ofNullable(oldestFirst.get(id));
+    }
+
+    void add(Run run) {
+        oldestFirst.put(run.id(), run);
+        Iterator<Run> oldest = oldestFirst.values().iterator();
+        for (int excess = oldestFirst.size() - maxRecords; excess > 0 && oldest.hasNext(); ) {
+            if (oldest.next().state().isEnded()) {
+                oldest.remove();
+                excess--;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/jayhead-standins/src/main/java/io/jayhead/standins/engine/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-in of a model engine with continuous batching. */
+package io.jayhead.standins.engine;
