--- /dev/null
+++ b/jayhead-standins/src/test/java/io/jayhead/standins/package-info.java
@@ -0,0 +1,2 @@
+/** Contract tests of the stand-ins. */
+package io.jayhead.standins;
