Walk the change history of the platform stand-in from its newest end

Cause: each watch scanned the whole history on each change, 10,000 entries for each of hundreds of watches. Ruled out: an index per kind, which the short walk makes needless. Change: the walk stops at the revision that the watch has seen; a list starts at the later of prefix and after. The speed was not measured.

--- a/jayhead-standins/src/main/java/io/jayhead/standins/platform/ObjectStore.java
+++ b/jayhead-standins/src/main/java/io/jayhead/standins/platform/ObjectStore.java
@@ -3,6 +3,8 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedList;
 import java.util.List;
 import java.util.Map;
 import java.util.NavigableMap;
@@ -51,7 +53,8 @@
     }
 
     List<StoredObject> list(String kind, String prefix, String after, long limit) {
-        return objects(kind).tailMap(prefix, true).values().stream()
+        String start = after.compareTo(prefix) > 0 ? after : prefix;
+        return objects(kind).tailMap(start, true).values().stream()
                 .takeWhile(object -> object.name().startsWith(prefix))
                 .filter(object -> object.name().compareTo(after) > 0)
                 .limit(limit)
@@ -63,10 +66,20 @@
         return since >= forgottenRevision && since <= revision;
     }
 
+    /** Walks from the newest change, because hundreds of watches ask for the last few on each write. */
     List<Change> changes(String kind, long since) {
-        return history.stream()
-                .filter(change -> change.version() > since && change.kind().equals(kind))
-                .toList();
+        LinkedList<Change> found = new LinkedList<>();
+        Iterator<Change> newestFirst = history.descendingIterator();
+        while (newestFirst.hasNext()) {
+            Change change = newestFirst.next();
+            if (change.version() <= since) {
+                break;
+            }
+            if (change.kind().equals(kind)) {
+                found.addFirst(change);
+            }
+        }
+        return found;
     }
 
     private NavigableMap<String, StoredObject> objects(String kind) {
