Remove close listeners when an answer is complete

Cause: each stream and watch left a listener on its connection, so a kept connection collected them for as long as it lived. Ruled out: one listener per connection, which must know its exchanges. Change: an exchange removes its listeners with its last write. Conclusion: listeners last as long as their exchange.

--- a/jayhead-standins/src/main/java/io/jayhead/standins/engine/EngineStandin.java
+++ b/jayhead-standins/src/main/java/io/jayhead/standins/engine/EngineStandin.java
@@ -147,8 +147,8 @@
     private void stream(Run run, int firstIndex, Exchange exchange) {
         StreamReader reader = new StreamReader(exchange, firstIndex);
         exchange.openEvents();
-        run.attach(reader);
         exchange.onClose(() -> run.detach(reader));
+        run.attach(reader);
     }
 
     private void cancel(Request request, Exchange exchange) {
--- a/jayhead-standins/src/main/java/io/jayhead/standins/http/Exchange.java
+++ b/jayhead-standins/src/main/java/io/jayhead/standins/http/Exchange.java
@@ -15,6 +15,8 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Queue;
 
 /** Sends the answer to one request. All methods are called from the control thread. */
@@ -27,6 +29,7 @@
     private final Channel channel;
     private final Request request;
     private final boolean keepAlive;
+    private final List<ChannelFutureListener> closeListeners = new ArrayList<>();
     private final Queue<Runnable> heldWrites = new ArrayDeque<>();
 
     Exchange(StandinContext context, Channel channel, Request request, boolean keepAlive) {
@@ -42,16 +45,18 @@
     }
 
     /**
-     * Runs a task on the control thread once the caller's connection is closed.
+     * Runs a task on the control thread if the caller's connection closes before the answer is complete.
      *
      * @param task the task
      */
     public void onClose(Runnable task) {
-        channel.closeFuture().addListener(ignored -> {
+        ChannelFutureListener listener = ignored -> {
             if (!context.control().isShutdown()) {
                 context.control().execute(task);
             }
-        });
+        };
+        closeListeners.add(listener);
+        channel.closeFuture().addListener(listener);
     }
 
     /**
@@ -109,7 +114,10 @@
                 && context.faults().takeDrop(request.path());
     }
 
+    /** Ends the answer. A kept connection serves many exchanges, so that their listeners would pile up. */
     private void writeLast(Object message) {
+        closeListeners.forEach(listener -> channel.closeFuture().removeListener(listener));
+        closeListeners.clear();
         var written = channel.writeAndFlush(message);
         if (!keepAlive) {
             written.addListener(ChannelFutureListener.CLOSE);
