Log failures of delayed tasks in the stand-ins

Cause: a scheduled executor keeps the exception of a failed task in a future that nobody reads, so a stream would stop without a trace. Ruled out: an uncaught-exception handler, which such tasks never reach. Change: delayed tasks run through one method that logs their failure. Conclusion: such failures are visible.

--- a/jayhead-standins/src/main/java/io/jayhead/standins/engine/Batch.java
+++ b/jayhead-standins/src/main/java/io/jayhead/standins/engine/Batch.java
@@ -107,7 +107,7 @@
     }
 
     private void scheduleIn(Run run, long delayNanos) {
-        context.control().schedule(() -> produce(run), delayNanos, TimeUnit.NANOSECONDS);
+        context.afterNanos(delayNanos, () -> produce(run));
     }
 
     private void produce(Run run) {
--- a/jayhead-standins/src/main/java/io/jayhead/standins/http/StandinContext.java
+++ b/jayhead-standins/src/main/java/io/jayhead/standins/http/StandinContext.java
@@ -1,5 +1,6 @@
 package io.jayhead.standins.http;
 
+import com.google.common.flogger.FluentLogger;
 import io.jayhead.standins.fault.FaultBoard;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -12,6 +13,8 @@
  */
 public record StandinContext(ScheduledExecutorService control, FaultBoard faults) {
 
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+
     /** Returns the monotonic time in milliseconds. */
     public long nowMs() {
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
@@ -24,6 +27,25 @@
      * @param task the task
      */
     public void after(long delayMs, Runnable task) {
-        control.schedule(task, delayMs, TimeUnit.MILLISECONDS);
+        afterNanos(TimeUnit.MILLISECONDS.toNanos(delayMs), task);
+    }
+
+    /**
+     * Runs a task on the control thread after a delay and logs its failure.
+     *
+     * @param delayNanos the delay
+     * @param task the task
+     */
+    public void afterNanos(long delayNanos, Runnable task) {
+        control.schedule(() -> logged(task), delayNanos, TimeUnit.NANOSECONDS);
+    }
+
+    private static void logged(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException e) {
+            // The executor keeps the exception in a future that nobody reads.
+            LOG.atSevere().withCause(e).log("a delayed task failed");
+        }
     }
 }
