Test that a frozen stand-in neither executes nor produces

Ruled out: reading the state through frozen paths; executions and totals stay readable in every fault. Change: one test for a frozen booking and one for a frozen stream. Conclusion: effects wait for the end of the freeze.

--- a/jayhead-standins/src/test/java/io/jayhead/standins/FaultContractTest.java
+++ b/jayhead-standins/src/test/java/io/jayhead/standins/FaultContractTest.java
@@ -10,6 +10,7 @@
 import java.net.SocketTimeoutException;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -102,6 +103,37 @@
         }
     }
 
+    /** Guards against a frozen service that executes what it cannot have read. */
+    @Test
+    void aFrozenServiceExecutesOnlyAfterItWakes() {
+        try (Fixture booking = Fixture.of("booking")) {
+            booking.fault("{\"fault\":\"freeze\",\"duration_ms\":600,\"path\":\"/bookings\"}");
+            var answer = CompletableFuture.supplyAsync(() -> booking.post("/bookings", "{\"order\":\"o\"}"));
+            Waiting.sleep(200);
+
+            assertEquals("{\"executions\":{}}", booking.get("/executions").body());
+            assertEquals(201, answer.join().status());
+        }
+    }
+
+    /** Guards against a frozen engine that goes on producing tokens, or never wakes. */
+    @Test
+    void aFrozenEnginePausesItsStreams() {
+        try (Fixture engine = Fixture.of("engine", "--first-token-ms", "0", "--token-ms", "10")) {
+            String body = "{\"model\":\"m\",\"prompt\":\"[exact]\",\"max_tokens\":60}";
+            var answer = CompletableFuture.supplyAsync(() -> engine.post("/v1/generate", body, "X-Request-Id", "r1"));
+            Waiting.until(() -> producedTokens(engine) > 5);
+
+            engine.fault("{\"fault\":\"freeze\",\"duration_ms\":500}");
+            Waiting.sleep(50);
+            long beforeTokens = producedTokens(engine);
+            Waiting.sleep(250);
+
+            assertEquals(beforeTokens, producedTokens(engine));
+            assertEquals(62, answer.join().events().size());
+        }
+    }
+
     /** Guards against silent connections that still answer, close, or stop new connections. */
     @ParameterizedTest
     @EnumSource
@@ -177,6 +209,10 @@
         }
     }
 
+    private static long producedTokens(Fixture engine) {
+        return engine.get("/v1/totals").json().path("output_tokens").asLong();
+    }
+
     static boolean fails(Runnable call) {
         try {
             call.run();
