Cancel by the fencing token of each run in the engine stand-in

Cause: a request with a newer token raised the highest token of its holder, so a later fence at that number cancelled nothing although requests with older tokens still ran. Ruled out: cancelling when a request raises the token, because nobody would read the counts of the cancelled requests. Change: each run keeps its token, and a fence cancels the older ones. Conclusion: after a fence at n no request with a token below n runs.

--- a/jayhead-standins/src/main/java/io/jayhead/standins/engine/Batch.java
+++ b/jayhead-standins/src/main/java/io/jayhead/standins/engine/Batch.java
@@ -70,10 +70,10 @@
         fill();
     }
 
-    /** Cancels the requests of a holder and returns what each of them has used. */
-    List<RunUsage> cancelHolder(String holder) {
+    /** Cancels the requests with an older token and returns what each of them has used. */
+    List<RunUsage> cancelOlderThan(Fence fence) {
         List<Run> affected = Stream.concat(queue.stream(), running.stream())
-                .filter(run -> run.holder().equals(holder))
+                .filter(run -> run.fence().isOlderThan(fence))
                 .toList();
         affected.forEach(this::cancel);
         return affected.stream().map(Run::usage).toList();
--- a/jayhead-standins/src/main/java/io/jayhead/standins/engine/EngineStandin.java
+++ b/jayhead-standins/src/main/java/io/jayhead/standins/engine/EngineStandin.java
@@ -67,7 +67,7 @@
         } else if (request.matches("GET", 3, "v1", "cache", "events")) {
             exchange.respond(Response.json(200, cacheEvents.since(request.number("since", 0), context.nowMs())));
         } else if (request.matches("POST", 2, "v1", "fence")) {
-            fence(Json.read(request.body(), FenceBody.class), exchange);
+            fence(Json.read(request.body(), Fence.class), exchange);
         } else if (request.matches("GET", 1, "executions")) {
             exchange.respond(Response.json(200, new Executions(batch.executions())));
         } else if (request.matches("GET", 2, "v1", "totals")) {
@@ -92,9 +92,8 @@
             exchange.respond(refusal.get());
             return;
         }
-        String holder = request.header("x-fence-holder").orElse("");
         int priority = (int) request.headerNumber("x-priority", DEFAULT_PRIORITY);
-        Run run = new Run(id, holder, priority, arrivals++, body);
+        Run run = new Run(id, Fence.of(request), priority, arrivals++, body);
         records.add(run);
         LOG.atFine().log("%s accepts %s at priority %d", options.name(), id, priority);
         stream(run, 0, exchange);
@@ -124,16 +123,8 @@
     }
 
     private boolean isFenced(Request request) {
-        Optional<String> holder = request.header("x-fence-holder");
-        if (!options.checksFencing() || holder.isEmpty()) {
-            return false;
-        }
-        long number = request.headerNumber("x-fence-number", 0);
-        if (fences.isStale(holder.get(), number)) {
-            return true;
-        }
-        fences.raise(holder.get(), number);
-        return false;
+        Fence fence = Fence.of(request);
+        return options.checksFencing() && fence.hasHolder() && !fences.accept(fence);
     }
 
     private void resume(Request request, Exchange exchange) {
@@ -166,22 +157,24 @@
         return run;
     }
 
-    /** Raises a holder's number. An engine that ignores fencing tokens cancels nothing. */
-    private void fence(FenceBody body, Exchange exchange) {
+    /** Raises a holder's token. An engine that ignores fencing tokens cancels nothing. */
+    private void fence(Fence fence, Exchange exchange) {
+        if (!fence.hasHolder()) {
+            throw new IllegalArgumentException("holder is required");
+        }
         if (options.checksFencing()) {
-            if (fences.isStale(body.holder(), body.number())) {
+            if (!fences.accept(fence)) {
                 exchange.respond(Response.error(409, "fenced"));
                 return;
             }
-            if (fences.raise(body.holder(), body.number())) {
-                List<RunUsage> cancelled = batch.cancelHolder(body.holder());
-                fences.addCancelled(body.holder(), cancelled);
-                LOG.atInfo().log(
-                        "%s fences %s at %d, cancelled %d",
-                        options.name(), body.holder(), body.number(), cancelled.size());
-            }
+            // Compares tokens run by run: a newer request of the holder may have raised the highest token before.
+            List<RunUsage> cancelled = batch.cancelOlderThan(fence);
+            fences.addCancelled(fence.holder(), cancelled);
+            LOG.atInfo().log(
+                    "%s fences %s at %d, cancelled %d",
+                    options.name(), fence.holder(), fence.number(), cancelled.size());
         }
-        exchange.respond(Response.json(200, new Fenced(fences.cancelled(body.holder()))));
+        exchange.respond(Response.json(200, new Fenced(fences.cancelled(fence.holder()))));
     }
 
     private LoadReport load() {
@@ -221,14 +214,6 @@
 
     private record Status(String state, int promptTokens, int outputTokens) {}
 
-    private record FenceBody(String holder, long number) {
-        private FenceBody {
-            if (holder == null || holder.isEmpty()) {
-                throw new IllegalArgumentException("holder is required");
-            }
-        }
-    }
-
     private record Fenced(List<RunUsage> cancelled) {}
 
     private record Executions(Map<String, Integer> executions) {}
--- a/jayhead-standins/src/main/java/io/jayhead/standins/engine/FenceRegister.java
+++ b/jayhead-standins/src/main/java/io/jayhead/standins/engine/FenceRegister.java
@@ -8,18 +8,17 @@
 /** Keeps the highest fencing token of each holder and the requests that fencing has cancelled. */
 final class FenceRegister {
 
-    private final Map<String, Long> highest = new HashMap<>();
+    private final Map<String, Fence> highest = new HashMap<>();
     private final Map<String, List<RunUsage>> cancelled = new HashMap<>();
 
-    boolean isStale(String holder, long number) {
-        return number < highest.getOrDefault(holder, Long.MIN_VALUE);
-    }
-
-    /** Records a number and tells whether it is higher than all before. */
-    boolean raise(String holder, long number) {
-        Long before = highest.get(holder);
-        highest.merge(holder, number, Math::max);
-        return before == null || number > before;
+    /** Records a token as the highest of its holder, or returns false if it is older than that. */
+    boolean accept(Fence fence) {
+        Fence before = highest.get(fence.holder());
+        if (before != null && fence.isOlderThan(before)) {
+            return false;
+        }
+        highest.put(fence.holder(), fence);
+        return true;
     }
 
     void addCancelled(String holder, List<RunUsage> usages) {
--- a/jayhead-standins/src/main/java/io/jayhead/standins/engine/Run.java
+++ b/jayhead-standins/src/main/java/io/jayhead/standins/engine/Run.java
@@ -7,7 +7,7 @@
 final class Run {
 
     private final String id;
-    private final String holder;
+    private final Fence fence;
     private final int priority;
     private final long arrival;
     private final GenerateBody body;
@@ -19,9 +19,9 @@
     private int producedTokens;
     private long dueNanos;
 
-    Run(String id, String holder, int priority, long arrival, GenerateBody body) {
+    Run(String id, Fence fence, int priority, long arrival, GenerateBody body) {
         this.id = id;
-        this.holder = holder;
+        this.fence = fence;
         this.priority = priority;
         this.arrival = arrival;
         this.body = body;
@@ -33,8 +33,8 @@
         return id;
     }
 
-    String holder() {
-        return holder;
+    Fence fence() {
+        return fence;
     }
 
     int priority() {
--- a/jayhead-standins/src/test/java/io/jayhead/standins/EngineContractTest.java
+++ b/jayhead-standins/src/test/java/io/jayhead/standins/EngineContractTest.java
@@ -174,6 +174,21 @@
         assertTrue(engine.get("/v1/requests/r2").body().contains("running"));
     }
 
+    /** Guards against old requests that survive because a newer request raised the token before the fence did. */
+    @Test
+    void aFenceCancelsOldRequestsAfterANewerRequestOfTheHolder() throws IOException {
+        start("--check-fencing");
+        call("r1", PROMPT, 1000, "X-Fence-Holder", "h", "X-Fence-Number", "1")
+                .execute()
+                .close();
+        generate("r2", PROMPT, 1, "X-Fence-Holder", "h", "X-Fence-Number", "2");
+
+        JsonNode fenced =
+                engine.post("/v1/fence", "{\"holder\":\"h\",\"number\":2}").json();
+
+        assertEquals("r1", fenced.path("cancelled").path(0).path("id").asText());
+    }
+
     /** Guards against an engine without fencing that behaves as if it had it. */
     @Test
     void anEngineThatIgnoresFencingRefusesAndCancelsNothing() {
