--- /dev/null
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/budget/LentTransfer.java
@@ -0,0 +1,9 @@
+package io.jayhead.admission.budget;
+
+/**
+ * Records a loan that was sent.
+ *
+ * @param transferId the id that the borrower chose
+ * @param tokens the tokens lent
+ */
+public record LentTransfer(String transferId, long tokens) {}
--- /dev/null
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/budget/RateEstimate.java
@@ -0,0 +1,48 @@
+package io.jayhead.admission.budget;
+
+/**
+ * Estimates a rate by exponential decay.
+ *
+ * @param tokensPerSecond the rate at the time of the last update
+ * @param updatedAtMs the time of the last update
+ */
+public record RateEstimate(double tokensPerSecond, long updatedAtMs) {
+
+    /** Follows a change of load within seconds and smooths over single requests. */
+    public static final long TIME_CONSTANT_MS = 10_000;
+
+    private static final double MS_PER_SECOND = 1_000;
+
+    /**
+     * Returns an estimate of zero.
+     *
+     * @param nowMs the time
+     * @return the estimate
+     */
+    public static RateEstimate zero(long nowMs) {
+        return new RateEstimate(0, nowMs);
+    }
+
+    /**
+     * Adds an observation.
+     *
+     * @param tokens the tokens of the observation
+     * @param nowMs the time
+     * @return the new estimate
+     */
+    public RateEstimate observe(long tokens, long nowMs) {
+        double added = tokens * MS_PER_SECOND / TIME_CONSTANT_MS;
+        return new RateEstimate(at(nowMs) + added, Math.max(nowMs, updatedAtMs));
+    }
+
+    /**
+     * Returns the rate at a time.
+     *
+     * @param nowMs the time
+     * @return tokens per second
+     */
+    public double at(long nowMs) {
+        long elapsedMs = Math.max(0, nowMs - updatedAtMs);
+        return tokensPerSecond * Math.exp(-(double) elapsedMs / TIME_CONSTANT_MS);
+    }
+}
--- /dev/null
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/collection/package-info.java
@@ -0,0 +1,2 @@
+/** Immutable collections with cheap updates. */
+package io.jayhead.admission.collection;
