--- /dev/null
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/queue/package-info.java
@@ -0,0 +1,2 @@
+/** Bounded fair queue of waiting requests. */
+package io.jayhead.admission.queue;
