--- /dev/null
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/freshness/package-info.java
@@ -0,0 +1,2 @@
+/** Freshness of the configuration of a router. */
+package io.jayhead.admission.freshness;
