Add the admission controller

Cause: arrivals, grants, loans, freshness and drain need one place that decides which requests start, wait or are refused. Ruled out: refusing waiting requests when the configuration turns stale. They have not started, and a confirmation usually comes within their queue limit.

--- /dev/null
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/AdmissionController.java
@@ -0,0 +1,223 @@
+package io.jayhead.admission;
+
+import io.jayhead.admission.AdmissionCommand.DeclineLoan;
+import io.jayhead.admission.AdmissionCommand.Lend;
+import io.jayhead.admission.AdmissionCommand.ReportFault;
+import io.jayhead.admission.AdmissionCommand.ReturnTokens;
+import io.jayhead.admission.budget.GrantAccount;
+import io.jayhead.admission.budget.GrantBook;
+import io.jayhead.admission.budget.GrantSizer;
+import io.jayhead.admission.budget.LentTransfer;
+import io.jayhead.admission.budget.Reservation;
+import io.jayhead.admission.budget.ReservationFault;
+import io.jayhead.model.BudgetId;
+import io.jayhead.model.ErrorCode;
+import io.jayhead.model.Transition;
+import java.util.List;
+import java.util.Optional;
+
+/** Decides which requests start, wait or are refused, and when tokens are asked for, lent and returned. */
+public final class AdmissionController {
+
+    private static final long SURPLUS_CHECK_MS = 10_000;
+
+    private AdmissionController() {}
+
+    /**
+     * Handles an event.
+     *
+     * @param state the state
+     * @param event the event
+     * @return the next state and the commands to execute
+     */
+    public static Transition<AdmissionState, AdmissionCommand> handle(AdmissionState state, AdmissionEvent event) {
+        Step step = Step.of(state, event.nowMs());
+        return requestEvent(step, event)
+                .or(() -> grantEvent(step, event))
+                .or(() -> routerEvent(step, event))
+                .orElse(step)
+                .toTransition();
+    }
+
+    private static Optional<Step> requestEvent(Step step, AdmissionEvent event) {
+        if (event instanceof AdmissionEvent.RequestArrived arrived) {
+            return Optional.of(RequestStarter.arrive(step, arrived.request()));
+        }
+        if (event instanceof AdmissionEvent.PromptCounted counted) {
+            return Optional.of(refund(step, counted).then(RequestStarter::startWaiting));
+        }
+        if (event instanceof AdmissionEvent.RequestSettled settled) {
+            return Optional.of(end(step, settled.id(), settled.consumedTokens()));
+        }
+        if (event instanceof AdmissionEvent.RequestReleased released) {
+            return Optional.of(end(step, released.id(), 0));
+        }
+        return Optional.empty();
+    }
+
+    private static Optional<Step> grantEvent(Step step, AdmissionEvent event) {
+        if (event instanceof AdmissionEvent.GrantReceived grant) {
+            return Optional.of(granted(step, grant).then(RequestStarter::startWaiting));
+        }
+        if (event instanceof AdmissionEvent.GrantRefused refused) {
+            return Optional.of(GrantSeeker.platformFailed(
+                    step, refused.budget(), PlatformAnswer.REFUSED, refused.unallocatedTokens()));
+        }
+        if (event instanceof AdmissionEvent.GrantUnavailable unavailable) {
+            return Optional.of(GrantSeeker.platformFailed(step, unavailable.budget(), PlatformAnswer.UNAVAILABLE, 0));
+        }
+        if (event instanceof AdmissionEvent.LoanReceived loan) {
+            return Optional.of(borrowed(step, loan).then(RequestStarter::startWaiting));
+        }
+        if (event instanceof AdmissionEvent.LoanRefused refused) {
+            return Optional.of(GrantSeeker.peersRefused(step, refused.budget()).then(RequestStarter::startWaiting));
+        }
+        if (event instanceof AdmissionEvent.LoanAsked asked) {
+            return Optional.of(lend(step, asked));
+        }
+        if (event instanceof AdmissionEvent.BudgetVoided voided) {
+            return Optional.of(voidBudget(step, voided.budget()).then(RequestStarter::startWaiting));
+        }
+        return Optional.empty();
+    }
+
+    private static Optional<Step> routerEvent(Step step, AdmissionEvent event) {
+        AdmissionState state = step.state();
+        if (event instanceof AdmissionEvent.Tick) {
+            return Optional.of(step.then(RequestStarter::expire)
+                    .then(GrantSeeker::timeOut)
+                    .then(RequestStarter::startWaiting)
+                    .then(AdmissionController::returnSurplus));
+        }
+        if (event instanceof AdmissionEvent.FreshnessChanged changed) {
+            return Optional.of(
+                    step.with(state.withMode(changed.fresh(), state.draining())).then(RequestStarter::startWaiting));
+        }
+        if (event instanceof AdmissionEvent.DrainStarted) {
+            return Optional.of(step.with(state.withMode(state.fresh(), true)));
+        }
+        return Optional.empty();
+    }
+
+    private static Step refund(Step step, AdmissionEvent.PromptCounted counted) {
+        AdmissionState state = step.state();
+        return state.book()
+                .reduce(counted.id(), counted.promptTokensRefund())
+                .fold(
+                        fault -> step.then(new ReportFault(counted.id(), fault)),
+                        book -> step.with(state.withBook(book)));
+    }
+
+    private static Step end(Step step, String id, long consumedTokens) {
+        AdmissionState state = step.state();
+        Optional<RunningRequest> running = state.running().get(id);
+        if (running.isEmpty()) {
+            return step;
+        }
+        Step ended = step.with(state.ended(id, running.get(), step.nowMs()));
+        return settle(ended, id, consumedTokens).then(RequestStarter::startWaiting);
+    }
+
+    private static Step settle(Step step, String id, long consumedTokens) {
+        GrantBook book = step.state().book();
+        Optional<Reservation> reservation = book.reservation(id);
+        if (reservation.isEmpty()) {
+            return consumedTokens == 0 ? step : step.then(new ReportFault(id, ReservationFault.UNKNOWN_RESERVATION));
+        }
+        return book.settle(id, consumedTokens)
+                .fold(
+                        fault -> settle(step, id, reservation.get().tokens()).then(new ReportFault(id, fault)),
+                        settled -> step.with(step.state().withBook(settled)));
+    }
+
+    private static Step granted(Step step, AdmissionEvent.GrantReceived grant) {
+        AdmissionState state = step.state();
+        GrantBook book = state.book()
+                .grant(grant.budget(), grant.tokens())
+                .withLendingLimit(grant.budget(), grant.lendingLimitTokens());
+        BudgetDemand demand = state.demand(grant.budget(), step.nowMs()).granted(grant.tokens(), step.nowMs());
+        return step.with(state.withBook(book).withDemand(grant.budget(), demand));
+    }
+
+    private static Step borrowed(Step step, AdmissionEvent.LoanReceived loan) {
+        AdmissionState state = step.state();
+        GrantBook book = state.book().borrow(loan.budget(), loan.transferId(), loan.tokens());
+        BudgetDemand demand = state.demand(loan.budget(), step.nowMs());
+        BudgetDemand next = demand.ask() == AskState.PEERS ? demand.idle() : demand;
+        return step.with(state.withBook(book).withDemand(loan.budget(), next));
+    }
+
+    /** Deducts the loan before it is sent; a repeated ask sends the same loan again. */
+    private static Step lend(Step step, AdmissionEvent.LoanAsked asked) {
+        GrantBook book = step.state().book();
+        Optional<LentTransfer> earlier = book.lentTransfer(asked.budget(), asked.transferId());
+        long tokens = earlier.map(LentTransfer::tokens).orElseGet(() -> loanTokens(step, asked));
+        if (tokens <= 0) {
+            return step.then(new DeclineLoan(asked.peer(), asked.budget(), asked.transferId()));
+        }
+        return book.lend(asked.budget(), asked.transferId(), tokens)
+                .fold(
+                        missing -> step.then(new DeclineLoan(asked.peer(), asked.budget(), asked.transferId())),
+                        lent -> step.with(step.state().withBook(lent))
+                                .then(new Lend(asked.peer(), asked.budget(), asked.transferId(), tokens)));
+    }
+
+    private static long loanTokens(Step step, AdmissionEvent.LoanAsked asked) {
+        if (isWaitedFor(step.state(), asked.budget())) {
+            return 0;
+        }
+        GrantAccount account = step.state().book().account(asked.budget());
+        double rate = step.state().demand(asked.budget(), step.nowMs()).rate().at(step.nowMs());
+        long spare = step.state().settings().sizer().spareTokens(account.availableTokens(), rate);
+        return Math.min(asked.tokens(), Math.min(spare, account.lendableTokens()));
+    }
+
+    private static Step voidBudget(Step step, BudgetId budget) {
+        Step next = step.with(step.state().withBook(step.state().book().voidBudget(budget)));
+        List<AdmissionRequest> lost = step.state()
+                .waiting()
+                .values()
+                .filter(request -> request.budget().equals(budget) && request.worstCaseTokens() > 0)
+                .toList();
+        for (AdmissionRequest request : lost) {
+            next = next.refuse(request, ErrorCode.SHUTTING_DOWN, "the grant of this router was reclaimed");
+        }
+        return next;
+    }
+
+    private static Step returnSurplus(Step step) {
+        if (step.nowMs() < step.state().nextSurplusCheckMs()) {
+            return step;
+        }
+        Step next = step.with(step.state().withNextSurplusCheck(step.nowMs() + SURPLUS_CHECK_MS));
+        for (BudgetId budget : step.state().demands().keys().toList()) {
+            next = returnSurplus(next, budget);
+        }
+        return next;
+    }
+
+    private static Step returnSurplus(Step step, BudgetId budget) {
+        AdmissionState state = step.state();
+        BudgetDemand demand = state.demand(budget, step.nowMs());
+        if (demand.ask() != AskState.IDLE || isWaitedFor(state, budget)) {
+            return step;
+        }
+        long available = state.book().account(budget).availableTokens();
+        long idleMs = step.nowMs() - demand.rate().updatedAtMs();
+        long surplus =
+                state.settings().sizer().surplusTokens(available, demand.rate().at(step.nowMs()), idleMs);
+        long tokens = state.book().returnable(budget, available - surplus);
+        if (tokens == 0) {
+            return idleMs < GrantSizer.IDLE_RETURN_MS ? step : step.with(state.withoutDemand(budget));
+        }
+        AdmissionState returned =
+                state.withBook(state.book().deductReturn(budget, tokens).get());
+        return step.with(returned).then(new ReturnTokens(budget, tokens));
+    }
+
+    private static boolean isWaitedFor(AdmissionState state, BudgetId budget) {
+        return state.waiting()
+                .values()
+                .anyMatch(request -> request.budget().equals(budget) && request.worstCaseTokens() > 0);
+    }
+}
--- /dev/null
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/AskState.java
@@ -0,0 +1,11 @@
+package io.jayhead.admission;
+
+/** Tells whom a router has asked for tokens of a budget. */
+public enum AskState {
+    /** Nobody. */
+    IDLE,
+    /** The platform, for a grant. */
+    PLATFORM,
+    /** The peers, for a loan. */
+    PEERS
+}
--- /dev/null
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/RequestStarter.java
@@ -0,0 +1,142 @@
+package io.jayhead.admission;
+
+import io.jayhead.admission.budget.GrantAccount;
+import io.jayhead.admission.queue.Dequeued;
+import io.jayhead.admission.queue.QueueRefusal;
+import io.jayhead.admission.queue.QueuedRequest;
+import io.jayhead.model.ErrorCode;
+import java.util.Optional;
+
+/** Queues arriving requests, starts those that may run and refuses those that waited too long. */
+final class RequestStarter {
+
+    private RequestStarter() {}
+
+    static Step arrive(Step step, AdmissionRequest request) {
+        AdmissionState state = step.state();
+        if (state.waiting().get(request.id()).isPresent()
+                || state.running().get(request.id()).isPresent()) {
+            return step;
+        }
+        if (state.draining()) {
+            return step.refuse(request, ErrorCode.SHUTTING_DOWN, "the router is shutting down");
+        }
+        if (!state.fresh()) {
+            return step.refuse(request, ErrorCode.CONFIGURATION_STALE, "the configuration is not confirmed");
+        }
+        if (request.worstCaseTokens() > 0
+                && state.book().account(request.budget()).voided()) {
+            return step.refuse(request, ErrorCode.SHUTTING_DOWN, "the grant of this router was reclaimed");
+        }
+        return enqueue(step, request);
+    }
+
+    /** Starts waiting requests while a slot and tokens are free, and asks for missing tokens. */
+    static Step startWaiting(Step step) {
+        Step next = step;
+        Optional<Dequeued> dequeued = next(next.state());
+        while (dequeued.isPresent()) {
+            next = start(next, dequeued.get());
+            dequeued = next(next.state());
+        }
+        return GrantSeeker.seekForWaiting(next);
+    }
+
+    static Step expire(Step step) {
+        Step next = step;
+        for (QueuedRequest expired : step.state().queue().expired(step.nowMs())) {
+            AdmissionRequest request = step.state().waiting().get(expired.id()).orElseThrow();
+            ErrorCode code = expiryCode(step.state(), request, step.nowMs());
+            next = next.refuse(request, code, "the request could not start within its time limit");
+        }
+        return next;
+    }
+
+    private static Step enqueue(Step step, AdmissionRequest request) {
+        BudgetDemand demand =
+                step.state().demand(request.budget(), step.nowMs()).observed(request.worstCaseTokens(), step.nowMs());
+        AdmissionState state = step.state().withDemand(request.budget(), demand);
+        QueuedRequest queued = queued(request);
+        return state.queue()
+                .offer(queued, step.nowMs(), estimatedWaitMs(state, queued))
+                .fold(
+                        refusal -> step.refuse(request, ErrorCode.OVERLOADED, describe(refusal)),
+                        queue -> startWaiting(step.with(state.withWaiting(queue, request))));
+    }
+
+    private static QueuedRequest queued(AdmissionRequest request) {
+        boolean free = request.worstCaseTokens() == 0;
+        return new QueuedRequest(
+                request.id(),
+                request.organisation(),
+                free ? "free/" + request.organisation() : request.budget().objectName(),
+                request.priority(),
+                request.worstCaseTokens(),
+                request.maxInFlight(),
+                request.startBeforeMs());
+    }
+
+    /** Estimates the wait for a slot; the wait for tokens is not known. */
+    private static long estimatedWaitMs(AdmissionState state, QueuedRequest request) {
+        double inAll = 0;
+        double inOrganisation = 0;
+        if (state.inFlight() >= state.settings().maxInFlight()) {
+            inAll = (state.queue().ahead(request) + 1.0) / state.settings().maxInFlight();
+        }
+        if (state.inFlight(request.organisation()) >= request.weight()) {
+            inOrganisation = (state.queue().size(request.organisation()) + 1.0) / request.weight();
+        }
+        return (long) (Math.max(inAll, inOrganisation) * state.meanServiceMs());
+    }
+
+    private static Optional<Dequeued> next(AdmissionState state) {
+        if (!state.fresh() || state.inFlight() >= state.settings().maxInFlight()) {
+            return Optional.empty();
+        }
+        return state.queue().next(queued -> mayStart(state, queued));
+    }
+
+    private static boolean mayStart(AdmissionState state, QueuedRequest queued) {
+        AdmissionRequest request = state.waiting().get(queued.id()).orElseThrow();
+        if (state.inFlight(request.organisation()) >= request.maxInFlight()) {
+            return false;
+        }
+        GrantAccount account = state.book().account(request.budget());
+        return request.worstCaseTokens() == 0 || request.worstCaseTokens() <= account.availableTokens();
+    }
+
+    private static Step start(Step step, Dequeued dequeued) {
+        String id = dequeued.request().id();
+        AdmissionState state = step.state();
+        AdmissionRequest request = state.waiting().get(id).orElseThrow();
+        AdmissionState reserved = request.worstCaseTokens() == 0
+                ? state
+                : state.withBook(state.book()
+                        .reserve(request.budget(), id, request.worstCaseTokens())
+                        .get());
+        AdmissionState started =
+                reserved.withQueue(dequeued.queue()).withoutWaiting(id).started(request, step.nowMs());
+        Step next = step.with(started).then(new AdmissionCommand.Start(id));
+        return request.worstCaseTokens() == 0 ? next : GrantSeeker.seekAhead(next, request.budget());
+    }
+
+    private static ErrorCode expiryCode(AdmissionState state, AdmissionRequest request, long nowMs) {
+        if (!state.fresh()) {
+            return ErrorCode.CONFIGURATION_STALE;
+        }
+        GrantAccount account = state.book().account(request.budget());
+        if (request.worstCaseTokens() <= account.availableTokens()) {
+            return ErrorCode.OVERLOADED;
+        }
+        boolean unavailable = state.demand(request.budget(), nowMs).platform() == PlatformAnswer.UNAVAILABLE;
+        return unavailable ? ErrorCode.PLATFORM_UNAVAILABLE : ErrorCode.BUDGET_EXHAUSTED;
+    }
+
+    private static String describe(QueueRefusal refusal) {
+        return switch (refusal) {
+            case ORGANISATION_FULL -> "too many requests of the organisation are waiting";
+            case QUEUE_FULL -> "too many requests are waiting";
+            case DEADLINE_CANNOT_BE_MET -> "the estimated wait exceeds the time limit";
+        };
+    }
+}
--- a/jayhead-admission/src/main/java/io/jayhead/admission/budget/GrantSizer.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/budget/GrantSizer.java
@@ -17,6 +17,9 @@
     /** Covers a slow platform reply and one retry. */
     public static final long DEFAULT_LOW_WATER_MS = 3_000;
 
+    /** Keeps a small balance through short idle times, so that an outage of the platform refuses nothing at once. */
+    public static final long IDLE_RETURN_MS = 600_000;
+
     private static final int SHARE_DIVISOR = 2;
     private static final int LENDING_DIVISOR = 4;
     private static final int SURPLUS_FACTOR = 2;
@@ -98,19 +101,19 @@
     }
 
     /**
-     * Returns the idle surplus to give back: all when nothing is spent, else what exceeds twice the need.
+     * Returns the surplus to give back: all after a long idle time, else what exceeds the need by far.
      *
      * @param availableTokens the tokens available
      * @param tokensPerSecond the rate of reservations
+     * @param idleMs the time since the last reservation
      * @return tokens, 0 if the surplus is not worth a write
      */
-    public long surplusTokens(long availableTokens, double tokensPerSecond) {
-        long spent = spentWithin(tokensPerSecond, horizonMs);
-        if (spent == 0) {
+    public long surplusTokens(long availableTokens, double tokensPerSecond, long idleMs) {
+        if (idleMs >= IDLE_RETURN_MS) {
             return availableTokens;
         }
-        long keep = SURPLUS_FACTOR * Math.max(initialTokens, spent);
-        return availableTokens > SURPLUS_FACTOR * keep ? availableTokens - keep : 0;
+        long keepTokens = SURPLUS_FACTOR * Math.max(initialTokens, spentWithin(tokensPerSecond, horizonMs));
+        return availableTokens > SURPLUS_FACTOR * keepTokens ? availableTokens - keepTokens : 0;
     }
 
     private static long spentWithin(double tokensPerSecond, long timeMs) {
