--- /dev/null
+++ b/jayhead-routing/src/main/java/io/jayhead/routing/RoutingState.java
@@ -0,0 +1,177 @@
+package io.jayhead.routing;
+
+import io.jayhead.model.UpstreamName;
+import io.jayhead.model.fleet.FleetSpec;
+import io.jayhead.model.fleet.UpstreamSpec;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.UnaryOperator;
+import java.util.stream.Collectors;
+
+/**
+ * Holds what this router knows about all upstreams; immutable, so that traffic threads read it without locks.
+ *
+ * @param fleet the fleet in force
+ * @param parameters the numbers that steer the choice
+ * @param upstreams the state of the fleet's upstreams
+ * @param sentCount the requests sent so far
+ */
+public record RoutingState(
+        FleetSpec fleet, RoutingParameters parameters, Map<UpstreamName, UpstreamState> upstreams, long sentCount) {
+
+    /** Copies the map. */
+    public RoutingState {
+        upstreams = Map.copyOf(upstreams);
+    }
+
+    /**
+     * Returns a state without upstreams.
+     *
+     * @param parameters the numbers that steer the choice
+     * @return the empty state
+     */
+    public static RoutingState empty(RoutingParameters parameters) {
+        return new RoutingState(FleetSpec.empty(), parameters, Map.of(), 0);
+    }
+
+    /**
+     * Puts a fleet in force; upstreams that stay keep their state.
+     *
+     * @param newFleet the fleet
+     * @return the new state
+     */
+    public RoutingState withFleet(FleetSpec newFleet) {
+        Map<UpstreamName, UpstreamState> changed = new HashMap<>();
+        for (UpstreamSpec spec : newFleet.upstreams().values()) {
+            UpstreamState kept = upstream(spec.name()).withLeaving(LeavingSource.FLEET_TEXT, spec.leaving());
+            changed.put(spec.name(), kept);
+        }
+        return new RoutingState(newFleet, parameters, changed, sentCount);
+    }
+
+    /**
+     * Takes a load report over.
+     *
+     * @param name the upstream
+     * @param report the report
+     * @param receivedMs when it was received
+     * @return the new state
+     */
+    public RoutingState withReport(UpstreamName name, LoadReport report, long receivedMs) {
+        return update(name, state -> state.withReport(report, receivedMs));
+    }
+
+    /**
+     * Notes a request that was sent.
+     *
+     * @param name the upstream
+     * @param requestId the id of the request at the upstream
+     * @param request the request that was routed
+     * @param nowMs the time
+     * @return the new state
+     */
+    public RoutingState withSent(UpstreamName name, String requestId, RoutingRequest request, long nowMs) {
+        SentRequest sent = SentRequest.of(request.promptTokens(), nowMs);
+        RoutingState changed = update(name, state -> state.withSent(requestId, sent, request.prefix()));
+        return new RoutingState(fleet, parameters, changed.upstreams, sentCount + 1);
+    }
+
+    /**
+     * Notes the first token of a request.
+     *
+     * @param name the upstream
+     * @param requestId the id of the request at the upstream
+     * @param nowMs the time
+     * @return the new state
+     */
+    public RoutingState withFirstToken(UpstreamName name, String requestId, long nowMs) {
+        return update(name, state -> state.withFirstToken(requestId, nowMs, parameters.observationHalfLifeMs()));
+    }
+
+    /**
+     * Notes the end of a request, whether it succeeded or not.
+     *
+     * @param name the upstream
+     * @param requestId the id of the request at the upstream
+     * @param outputTokens the output tokens; 0 if it failed
+     * @param nowMs the time
+     * @return the new state
+     */
+    public RoutingState withFinished(UpstreamName name, String requestId, long outputTokens, long nowMs) {
+        return update(
+                name, state -> state.withFinished(requestId, outputTokens, nowMs, parameters.observationHalfLifeMs()));
+    }
+
+    /**
+     * Notes a silent failure.
+     *
+     * @param name the upstream
+     * @param nowMs the time
+     * @return the new state
+     */
+    public RoutingState withSilentFailure(UpstreamName name, long nowMs) {
+        return update(name, state -> state.withSilentFailure(nowMs));
+    }
+
+    /**
+     * Applies a page of cache events.
+     *
+     * @param name the upstream
+     * @param events the events in order
+     * @param next the sequence number that follows the page
+     * @param gap whether the engine says that events are missing
+     * @param nowMs the time
+     * @return the new state
+     */
+    public RoutingState withCacheEvents(
+            UpstreamName name, List<CacheEvent> events, long next, boolean gap, long nowMs) {
+        return update(name, state -> state.withPrefixes(state.prefixes().withEvents(events, next, gap, nowMs)));
+    }
+
+    /**
+     * Replaces all marks of one source.
+     *
+     * @param source the source; the marks of reports and of the fleet text follow from those
+     * @param leaving the upstreams that the source says are leaving
+     * @return the new state
+     */
+    public RoutingState withLeaving(LeavingSource source, Set<UpstreamName> leaving) {
+        Map<UpstreamName, UpstreamState> changed = new HashMap<>();
+        upstreams.forEach((name, state) -> changed.put(name, state.withLeaving(source, leaving.contains(name))));
+        return new RoutingState(fleet, parameters, changed, sentCount);
+    }
+
+    /**
+     * Returns the upstreams to name to peers as leaving. Marks that came from peers are left out, because two routers
+     * would otherwise keep a mark alive between them.
+     *
+     * @return the names
+     */
+    public Set<UpstreamName> leavingForPeers() {
+        return upstreams.entrySet().stream()
+                .filter(entry -> entry.getValue().leavingMarks().stream().anyMatch(mark -> mark != LeavingSource.PEER))
+                .map(Map.Entry::getKey)
+                .collect(Collectors.toUnmodifiableSet());
+    }
+
+    /**
+     * Returns the state of an upstream.
+     *
+     * @param name the upstream
+     * @return the state, empty if nothing is known
+     */
+    public UpstreamState upstream(UpstreamName name) {
+        return upstreams.getOrDefault(name, UpstreamState.empty());
+    }
+
+    private RoutingState update(UpstreamName name, UnaryOperator<UpstreamState> change) {
+        if (!upstreams.containsKey(name)) {
+            return this;
+        }
+        Map<UpstreamName, UpstreamState> changed = new HashMap<>(upstreams);
+        changed.computeIfPresent(name, (key, state) -> change.apply(state));
+        return new RoutingState(fleet, parameters, changed, sentCount);
+    }
+}
