Add the state machine of generations

Cause: a generation must survive silent connections and dead engines, with each token delivered once and one charge.

--- /dev/null
+++ b/jayhead-dispatch/src/main/java/io/jayhead/dispatch/GenerationState.java
@@ -0,0 +1,275 @@
+package io.jayhead.dispatch;
+
+import io.jayhead.model.ErrorCode;
+import io.jayhead.model.RequestKey;
+import io.jayhead.model.UpstreamName;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/**
+ * Holds the state of one generation; immutable. {@link GenerationAttempts} computes the next state.
+ */
+public final class GenerationState {
+
+    /** Names the steps of a generation. */
+    public enum Phase {
+        /** Nothing was sent. */
+        NEW,
+        /** An attempt runs. */
+        RUNNING,
+        /** The retry budget was asked. */
+        AWAITING_RETRY,
+        /** Routing was asked for an upstream. */
+        CHOOSING,
+        /** The whole answer was delivered and its charge is being committed. */
+        CHARGING,
+        /** The request failed and the upstream was asked what it used. */
+        STOPPING,
+        /** The request failed and its charge is being committed. */
+        SETTLING,
+        /** The request is over. */
+        CLOSED
+    }
+
+    private final RequestKey key;
+    private final DispatchLimits limits;
+    private final Phase phase;
+    private final Optional<AttemptState> attempt;
+    private final Set<UpstreamName> tried;
+    private final Delivery delivery;
+    private final RunEvidence evidence;
+    private final OptionalLong promptTokens;
+    private final ErrorCode lastError;
+    private final boolean resumable;
+    private final boolean callerGone;
+    private final long nowMs;
+    private final Usage usage;
+
+    private GenerationState(Builder builder) {
+        this.key = builder.key;
+        this.limits = builder.limits;
+        this.phase = builder.phase;
+        this.attempt = builder.attempt;
+        this.tried = Set.copyOf(builder.tried);
+        this.delivery = builder.delivery;
+        this.evidence = builder.evidence;
+        this.promptTokens = builder.promptTokens;
+        this.lastError = builder.lastError;
+        this.resumable = builder.resumable;
+        this.callerGone = builder.callerGone;
+        this.nowMs = builder.nowMs;
+        this.usage = builder.usage;
+    }
+
+    /**
+     * Returns the state of a generation that was admitted.
+     *
+     * @param key the request key
+     * @param limits the limits
+     * @return the state
+     */
+    public static GenerationState of(RequestKey key, DispatchLimits limits) {
+        return new GenerationState(new Builder(key, limits));
+    }
+
+    /**
+     * Returns the current step.
+     *
+     * @return the step
+     */
+    public Phase phase() {
+        return phase;
+    }
+
+    /**
+     * Returns the number of the last attempt.
+     *
+     * @return the number, 0 before the first one
+     */
+    public int attemptNumber() {
+        return attempt.map(AttemptState::number).orElse(0);
+    }
+
+    /**
+     * Returns the upstream of the last attempt.
+     *
+     * @return the upstream, empty before the first attempt
+     */
+    public Optional<UpstreamName> upstream() {
+        return attempt.map(AttemptState::upstream);
+    }
+
+    /**
+     * Returns the number of tokens that the caller has.
+     *
+     * @return the tokens
+     */
+    public long deliveredTokens() {
+        return delivery.delivered();
+    }
+
+    /**
+     * Returns the id of the current run at its upstream. It follows from the request key, so that an engine recognises
+     * a request that comes again through another router.
+     *
+     * @return the id
+     */
+    public String upstreamRequestId() {
+        return upstreamRequestId(key, attempt.map(AttemptState::run).orElse(1));
+    }
+
+    /**
+     * Returns the id of a run of a request.
+     *
+     * @param key the request key
+     * @param run the number of the attempt that starts the run, from 1
+     * @return the id
+     */
+    public static String upstreamRequestId(RequestKey key, int run) {
+        return key.value() + "-" + run;
+    }
+
+    DispatchLimits limits() {
+        return limits;
+    }
+
+    AttemptState attempt() {
+        return attempt.orElseThrow();
+    }
+
+    boolean hasAttempt() {
+        return attempt.isPresent();
+    }
+
+    Set<UpstreamName> tried() {
+        return tried;
+    }
+
+    Delivery delivery() {
+        return delivery;
+    }
+
+    RunEvidence evidence() {
+        return evidence;
+    }
+
+    OptionalLong promptTokens() {
+        return promptTokens;
+    }
+
+    /** Returns the prompt tokens that are still reserved: those refunded must not be charged. */
+    long promptLimit() {
+        return Math.min(limits.reservedPromptTokens(), promptTokens.orElse(limits.reservedPromptTokens()));
+    }
+
+    ErrorCode lastError() {
+        return lastError;
+    }
+
+    boolean isResumable() {
+        return resumable;
+    }
+
+    boolean isCallerGone() {
+        return callerGone;
+    }
+
+    long nowMs() {
+        return nowMs;
+    }
+
+    Usage usage() {
+        return usage;
+    }
+
+    GenerationState in(Phase newPhase) {
+        return change(builder -> builder.phase = newPhase);
+    }
+
+    GenerationState withAttempt(AttemptState newAttempt) {
+        return change(builder -> builder.attempt = Optional.of(newAttempt));
+    }
+
+    GenerationState withTried(UpstreamName upstream) {
+        return change(builder -> {
+            builder.tried = new HashSet<>(tried);
+            builder.tried.add(upstream);
+        });
+    }
+
+    GenerationState withDelivery(Delivery newDelivery) {
+        return change(builder -> builder.delivery = newDelivery);
+    }
+
+    GenerationState withEvidence(RunEvidence newEvidence) {
+        return change(builder -> builder.evidence = newEvidence);
+    }
+
+    GenerationState withPromptTokens(long tokens) {
+        return change(builder -> builder.promptTokens = OptionalLong.of(tokens));
+    }
+
+    GenerationState withFailure(ErrorCode error, boolean mayResume) {
+        return change(builder -> {
+            builder.lastError = error;
+            builder.resumable = mayResume;
+        });
+    }
+
+    GenerationState withCallerGone() {
+        return change(builder -> builder.callerGone = true);
+    }
+
+    GenerationState at(long newNowMs) {
+        return change(builder -> builder.nowMs = Math.max(nowMs, newNowMs));
+    }
+
+    GenerationState withUsage(Usage newUsage) {
+        return change(builder -> builder.usage = newUsage);
+    }
+
+    private GenerationState change(Consumer<Builder> change) {
+        Builder builder = new Builder(this);
+        change.accept(builder);
+        return new GenerationState(builder);
+    }
+
+    private static final class Builder {
+        private final RequestKey key;
+        private final DispatchLimits limits;
+        private Phase phase = Phase.NEW;
+        private Optional<AttemptState> attempt = Optional.empty();
+        private Set<UpstreamName> tried = Set.of();
+        private Delivery delivery = Delivery.empty();
+        private RunEvidence evidence = RunEvidence.empty();
+        private OptionalLong promptTokens = OptionalLong.empty();
+        private ErrorCode lastError = ErrorCode.UPSTREAM_FAILED;
+        private boolean resumable;
+        private boolean callerGone;
+        private long nowMs = Long.MIN_VALUE;
+        private Usage usage = new Usage(0, 0);
+
+        Builder(RequestKey key, DispatchLimits limits) {
+            this.key = key;
+            this.limits = limits;
+        }
+
+        Builder(GenerationState state) {
+            this(state.key, state.limits);
+            this.phase = state.phase;
+            this.attempt = state.attempt;
+            this.tried = state.tried;
+            this.delivery = state.delivery;
+            this.evidence = state.evidence;
+            this.promptTokens = state.promptTokens;
+            this.lastError = state.lastError;
+            this.resumable = state.resumable;
+            this.callerGone = state.callerGone;
+            this.nowMs = state.nowMs;
+            this.usage = state.usage;
+        }
+    }
+}
