Add the state machine of plain calls

Cause: a booking must not be sent twice without proof that it did not run; status reads may be repeated. Ruled out: cancelling the call of a caller that is gone, since its outcome must be stored and charged. Change: CallAttempts with the retry rule of the request kind.

--- /dev/null
+++ b/jayhead-dispatch/src/main/java/io/jayhead/dispatch/CallAttempts.java
@@ -0,0 +1,180 @@
+package io.jayhead.dispatch;
+
+import io.jayhead.dispatch.CallState.Phase;
+import io.jayhead.model.ErrorCode;
+import io.jayhead.model.NotRunProof;
+import io.jayhead.model.Transition;
+import io.jayhead.model.UpstreamName;
+import io.jayhead.model.Verdict;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Runs one call of a plain service.
+ *
+ * <p>A booking is sent again only if a proof says that it did not run. A status read is repeated over a fresh
+ * connection, on another upstream if there is one.
+ */
+public final class CallAttempts {
+
+    private CallAttempts() {}
+
+    /**
+     * Handles an event.
+     *
+     * @param state the state
+     * @param event the event
+     * @return the next state and the commands
+     */
+    public static Transition<CallState, DispatchCommand> handle(CallState state, DispatchEvent event) {
+        if (event instanceof DispatchEvent.OfAttempt ofAttempt) {
+            boolean current = state.phase() == Phase.RUNNING && ofAttempt.attempt() == state.attemptNumber();
+            return current ? handleAttempt(state, ofAttempt) : Transition.of(state);
+        }
+        if (event instanceof DispatchEvent.Begin begin && state.phase() == Phase.NEW) {
+            return send(state.at(begin.nowMs()), begin.upstream());
+        }
+        if (event instanceof DispatchEvent.RetryDecided decided && state.phase() == Phase.AWAITING_RETRY) {
+            return decided.allowed() ? choose(state.at(decided.nowMs())) : fail(state, state.lastError());
+        }
+        if (event instanceof DispatchEvent.UpstreamChosen chosen && state.phase() == Phase.CHOOSING) {
+            return send(state.at(chosen.nowMs()), chosen.upstream());
+        }
+        if (event instanceof DispatchEvent.NoUpstream && state.phase() == Phase.CHOOSING) {
+            return state.isRepeatable() ? send(state, state.attempt().upstream()) : fail(state, state.lastError());
+        }
+        if (event instanceof DispatchEvent.Tick tick) {
+            return tick(state.at(tick.nowMs()));
+        }
+        if (event instanceof DispatchEvent.CallerGone) {
+            return callerGone(state);
+        }
+        return state.phase() == Phase.CHARGING ? charge(state, event) : Transition.of(state);
+    }
+
+    private static Transition<CallState, DispatchCommand> handleAttempt(
+            CallState state, DispatchEvent.OfAttempt event) {
+        if (event instanceof DispatchEvent.Answered answered) {
+            return answered(state, answered);
+        }
+        if (event instanceof DispatchEvent.ConnectFailed) {
+            return notRun(state, NotRunProof.CONNECT_FAILED, ErrorCode.UPSTREAM_FAILED, false);
+        }
+        if (event instanceof DispatchEvent.Refused refused) {
+            return refused.definite()
+                    ? notRun(state, NotRunProof.UPSTREAM_REFUSED, ErrorCode.UPSTREAM_REFUSED, false)
+                    : retry(state.withFailure(ErrorCode.UPSTREAM_FAILED, false));
+        }
+        if (event instanceof DispatchEvent.ConnectionBroken broken) {
+            return broken.bytesSent()
+                    ? retry(state.withFailure(ErrorCode.UPSTREAM_FAILED, true))
+                    : notRun(state, NotRunProof.CONNECT_FAILED, ErrorCode.UPSTREAM_FAILED, true);
+        }
+        return Transition.of(state);
+    }
+
+    private static Transition<CallState, DispatchCommand> answered(CallState state, DispatchEvent.Answered answered) {
+        DispatchCommand.DeliverAnswer answer =
+                new DispatchCommand.DeliverAnswer(answered.httpStatus(), answered.body());
+        CallState next = state.withAnswer(answer);
+        if (state.priceTokens() > 0) {
+            return Transition.of(next.in(Phase.CHARGING), new DispatchCommand.CommitCharge(0, state.priceTokens()));
+        }
+        return close(next, state.isCallerGone() ? List.of() : List.of(answer));
+    }
+
+    private static Transition<CallState, DispatchCommand> notRun(
+            CallState state, NotRunProof proof, ErrorCode error, boolean mayRepeat) {
+        CallState next = state.withEvidence(state.evidence().withProof(proof));
+        return retry(next.withFailure(error, mayRepeat));
+    }
+
+    private static Transition<CallState, DispatchCommand> retry(CallState state) {
+        boolean allowed = state.retryRule().allowsNewAttempt(state.evidence().verdict());
+        boolean attemptsLeft = state.attemptNumber() < state.limits().maxAttempts();
+        if (!allowed || !attemptsLeft || state.isCallerGone()) {
+            return fail(state, state.lastError());
+        }
+        return Transition.of(state.in(Phase.AWAITING_RETRY), new DispatchCommand.CountRetry());
+    }
+
+    private static Transition<CallState, DispatchCommand> choose(CallState state) {
+        return Transition.of(
+                state.in(Phase.CHOOSING), new DispatchCommand.ChooseUpstream(state.tried(), Optional.empty()));
+    }
+
+    private static Transition<CallState, DispatchCommand> send(CallState state, UpstreamName upstream) {
+        int number = state.attemptNumber() + 1;
+        AttemptState attempt = AttemptState.of(number, upstream, number, state.nowMs());
+        CallState next = state.withAttempt(attempt)
+                .withEvidence(state.evidence().withSend())
+                .in(Phase.RUNNING);
+        String requestId = GenerationState.upstreamRequestId(state.key(), number);
+        return Transition.of(next, new DispatchCommand.Send(number, upstream, requestId, 0, number > 1));
+    }
+
+    private static Transition<CallState, DispatchCommand> tick(CallState state) {
+        if (state.phase() == Phase.CLOSED) {
+            return Transition.of(state);
+        }
+        boolean late = state.nowMs() >= state.limits().deadlineMs();
+        if (state.phase() == Phase.CHARGING) {
+            return late && !state.isCallerGone() ? chargeTooLate(state) : Transition.of(state);
+        }
+        if (late) {
+            return fail(state, ErrorCode.DEADLINE_EXCEEDED);
+        }
+        if (state.phase() != Phase.RUNNING || !state.attempt().isSilent(state.nowMs(), state.limits())) {
+            return Transition.of(state);
+        }
+        AttemptState silent = state.attempt();
+        Transition<CallState, DispatchCommand> retry = retry(state.withFailure(ErrorCode.UPSTREAM_FAILED, true));
+        List<DispatchCommand> commands = new ArrayList<>();
+        commands.add(new DispatchCommand.DropConnections(silent.upstream(), silent.sentMs()));
+        commands.addAll(retry.commands());
+        return new Transition<>(retry.state(), commands);
+    }
+
+    /** Keeps an attempt going whose caller is gone: its outcome must be stored and charged. */
+    private static Transition<CallState, DispatchCommand> callerGone(CallState state) {
+        if (state.phase() == Phase.CLOSED) {
+            return Transition.of(state);
+        }
+        CallState gone = state.withCallerGone();
+        boolean pending = state.phase() == Phase.RUNNING || state.phase() == Phase.CHARGING;
+        return pending ? Transition.of(gone) : close(gone, List.of());
+    }
+
+    private static Transition<CallState, DispatchCommand> charge(CallState state, DispatchEvent event) {
+        boolean failed = event instanceof DispatchEvent.ChargeFailed;
+        boolean safe = event instanceof DispatchEvent.Charged || event instanceof DispatchEvent.ChargeHeld;
+        if (!failed && !safe) {
+            return Transition.of(state);
+        }
+        if (state.isCallerGone()) {
+            return close(state, List.of());
+        }
+        DispatchCommand end = failed
+                ? new DispatchCommand.FailCaller(ErrorCode.PLATFORM_UNAVAILABLE, Verdict.ran(), false)
+                : state.answer().orElseThrow();
+        return close(state, List.of(end));
+    }
+
+    private static Transition<CallState, DispatchCommand> chargeTooLate(CallState state) {
+        DispatchCommand failure = new DispatchCommand.FailCaller(ErrorCode.DEADLINE_EXCEEDED, Verdict.ran(), false);
+        return Transition.of(state.withCallerGone(), failure);
+    }
+
+    private static Transition<CallState, DispatchCommand> fail(CallState state, ErrorCode code) {
+        DispatchCommand failure =
+                new DispatchCommand.FailCaller(code, state.evidence().verdict(), false);
+        return close(state, state.isCallerGone() ? List.of() : List.of(failure));
+    }
+
+    private static Transition<CallState, DispatchCommand> close(CallState state, List<DispatchCommand> before) {
+        List<DispatchCommand> commands = new ArrayList<>(before);
+        commands.add(new DispatchCommand.Finish());
+        return new Transition<>(state.in(Phase.CLOSED), commands);
+    }
+}
--- /dev/null
+++ b/jayhead-dispatch/src/main/java/io/jayhead/dispatch/CallState.java
@@ -0,0 +1,221 @@
+package io.jayhead.dispatch;
+
+import io.jayhead.model.ErrorCode;
+import io.jayhead.model.RequestKey;
+import io.jayhead.model.RetryRule;
+import io.jayhead.model.UpstreamName;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/** Holds the state of one call of a plain service; immutable. {@link CallAttempts} computes the next state. */
+public final class CallState {
+
+    /** Names the steps of a call. */
+    public enum Phase {
+        /** Nothing was sent. */
+        NEW,
+        /** An attempt runs. */
+        RUNNING,
+        /** The retry budget was asked. */
+        AWAITING_RETRY,
+        /** Routing was asked for an upstream. */
+        CHOOSING,
+        /** The answer arrived and its charge is being committed. */
+        CHARGING,
+        /** The call is over. */
+        CLOSED
+    }
+
+    private final RequestKey key;
+    private final DispatchLimits limits;
+    private final RetryRule retryRule;
+    private final long priceTokens;
+    private final Phase phase;
+    private final Optional<AttemptState> attempt;
+    private final Set<UpstreamName> tried;
+    private final RunEvidence evidence;
+    private final ErrorCode lastError;
+    private final boolean repeatable;
+    private final Optional<DispatchCommand.DeliverAnswer> answer;
+    private final boolean callerGone;
+    private final long nowMs;
+
+    private CallState(Builder builder) {
+        this.key = builder.key;
+        this.limits = builder.limits;
+        this.retryRule = builder.retryRule;
+        this.priceTokens = builder.priceTokens;
+        this.phase = builder.phase;
+        this.attempt = builder.attempt;
+        this.tried = Set.copyOf(builder.tried);
+        this.evidence = builder.evidence;
+        this.lastError = builder.lastError;
+        this.repeatable = builder.repeatable;
+        this.answer = builder.answer;
+        this.callerGone = builder.callerGone;
+        this.nowMs = builder.nowMs;
+    }
+
+    /**
+     * Returns the state of a call that was admitted.
+     *
+     * @param key the request key
+     * @param limits the limits
+     * @param retryRule whether the call may be sent again
+     * @param priceTokens the charge of the call
+     * @return the state
+     */
+    public static CallState of(RequestKey key, DispatchLimits limits, RetryRule retryRule, long priceTokens) {
+        return new CallState(new Builder(key, limits, retryRule, priceTokens));
+    }
+
+    /**
+     * Returns the current step.
+     *
+     * @return the step
+     */
+    public Phase phase() {
+        return phase;
+    }
+
+    /**
+     * Returns the number of the last attempt.
+     *
+     * @return the number, 0 before the first one
+     */
+    public int attemptNumber() {
+        return attempt.map(AttemptState::number).orElse(0);
+    }
+
+    RequestKey key() {
+        return key;
+    }
+
+    DispatchLimits limits() {
+        return limits;
+    }
+
+    RetryRule retryRule() {
+        return retryRule;
+    }
+
+    long priceTokens() {
+        return priceTokens;
+    }
+
+    AttemptState attempt() {
+        return attempt.orElseThrow();
+    }
+
+    boolean hasAttempt() {
+        return attempt.isPresent();
+    }
+
+    Set<UpstreamName> tried() {
+        return tried;
+    }
+
+    RunEvidence evidence() {
+        return evidence;
+    }
+
+    ErrorCode lastError() {
+        return lastError;
+    }
+
+    /** Tells whether the last attempt failed on its connection, so that the same upstream may serve a new one. */
+    boolean isRepeatable() {
+        return repeatable;
+    }
+
+    Optional<DispatchCommand.DeliverAnswer> answer() {
+        return answer;
+    }
+
+    boolean isCallerGone() {
+        return callerGone;
+    }
+
+    long nowMs() {
+        return nowMs;
+    }
+
+    CallState in(Phase newPhase) {
+        return change(builder -> builder.phase = newPhase);
+    }
+
+    CallState withAttempt(AttemptState newAttempt) {
+        return change(builder -> {
+            builder.attempt = Optional.of(newAttempt);
+            builder.tried = new HashSet<>(tried);
+            builder.tried.add(newAttempt.upstream());
+        });
+    }
+
+    CallState withEvidence(RunEvidence newEvidence) {
+        return change(builder -> builder.evidence = newEvidence);
+    }
+
+    CallState withFailure(ErrorCode error, boolean mayRepeat) {
+        return change(builder -> {
+            builder.lastError = error;
+            builder.repeatable = mayRepeat;
+        });
+    }
+
+    CallState withAnswer(DispatchCommand.DeliverAnswer newAnswer) {
+        return change(builder -> builder.answer = Optional.of(newAnswer));
+    }
+
+    CallState withCallerGone() {
+        return change(builder -> builder.callerGone = true);
+    }
+
+    CallState at(long newNowMs) {
+        return change(builder -> builder.nowMs = Math.max(nowMs, newNowMs));
+    }
+
+    private CallState change(Consumer<Builder> change) {
+        Builder builder = new Builder(this);
+        change.accept(builder);
+        return new CallState(builder);
+    }
+
+    private static final class Builder {
+        private final RequestKey key;
+        private final DispatchLimits limits;
+        private final RetryRule retryRule;
+        private final long priceTokens;
+        private Phase phase = Phase.NEW;
+        private Optional<AttemptState> attempt = Optional.empty();
+        private Set<UpstreamName> tried = Set.of();
+        private RunEvidence evidence = RunEvidence.empty();
+        private ErrorCode lastError = ErrorCode.UPSTREAM_FAILED;
+        private boolean repeatable;
+        private Optional<DispatchCommand.DeliverAnswer> answer = Optional.empty();
+        private boolean callerGone;
+        private long nowMs = Long.MIN_VALUE;
+
+        Builder(RequestKey key, DispatchLimits limits, RetryRule retryRule, long priceTokens) {
+            this.key = key;
+            this.limits = limits;
+            this.retryRule = retryRule;
+            this.priceTokens = priceTokens;
+        }
+
+        Builder(CallState state) {
+            this(state.key, state.limits, state.retryRule, state.priceTokens);
+            this.phase = state.phase;
+            this.attempt = state.attempt;
+            this.tried = state.tried;
+            this.evidence = state.evidence;
+            this.lastError = state.lastError;
+            this.repeatable = state.repeatable;
+            this.answer = state.answer;
+            this.callerGone = state.callerGone;
+            this.nowMs = state.nowMs;
+        }
+    }
+}
