Spread close choices by own requests in flight

Cause: with equal engines round robin had a lower p95 than the estimate (502 against 576 ms), since all engines with a free place look alike and the choice among them was random. The test now also requires a p95 no worse than round robin with equal engines.

--- a/jayhead-routing/src/main/java/io/jayhead/routing/PowerOfTwoChoices.java
+++ b/jayhead-routing/src/main/java/io/jayhead/routing/PowerOfTwoChoices.java
@@ -39,7 +39,24 @@
         int second = nearBest.size() == 1 ? first : draw(weights, fraction(randomBits & 0xFFFF_FFFFL));
         Candidate one = nearBest.get(first);
         Candidate other = nearBest.get(second);
-        return other.estimatedFirstTokenMs() < one.estimatedFirstTokenMs() ? other : one;
+        return better(one, other, state);
+    }
+
+    /** Takes the engine with fewer own requests in flight where the estimates are too close to tell apart. */
+    private static Candidate better(Candidate one, Candidate other, RoutingState state) {
+        double differenceMs = other.estimatedFirstTokenMs() - one.estimatedFirstTokenMs();
+        if (Math.abs(differenceMs) > state.parameters().nearBestSlackMs()) {
+            return differenceMs < 0 ? other : one;
+        }
+        int ownDifference = inFlight(other, state) - inFlight(one, state);
+        if (ownDifference != 0) {
+            return ownDifference < 0 ? other : one;
+        }
+        return differenceMs < 0 ? other : one;
+    }
+
+    private static int inFlight(Candidate candidate, RoutingState state) {
+        return state.upstream(candidate.upstream()).inFlight().size();
     }
 
     private static List<Candidate> nearBest(List<Candidate> eligible, RoutingParameters parameters) {
--- a/jayhead-routing/src/test/java/io/jayhead/routing/PolicyMeasurementTest.java
+++ b/jayhead-routing/src/test/java/io/jayhead/routing/PolicyMeasurementTest.java
@@ -41,7 +41,7 @@
     void meetsTheTargetWithEqualEngines() {
         double[] p95Ms = measure(0);
         assertTrue(p95Ms[0] <= TARGET_P95_MS, "p95 " + p95Ms[0]);
-        assertTrue(p95Ms[0] <= p95Ms[2]);
+        assertTrue(p95Ms[0] <= p95Ms[1] && p95Ms[0] <= p95Ms[2]);
     }
 
     private static double[] measure(int slowEngines) {
