Derive the dispatch limits from the kind of request

Cause: a fixed first-byte limit of 5 s would take a long generation that waits in an engine's queue for a silent failure. Ruled out: the whole deadline as first-byte limit, since a silent first attempt would leave no time for a second. Change: DispatchLimits.of(kind, ...) allows the queue limit of the kind plus 5 s, at most a third of the deadline (half for calls that are not repeated). Conclusion: callers of the module should use this factory.

--- a/jayhead-dispatch/src/main/java/io/jayhead/dispatch/DispatchLimits.java
+++ b/jayhead-dispatch/src/main/java/io/jayhead/dispatch/DispatchLimits.java
@@ -1,5 +1,8 @@
 package io.jayhead.dispatch;
 
+import io.jayhead.model.RequestKind;
+import io.jayhead.model.RetryRule;
+
 /**
  * Bounds one request.
  *
@@ -23,6 +26,9 @@
     /** The most attempts of one request. */
     public static final int DEFAULT_MAX_ATTEMPTS = 3;
 
+    /** Attempts that are not repeated may use half of the deadline; the rest is left for the answer to the caller. */
+    private static final int SINGLE_ATTEMPT_SHARE = 2;
+
     private static final long DEFAULT_FIRST_BYTE_MS = 5_000;
     private static final long DEFAULT_BETWEEN_TOKENS_MS = 2_000;
     private static final long DEFAULT_CANCEL_WAIT_MS = 1_000;
@@ -45,4 +51,27 @@
                 reservedPromptTokens,
                 maxOutputTokens);
     }
+
+    /**
+     * Returns the limits of a kind of request. The first byte may take as long as the request may queue, since an
+     * engine sends nothing while a request waits in its queue, but each attempt must leave time for the others.
+     *
+     * @param kind the kind
+     * @param startMs when the request arrived
+     * @param reservedPromptTokens the prompt tokens reserved in the budget
+     * @param maxOutputTokens the output tokens reserved in the budget
+     * @return the limits
+     */
+    public static DispatchLimits of(RequestKind kind, long startMs, long reservedPromptTokens, long maxOutputTokens) {
+        int shares = kind.retryRule() == RetryRule.NEVER ? SINGLE_ATTEMPT_SHARE : DEFAULT_MAX_ATTEMPTS;
+        long firstByteMs = Math.min(kind.deadlineMs() / shares, DEFAULT_FIRST_BYTE_MS + kind.queueLimitMs());
+        return new DispatchLimits(
+                firstByteMs,
+                DEFAULT_BETWEEN_TOKENS_MS,
+                DEFAULT_CANCEL_WAIT_MS,
+                DEFAULT_MAX_ATTEMPTS,
+                startMs + kind.deadlineMs(),
+                reservedPromptTokens,
+                maxOutputTokens);
+    }
 }
