--- /dev/null
+++ b/jayhead-platform/src/main/java/io/jayhead/platform/EditResult.java
@@ -0,0 +1,46 @@
+package io.jayhead.platform;
+
+/**
+ * Gives the outcome of an edit.
+ *
+ * @param <R> the type of refusals of the edit function
+ */
+public sealed interface EditResult<R> {
+
+    /**
+     * The edited body was written.
+     *
+     * @param version the new version
+     * @param body the body written
+     */
+    record Edited<R>(long version, String body) implements EditResult<R> {}
+
+    /**
+     * The edit function refused.
+     *
+     * @param refusal the refusal
+     */
+    record Refused<R>(R refusal) implements EditResult<R> {}
+
+    /**
+     * Other writers won all attempts; nothing was written.
+     *
+     * @param attempts the number of attempts
+     */
+    record Contended<R>(int attempts) implements EditResult<R> {}
+
+    /**
+     * The platform could not be used; nothing was written.
+     *
+     * @param reason the cause, for logs
+     */
+    record Unavailable<R>(String reason) implements EditResult<R> {}
+
+    /**
+     * The last write may have taken effect.
+     *
+     * @param body the body that was sent
+     * @param reason the cause, for logs
+     */
+    record Unknown<R>(String body, String reason) implements EditResult<R> {}
+}
--- a/jayhead-platform/src/main/java/io/jayhead/platform/package-info.java
+++ b/jayhead-platform/src/main/java/io/jayhead/platform/package-info.java
@@ -1,2 +1,2 @@
-/** Client of the platform object API and VM list. */
+/** Client of the platform's object API: conditional writes, read-back after a lost reply, edits and health. */
 package io.jayhead.platform;
