Add the charge log of one partition

Cause: each request must be billed exactly once although replies get lost, writers crash and the platform has outages. Ruled out: keeping only a counter of slots; a writer that was suspended past the deletion of old slots could create a deleted slot anew, where no reader looks. Change: ChargeLog with codec, window, checkpoint and pending queue. The batch carries the committed minute; the ledger never lets it decrease.

--- /dev/null
+++ b/jayhead-settlement/src/main/java/io/jayhead/settlement/charge/ChargeLedger.java
@@ -0,0 +1,116 @@
+package io.jayhead.settlement.charge;
+
+import io.jayhead.model.RequestKey;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Holds what the slots below a position add up to; immutable.
+ *
+ * <p>It depends only on the content of the slots, so all readers agree on the first charge of a key. The first
+ * charge for a key counts and later ones within the window do not. A duplicate of a charge that has left the
+ * window is not recognised and counts again; the window must therefore exceed the longest time between two
+ * submissions of one charge, including the time that a peer holds it in an outage.
+ */
+public final class ChargeLedger {
+
+    private final long nextSlot;
+    private final long latestMinute;
+    private final long windowMinutes;
+    private final Map<ChargeAccount, Long> totals;
+    private final ChargeWindow window;
+
+    ChargeLedger(
+            long nextSlot,
+            long latestMinute,
+            long windowMinutes,
+            Map<ChargeAccount, Long> totals,
+            ChargeWindow window) {
+        this.nextSlot = nextSlot;
+        this.latestMinute = latestMinute;
+        this.windowMinutes = windowMinutes;
+        this.totals = Map.copyOf(totals);
+        this.window = window;
+    }
+
+    /**
+     * Returns the ledger of an empty log.
+     *
+     * @param windowMinutes how long keys are kept to recognise duplicates
+     * @return the ledger
+     */
+    public static ChargeLedger empty(long windowMinutes) {
+        return new ChargeLedger(0, 0, windowMinutes, Map.of(), ChargeWindow.empty());
+    }
+
+    /**
+     * Returns the first slot that is not contained.
+     *
+     * @return the slot number
+     */
+    public long nextSlot() {
+        return nextSlot;
+    }
+
+    /**
+     * Returns the latest committed minute of all slots contained.
+     *
+     * @return minutes since the epoch
+     */
+    public long latestMinute() {
+        return latestMinute;
+    }
+
+    /**
+     * Returns the charged tokens by budget and incarnation.
+     *
+     * @return the sums over all slots contained
+     */
+    public Map<ChargeAccount, Long> totals() {
+        return totals;
+    }
+
+    /**
+     * Finds the first charge for a key within the window.
+     *
+     * @param key the request key
+     * @return the charge, or empty if there is none in the window
+     */
+    public Optional<CommittedCharge> find(RequestKey key) {
+        return window.find(key);
+    }
+
+    /**
+     * Returns the ledger with the next slot added.
+     *
+     * @param batch the content of slot {@code nextSlot}
+     * @return the ledger that contains the slot
+     */
+    public ChargeLedger plus(ChargeBatch batch) {
+        long minute = Math.max(latestMinute, batch.committedMinute());
+        Map<ChargeAccount, Long> sums = new HashMap<>(totals);
+        List<CommittedCharge> first = new ArrayList<>();
+        Set<RequestKey> inBatch = new HashSet<>();
+        for (ChargeEntry entry : batch.entries()) {
+            if (inBatch.add(entry.key()) && find(entry.key()).isEmpty()) {
+                first.add(new CommittedCharge(entry, nextSlot));
+                sums.merge(entry.account(), entry.tokens(), Math::addExact);
+            }
+        }
+        ChargeWindow next = window.plus(minute, first).since(minute - windowMinutes);
+        return new ChargeLedger(nextSlot + 1, minute, windowMinutes, sums, next);
+    }
+
+    ChargeWindow window() {
+        return window;
+    }
+
+    long windowMinutes() {
+        return windowMinutes;
+    }
+}
--- /dev/null
+++ b/jayhead-settlement/src/main/java/io/jayhead/settlement/charge/ChargeLogCommand.java
@@ -0,0 +1,28 @@
+package io.jayhead.settlement.charge;
+
+/** Orders a step for a partition; every write and read is answered by exactly one event. */
+public sealed interface ChargeLogCommand {
+
+    /** Creates a slot if it does not exist. */
+    record WriteSlot(long slot, ChargeBatch batch) implements ChargeLogCommand {}
+
+    /** Reads a slot. */
+    record ReadSlot(long slot) implements ChargeLogCommand {}
+
+    /** Reads the checkpoint. */
+    record ReadCheckpoint() implements ChargeLogCommand {}
+
+    /** Replaces the stored checkpoint by a conditional update, only if the new one supersedes it. */
+    record WriteCheckpoint(ChargeCheckpoint checkpoint) implements ChargeLogCommand {}
+
+    /**
+     * Deletes old slots in ascending order; needs no reply.
+     *
+     * @param fromSlot the first slot to delete
+     * @param untilSlot the first slot to keep
+     */
+    record DeleteSlots(long fromSlot, long untilSlot) implements ChargeLogCommand {}
+
+    /** Tells a sender what became of its charge. */
+    record Reply(String correlation, ChargeOutcome outcome) implements ChargeLogCommand {}
+}
--- /dev/null
+++ b/jayhead-settlement/src/main/java/io/jayhead/settlement/codec/package-info.java
@@ -0,0 +1,2 @@
+/** Text format shared by the objects of the settlement stage. */
+package io.jayhead.settlement.codec;
