Add the reclaim of a lost holder's grant

Cause: the grant of a killed router stays written off until it is proved that nothing more can be spent from it. Ruled out: closing with the sum of the charges counted right after fencing; peers may still hold charges from an outage, which would be committed after the entry is closed.

--- /dev/null
+++ b/jayhead-settlement/src/main/java/io/jayhead/settlement/reclaim/ReclaimState.java
@@ -0,0 +1,45 @@
+package io.jayhead.settlement.reclaim;
+
+import io.jayhead.model.UpstreamName;
+import io.jayhead.settlement.charge.ChargeEntry;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * Holds the state of a reclaim; immutable.
+ *
+ * @param plan the plan
+ * @param step what is waited for
+ * @param acknowledged the upstreams that raised the fencing token
+ * @param cancelled the charges of cancelled requests
+ */
+public record ReclaimState(
+        ReclaimPlan plan, ReclaimStep step, Set<UpstreamName> acknowledged, List<ChargeEntry> cancelled) {
+
+    /** Copies the collections. */
+    public ReclaimState {
+        acknowledged = Set.copyOf(acknowledged);
+        cancelled = List.copyOf(cancelled);
+    }
+
+    ReclaimState withStep(ReclaimStep next) {
+        return new ReclaimState(plan, next, acknowledged, cancelled);
+    }
+
+    ReclaimState withAcknowledged(ReclaimEvent.FenceAcknowledged event) {
+        if (acknowledged.contains(event.upstream())) {
+            return this;
+        }
+        Set<UpstreamName> upstreams = new HashSet<>(acknowledged);
+        upstreams.add(event.upstream());
+        List<ChargeEntry> entries = new ArrayList<>(cancelled);
+        entries.addAll(event.cancelled());
+        return new ReclaimState(plan, step, upstreams, entries);
+    }
+
+    boolean allAcknowledged() {
+        return plan.targets().stream().map(FenceTarget::upstream).allMatch(acknowledged::contains);
+    }
+}
--- /dev/null
+++ b/jayhead-settlement/src/main/java/io/jayhead/settlement/reclaim/package-info.java
@@ -0,0 +1,2 @@
+/** Reclaim of the grant of a lost router incarnation. */
+package io.jayhead.settlement.reclaim;
