Keep the duplicate window over outages and old attempts

Cause: a property test with deletion of slots found a charge counted twice: a writer that was suspended for more than an hour between its write and the check of the checkpoint queued the charge again, because its key had left the window. The same window by clock minutes would have been emptied by the first slot after an outage, just before peers submit the charges that they held. Ruled out: a longer window; suspensions and outages have no bound. Change: the window counts active minutes, where a gap between two slots counts as one minute at most. An attempt older than half the retention time whose outcome the checkpoint does not show is answered with Unresolved and not written again.

--- a/jayhead-settlement/src/main/java/io/jayhead/settlement/charge/ChargeCheckpointCodec.java
+++ b/jayhead-settlement/src/main/java/io/jayhead/settlement/charge/ChargeCheckpointCodec.java
@@ -11,10 +11,11 @@
 /**
  * Converts checkpoints to and from the text of the checkpoint object.
  *
- * <p>The first line is {@code checkpoint-1 <next slot> <latest minute> <window minutes>}. Further lines start with
- * their type: {@code mark <next slot> <minute>}, {@code total <organisation> <budget> <incarnation> <tokens>} and
- * {@code key <minute> <slot> <entry>}. The last line is {@code end}. Fields are separated and escaped as in
- * {@link ChargeBatchCodec}; the entry is one escaped field.
+ * <p>The first line is {@code checkpoint-1 <next slot> <latest minute> <active minute> <window minutes>}. Further
+ * lines start with their type: {@code mark <next slot> <minute>},
+ * {@code total <organisation> <budget> <incarnation> <tokens>} and {@code key <active minute> <slot> <entry>}. The
+ * last line is {@code end}. Fields are separated and escaped as in {@link ChargeBatchCodec}; the entry is one
+ * escaped field.
  */
 public final class ChargeCheckpointCodec {
 
@@ -32,7 +33,8 @@
     public static String encode(ChargeCheckpoint checkpoint) {
         ChargeLedger ledger = checkpoint.ledger();
         List<String> lines = new ArrayList<>();
-        lines.add(TextFields.join(FORMAT, ledger.nextSlot(), ledger.latestMinute(), ledger.windowMinutes()));
+        lines.add(TextFields.join(
+                FORMAT, ledger.nextSlot(), ledger.latestMinute(), ledger.activeMinute(), ledger.windowMinutes()));
         checkpoint.marks().forEach(mark -> lines.add(TextFields.join("mark", mark.nextSlot(), mark.minute())));
         ledger.totals()
                 .forEach((account, tokens) -> lines.add(TextFields.join(
@@ -59,7 +61,7 @@
      */
     public static ChargeCheckpoint decode(String text) {
         List<String> lines = List.of(text.split("\n"));
-        List<String> header = TextFields.split(lines.get(0), 4);
+        List<String> header = TextFields.split(lines.get(0), 5);
         if (!FORMAT.equals(header.get(0)) || !END.equals(lines.get(lines.size() - 1))) {
             throw new IllegalArgumentException("not a complete checkpoint: " + lines.get(0));
         }
@@ -74,7 +76,9 @@
             window = window.plus(minute.getKey(), minute.getValue());
         }
         return new ChargeCheckpoint(
-                new ChargeLedger(number(header, 1), number(header, 2), number(header, 3), totals, window), marks);
+                new ChargeLedger(
+                        number(header, 1), number(header, 2), number(header, 3), number(header, 4), totals, window),
+                marks);
     }
 
     private static void decodeLine(
--- a/jayhead-settlement/src/main/java/io/jayhead/settlement/charge/ChargeLedger.java
+++ b/jayhead-settlement/src/main/java/io/jayhead/settlement/charge/ChargeLedger.java
@@ -15,12 +15,16 @@
  * <p>It depends only on the content of the slots, so all readers agree on the first charge of a key. The first
  * charge for a key counts and later ones within the window do not. A duplicate of a charge that has left the
  * window is not recognised and counts again; the window must therefore exceed the longest time between two
- * submissions of one charge, including the time that a peer holds it in an outage.
+ * submissions of one charge.
+ *
+ * <p>The window is measured in active minutes: a longer gap between two slots counts as one minute. Otherwise the
+ * first slot after an outage would empty the window just before peers submit the charges that they held.
  */
 public final class ChargeLedger {
 
     private final long nextSlot;
     private final long latestMinute;
+    private final long activeMinute;
     private final long windowMinutes;
     private final Map<ChargeAccount, Long> totals;
     private final ChargeWindow window;
@@ -28,11 +32,13 @@
     ChargeLedger(
             long nextSlot,
             long latestMinute,
+            long activeMinute,
             long windowMinutes,
             Map<ChargeAccount, Long> totals,
             ChargeWindow window) {
         this.nextSlot = nextSlot;
         this.latestMinute = latestMinute;
+        this.activeMinute = activeMinute;
         this.windowMinutes = windowMinutes;
         this.totals = Map.copyOf(totals);
         this.window = window;
@@ -45,7 +51,7 @@
      * @return the ledger
      */
     public static ChargeLedger empty(long windowMinutes) {
-        return new ChargeLedger(0, 0, windowMinutes, Map.of(), ChargeWindow.empty());
+        return new ChargeLedger(0, 0, 0, windowMinutes, Map.of(), ChargeWindow.empty());
     }
 
     /**
@@ -93,6 +99,7 @@
      */
     public ChargeLedger plus(ChargeBatch batch) {
         long minute = Math.max(latestMinute, batch.committedMinute());
+        long active = activeMinute + Math.min(minute - latestMinute, 1);
         Map<ChargeAccount, Long> sums = new HashMap<>(totals);
         List<CommittedCharge> first = new ArrayList<>();
         Set<RequestKey> inBatch = new HashSet<>();
@@ -102,14 +109,18 @@
                 sums.merge(entry.account(), entry.tokens(), Math::addExact);
             }
         }
-        ChargeWindow next = window.plus(minute, first).since(minute - windowMinutes);
-        return new ChargeLedger(nextSlot + 1, minute, windowMinutes, sums, next);
+        ChargeWindow next = window.plus(active, first).since(active - windowMinutes);
+        return new ChargeLedger(nextSlot + 1, minute, active, windowMinutes, sums, next);
     }
 
     ChargeWindow window() {
         return window;
     }
 
+    long activeMinute() {
+        return activeMinute;
+    }
+
     long windowMinutes() {
         return windowMinutes;
     }
--- a/jayhead-settlement/src/main/java/io/jayhead/settlement/charge/ChargeLog.java
+++ b/jayhead-settlement/src/main/java/io/jayhead/settlement/charge/ChargeLog.java
@@ -17,7 +17,8 @@
  *
  * <p>Slots are deleted one retention time after a checkpoint covered them. A writer that was suspended for longer
  * could create a deleted slot anew, where no reader looks. A write at a position that was last confirmed more than
- * half the retention time ago therefore counts only after the checkpoint was read.
+ * half the retention time ago therefore counts only after the checkpoint was read. If the checkpoint no longer shows
+ * whether an attempt that old took effect, its charges are answered with {@link ChargeOutcome.Unresolved}.
  */
 public final class ChargeLog {
 
--- a/jayhead-settlement/src/main/java/io/jayhead/settlement/charge/ChargeOutcome.java
+++ b/jayhead-settlement/src/main/java/io/jayhead/settlement/charge/ChargeOutcome.java
@@ -1,7 +1,8 @@
 package io.jayhead.settlement.charge;
 
 /** Tells the sender of a charge what became of it. */
-public sealed interface ChargeOutcome permits ChargeOutcome.Committed, ChargeOutcome.Duplicate, ChargeOutcome.Held {
+public sealed interface ChargeOutcome
+        permits ChargeOutcome.Committed, ChargeOutcome.Duplicate, ChargeOutcome.Held, ChargeOutcome.Unresolved {
 
     /**
      * The charge is in the log.
@@ -22,4 +23,12 @@
      * committed.
      */
     record Held() implements ChargeOutcome {}
+
+    /**
+     * The writer was cut off or suspended in the middle of a write for so long that the log no longer shows whether
+     * it took effect; the charge is not written again, because that could bill it twice.
+     *
+     * @param slot the slot that may have contained it
+     */
+    record Unresolved(long slot) implements ChargeOutcome {}
 }
--- a/jayhead-settlement/src/main/java/io/jayhead/settlement/charge/ChargeWindow.java
+++ b/jayhead-settlement/src/main/java/io/jayhead/settlement/charge/ChargeWindow.java
@@ -9,7 +9,7 @@
 import java.util.TreeMap;
 
 /**
- * Holds the recent first charges by committed minute; immutable.
+ * Holds the recent first charges by active minute of the log; immutable.
  *
  * <p>Buckets of one minute keep the cost of adding a slot proportional to one minute of charges.
  */
--- a/jayhead-settlement/src/main/java/io/jayhead/settlement/charge/Checkpoints.java
+++ b/jayhead-settlement/src/main/java/io/jayhead/settlement/charge/Checkpoints.java
@@ -54,10 +54,10 @@
         boolean counted = attempt.batch().entries().stream()
                 .flatMap(entry -> ledger.find(entry.key()).stream())
                 .anyMatch(first -> first.slot() == attempt.slot());
-        // Charges of an attempt that does not count are queued again; those that count are answered.
-        ChargeLogState next = counted ? state.withPhase(new ChargePhase.Idle()) : SlotWrites.requeued(state, attempt);
-        List<ChargeLogCommand> replies = counted ? SlotWrites.replies(ledger, attempt) : List.of();
-        return ChargeLog.after(replies, recover(next, ahead, verifying.issuedAtMs()));
+        Transition<ChargeLogState, ChargeLogCommand> settled = counted
+                ? new Transition<>(state.withPhase(new ChargePhase.Idle()), SlotWrites.replies(ledger, attempt))
+                : SlotWrites.givenUp(state, attempt, event.stamp());
+        return ChargeLog.after(settled.commands(), recover(settled.state(), ahead, verifying.issuedAtMs()));
     }
 
     static Transition<ChargeLogState, ChargeLogCommand> unreadable(
--- a/jayhead-settlement/src/main/java/io/jayhead/settlement/charge/SlotReads.java
+++ b/jayhead-settlement/src/main/java/io/jayhead/settlement/charge/SlotReads.java
@@ -40,7 +40,9 @@
         }
         if (reading.conflict()) {
             // The slot existed and was deleted since, so the position is below the checkpoint.
-            return reload(SlotWrites.requeued(state, reading.attempt()), event.stamp());
+            Transition<ChargeLogState, ChargeLogCommand> given =
+                    SlotWrites.givenUp(state, reading.attempt(), event.stamp());
+            return ChargeLog.after(given.commands(), reload(given.state(), event.stamp()));
         }
         ChargePhase.Attempt attempt = reading.attempt();
         return Transition.of(
--- a/jayhead-settlement/src/main/java/io/jayhead/settlement/charge/SlotWrites.java
+++ b/jayhead-settlement/src/main/java/io/jayhead/settlement/charge/SlotWrites.java
@@ -119,6 +119,22 @@
         return replies;
     }
 
+    /**
+     * Gives up an attempt that the reloaded ledger either shows or that is not in the log. If the attempt is so old
+     * that its keys may have left the window, neither can be told and its charges are not written again.
+     */
+    static Transition<ChargeLogState, ChargeLogCommand> givenUp(
+            ChargeLogState state, ChargePhase.Attempt attempt, EventStamp stamp) {
+        if (stamp.nowMs() - attempt.startedAtMs() < state.settings().staleAfterMs()) {
+            return Transition.of(requeued(state, attempt));
+        }
+        List<ChargeLogCommand> replies = new ArrayList<>();
+        for (PendingCharge charge : attempt.charges()) {
+            replies.add(new ChargeLogCommand.Reply(charge.correlation(), new ChargeOutcome.Unresolved(attempt.slot())));
+        }
+        return new Transition<>(state.withPhase(new ChargePhase.Idle()), replies);
+    }
+
     /** Gives up an attempt that is certainly not in the log; its charges go first in the next batch. */
     static ChargeLogState requeued(ChargeLogState state, ChargePhase.Attempt attempt) {
         return state.withQueue(state.queue().plusFirst(attempt.charges())).withPhase(new ChargePhase.Idle());
