--- /dev/null
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/budget/package-info.java
@@ -0,0 +1,2 @@
+/** Admission and the ledgers of budgets. */
+package io.jayhead.daemon.budget;
--- /dev/null
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/charge/package-info.java
@@ -0,0 +1,2 @@
+/** Charges: partition writers, group commit across routers and held charges. */
+package io.jayhead.daemon.charge;
--- /dev/null
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/control/package-info.java
@@ -0,0 +1,2 @@
+/** The control thread and its clock. */
+package io.jayhead.daemon.control;
--- /dev/null
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/fleet/package-info.java
@@ -0,0 +1,2 @@
+/** Configuration, membership and the freshness of both. */
+package io.jayhead.daemon.fleet;
--- /dev/null
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/observe/package-info.java
@@ -0,0 +1,2 @@
+/** Decision log and metrics. */
+package io.jayhead.daemon.observe;
--- /dev/null
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/operator/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' HTTP interface. */
+package io.jayhead.daemon.operator;
--- /dev/null
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/request/package-info.java
@@ -0,0 +1,2 @@
+/** The path of a request from admission to settlement. */
+package io.jayhead.daemon.request;
--- /dev/null
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/upstream/package-info.java
@@ -0,0 +1,2 @@
+/** Upstreams: calls, load reports and routing. */
+package io.jayhead.daemon.upstream;
--- a/jayhead-peer/src/main/java/io/jayhead/peer/pb/HeartbeatReply.java
+++ b/jayhead-peer/src/main/java/io/jayhead/peer/pb/HeartbeatReply.java
@@ -294,6 +294,21 @@
     }
   }
 
+  public static final int LIST_REVISION_FIELD_NUMBER = 9;
+  private long listRevision_ = 0L;
+  /**
+   * <pre>
+   * Revision of the newest member list that the replying router holds.
+   * </pre>
+   *
+   * <code>uint64 list_revision = 9;</code>
+   * @return The listRevision.
+   */
+  @java.lang.Override
+  public long getListRevision() {
+    return listRevision_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -332,6 +347,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(availabilityZone_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 8, availabilityZone_);
     }
+    if (listRevision_ != 0L) {
+      output.writeUInt64(9, listRevision_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -374,6 +392,10 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(availabilityZone_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(8, availabilityZone_);
     }
+    if (listRevision_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(9, listRevision_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -408,6 +430,8 @@
         .equals(other.getMembersList())) return false;
     if (!getAvailabilityZone()
         .equals(other.getAvailabilityZone())) return false;
+    if (getListRevision()
+        != other.getListRevision()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -444,6 +468,9 @@
     }
     hash = (37 * hash) + AVAILABILITY_ZONE_FIELD_NUMBER;
     hash = (53 * hash) + getAvailabilityZone().hashCode();
+    hash = (37 * hash) + LIST_REVISION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getListRevision());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -590,6 +617,7 @@
       }
       bitField0_ = (bitField0_ & ~0x00000040);
       availabilityZone_ = "";
+      listRevision_ = 0L;
       return this;
     }
 
@@ -660,6 +688,9 @@
       if (((from_bitField0_ & 0x00000080) != 0)) {
         result.availabilityZone_ = availabilityZone_;
       }
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        result.listRevision_ = listRevision_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -735,6 +766,9 @@
         bitField0_ |= 0x00000080;
         onChanged();
       }
+      if (other.getListRevision() != 0L) {
+        setListRevision(other.getListRevision());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -810,6 +844,11 @@
               bitField0_ |= 0x00000080;
               break;
             } // case 66
+            case 72: {
+              listRevision_ = input.readUInt64();
+              bitField0_ |= 0x00000100;
+              break;
+            } // case 72
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1514,6 +1553,50 @@
       return this;
     }
 
+    private long listRevision_ ;
+    /**
+     * <pre>
+     * Revision of the newest member list that the replying router holds.
+     * </pre>
+     *
+     * <code>uint64 list_revision = 9;</code>
+     * @return The listRevision.
+     */
+    @java.lang.Override
+    public long getListRevision() {
+      return listRevision_;
+    }
+    /**
+     * <pre>
+     * Revision of the newest member list that the replying router holds.
+     * </pre>
+     *
+     * <code>uint64 list_revision = 9;</code>
+     * @param value The listRevision to set.
+     * @return This builder for chaining.
+     */
+    public Builder setListRevision(long value) {
+
+      listRevision_ = value;
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Revision of the newest member list that the replying router holds.
+     * </pre>
+     *
+     * <code>uint64 list_revision = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearListRevision() {
+      bitField0_ = (bitField0_ & ~0x00000100);
+      listRevision_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:io.jayhead.peer.HeartbeatReply)
   }
 
--- a/jayhead-peer/src/main/java/io/jayhead/peer/pb/HeartbeatReplyOrBuilder.java
+++ b/jayhead-peer/src/main/java/io/jayhead/peer/pb/HeartbeatReplyOrBuilder.java
@@ -125,4 +125,14 @@
    */
   com.google.protobuf.ByteString
       getAvailabilityZoneBytes();
+
+  /**
+   * <pre>
+   * Revision of the newest member list that the replying router holds.
+   * </pre>
+   *
+   * <code>uint64 list_revision = 9;</code>
+   * @return The listRevision.
+   */
+  long getListRevision();
 }
