Widen the time margins of the stand-in tests

Cause: several tests compared delays with margins of 20 to 200 ms, which a busy machine can exceed; none has failed so far. Ruled out: looser checks; each test still requires the full delay, lag or pause, and the rate test still requires refusals. Change: longer faults and lags, and clocks that start before the fault.

--- a/jayhead-standins/src/test/java/io/jayhead/standins/EngineContractTest.java
+++ b/jayhead-standins/src/test/java/io/jayhead/standins/EngineContractTest.java
@@ -204,19 +204,19 @@
     /** Guards against load reports that are fresher than they claim or never old. */
     @Test
     void loadReportsLagAndStateTheirAge() throws IOException {
-        start("--load-lag-ms", "400");
-        Waiting.until(() -> engine.get("/v1/load").json().path("age_ms").asLong() >= 400);
+        start("--load-lag-ms", "800");
+        Waiting.until(() -> engine.get("/v1/load").json().path("age_ms").asLong() >= 800);
         call("r1", PROMPT, 1000).execute().close();
 
         assertEquals(0, engine.get("/v1/load").json().path("running").asInt());
         Waiting.until(() -> engine.get("/v1/load").json().path("running").asInt() == 1);
-        assertTrue(engine.get("/v1/load").json().path("age_ms").asLong() >= 400);
+        assertTrue(engine.get("/v1/load").json().path("age_ms").asLong() >= 800);
     }
 
     /** Guards against cache events that come early, are lost unnoticed, or miss an eviction. */
     @Test
     void cacheEventsComeLateAndTellOfGaps() {
-        start("--prefix-cache-entries", "1", "--cache-lag-ms", "200");
+        start("--prefix-cache-entries", "1", "--cache-lag-ms", "1000");
         generate("r1", "first", 1);
         assertEquals(0, cacheEvents(0).path("events").size());
         Waiting.until(() -> cacheEvents(0).path("events").size() == 1);
@@ -236,14 +236,14 @@
     /** Guards against a prefix cache that saves no time. */
     @Test
     void aCachedPrefixShortensTheFirstToken() {
-        start("--prompt-token-us", "10000");
+        start("--prompt-token-us", "25000");
         String prompt = "word ".repeat(40);
 
         long coldMs = elapsedMs(() -> generate("r1", prompt, 1));
         long warmMs = elapsedMs(() -> generate("r2", prompt, 1));
 
-        assertTrue(coldMs >= 400, "cold " + coldMs);
-        assertTrue(warmMs < 300, "warm " + warmMs);
+        assertTrue(coldMs >= 1000, "cold " + coldMs);
+        assertTrue(warmMs < coldMs / 2, "warm " + warmMs);
     }
 
     private static long elapsedMs(Runnable call) {
--- a/jayhead-standins/src/test/java/io/jayhead/standins/FaultContractTest.java
+++ b/jayhead-standins/src/test/java/io/jayhead/standins/FaultContractTest.java
@@ -85,21 +85,22 @@
     /** Guards against delays that are too short, and against a fault that outlives its duration. */
     @ParameterizedTest(name = "{1} of {0}")
     @CsvSource({
-        "PLATFORM, '{\"fault\":\"slow\",\"delay_ms\":300,\"duration_ms\":250}'",
-        "ENGINE,   '{\"fault\":\"slow\",\"delay_ms\":300,\"duration_ms\":250}'",
-        "BOOKING,  '{\"fault\":\"slow\",\"delay_ms\":300,\"duration_ms\":250}'",
+        "PLATFORM, '{\"fault\":\"slow\",\"delay_ms\":300,\"duration_ms\":1000}'",
+        "ENGINE,   '{\"fault\":\"slow\",\"delay_ms\":300,\"duration_ms\":1000}'",
+        "BOOKING,  '{\"fault\":\"slow\",\"delay_ms\":300,\"duration_ms\":1000}'",
         "PLATFORM, '{\"fault\":\"freeze\",\"duration_ms\":300}'",
         "ENGINE,   '{\"fault\":\"freeze\",\"duration_ms\":300}'",
         "BOOKING,  '{\"fault\":\"freeze\",\"duration_ms\":300}'",
     })
     void slowAndFrozenStandinsAnswerLateAndThenRecover(Target target, String fault) {
         try (Fixture fixture = target.start()) {
-            fixture.fault(fault);
+            long lateMs = elapsedMs(() -> {
+                fixture.fault(fault);
+                fixture.get(target.otherPath);
+            });
 
-            long lateMs = elapsedMs(() -> fixture.get(target.otherPath));
-            assertTrue(lateMs >= 280, "answered after " + lateMs + " ms");
-            long recoveredMs = elapsedMs(() -> fixture.get(target.otherPath));
-            assertTrue(recoveredMs < 200, "answered after " + recoveredMs + " ms");
+            assertTrue(lateMs >= 300, "answered after " + lateMs + " ms");
+            Waiting.until(() -> elapsedMs(() -> fixture.get(target.otherPath)) < 200);
         }
     }
 
@@ -107,7 +108,7 @@
     @Test
     void aFrozenServiceExecutesOnlyAfterItWakes() {
         try (Fixture booking = Fixture.of("booking")) {
-            booking.fault("{\"fault\":\"freeze\",\"duration_ms\":600,\"path\":\"/bookings\"}");
+            booking.fault("{\"fault\":\"freeze\",\"duration_ms\":1500,\"path\":\"/bookings\"}");
             var answer = CompletableFuture.supplyAsync(() -> booking.post("/bookings", "{\"order\":\"o\"}"));
             Waiting.sleep(200);
 
@@ -124,7 +125,7 @@
             var answer = CompletableFuture.supplyAsync(() -> engine.post("/v1/generate", body, "X-Request-Id", "r1"));
             Waiting.until(() -> producedTokens(engine) > 5);
 
-            engine.fault("{\"fault\":\"freeze\",\"duration_ms\":500}");
+            engine.fault("{\"fault\":\"freeze\",\"duration_ms\":1500}");
             Waiting.sleep(50);
             long beforeTokens = producedTokens(engine);
             Waiting.sleep(250);
@@ -159,7 +160,7 @@
     void aSilentStreamStopsMidwayAndItsRunGoesOn() throws IOException {
         try (Fixture engine = Fixture.of("engine", "--first-token-ms", "0", "--token-ms", "20");
                 Socket open = connect(engine)) {
-            String body = "{\"model\":\"m\",\"prompt\":\"[exact]\",\"max_tokens\":20}";
+            String body = "{\"model\":\"m\",\"prompt\":\"[exact]\",\"max_tokens\":100}";
             send(
                     open,
                     "POST /v1/generate HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\nContent-Length: " + body.length()
--- a/jayhead-standins/src/test/java/io/jayhead/standins/PlatformContractTest.java
+++ b/jayhead-standins/src/test/java/io/jayhead/standins/PlatformContractTest.java
@@ -18,7 +18,7 @@
 
     @BeforeEach
     void start() {
-        platform = Fixture.of("platform", "--port", "0", "--vm-lag-ms", "300", "--history-entries", "5");
+        platform = Fixture.of("platform", "--port", "0", "--vm-lag-ms", "1000", "--history-entries", "5");
     }
 
     @AfterEach
@@ -137,7 +137,7 @@
     void callsBeyondTheRateAreRefusedAndCounted() {
         try (Fixture small = Fixture.of("platform", "--writes-per-second", "2", "--reads-per-second", "2")) {
             int refused = 0;
-            for (int i = 0; i < 6; i++) {
+            for (int i = 0; i < 12; i++) {
                 Fixture.Answer answer = small.call("PUT", "/v1/objects/k/n" + i, "", "If-None-Match", "*");
                 if (answer.status() == 429) {
                     assertEquals("1", answer.headers().get("Retry-After"));
@@ -147,7 +147,7 @@
 
             JsonNode count = small.get("/counters").json().path("calls").get(0);
             assertTrue(refused >= 2, "refused " + refused);
-            assertEquals(6, count.path("calls").asInt());
+            assertEquals(12, count.path("calls").asInt());
             assertEquals(refused, count.path("refused").asInt());
         }
     }
