Test late events, refunded prompts and own sends directly

Change: cancelled engines report varying prompt counts; direct tests of late events and of the estimate.

--- a/jayhead-dispatch/src/test/java/io/jayhead/dispatch/GenerationAttemptsPropertyTest.java
+++ b/jayhead-dispatch/src/test/java/io/jayhead/dispatch/GenerationAttemptsPropertyTest.java
@@ -64,7 +64,7 @@
             case 12 -> tick(harness, 6_000);
             case 13 -> tick(harness, 100);
             case 14 -> detail % 5 == 0 ? new DispatchEvent.CallerGone() : answerQuestion(harness, detail);
-            case 15 -> new DispatchEvent.Cancelled(current, Optional.of(new Usage(12, detail % 20)));
+            case 15 -> new DispatchEvent.Cancelled(current, Optional.of(new Usage(detail % 30, detail % 20)));
             case 16 -> detail % 4 == 0 ? new DispatchEvent.ChargeFailed() : answerQuestion(harness, detail);
             case 17 -> earlyEnd(harness, current);
             default -> answerQuestion(harness, detail);
--- a/jayhead-dispatch/src/test/java/io/jayhead/dispatch/GenerationAttemptsTest.java
+++ b/jayhead-dispatch/src/test/java/io/jayhead/dispatch/GenerationAttemptsTest.java
@@ -1,6 +1,7 @@
 package io.jayhead.dispatch;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertSame;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.jayhead.model.UpstreamName;
@@ -43,6 +44,25 @@
         assertEquals(new DispatchCommand.CommitCharge(12, 2), last());
     }
 
+    /** Guards against tokens, ends and refusals of an abandoned attempt that arrive while another one runs. */
+    @Test
+    void ignoresEventsOfOlderAttempts() {
+        receive(1, 3);
+        breakAndRetry(1);
+        breakAndRetry(2);
+        harness.handle(new DispatchEvent.UpstreamChosen(ENGINE_B, 0));
+        GenerationState running = harness.state;
+        int commands = harness.commands.size();
+        for (int attempt = 1; attempt <= 2; attempt++) {
+            harness.handle(new DispatchEvent.TokenReceived(attempt, 0, "t0", 0));
+            harness.handle(new DispatchEvent.Done(attempt, 12, 0));
+            harness.handle(new DispatchEvent.Refused(attempt, 503, "draining", true));
+            harness.handle(new DispatchEvent.ConnectionBroken(attempt, true));
+        }
+        assertSame(running, harness.state);
+        assertEquals(commands, harness.commands.size());
+    }
+
     /** Guards against work that goes on and stays unpaid after the caller left. */
     @Test
     void cancelsAndChargesWhatRanWhenTheCallerIsGone() {
--- a/jayhead-routing/src/test/java/io/jayhead/routing/RouterTest.java
+++ b/jayhead-routing/src/test/java/io/jayhead/routing/RouterTest.java
@@ -92,6 +92,8 @@
                 .withSent(engine, "after", Fixtures.request(), 9_800)
                 .withReport(engine, Fixtures.report(1, 8, 500), 10_000);
         assertEquals(1, state.upstream(engine).sentSinceReport());
+        assertTrue(
+                estimateMs(state, engine) > estimateMs(state.withFinished(engine, "after", 0, 10_000), engine) + 400);
         assertEquals(
                 0,
                 state.withFinished(engine, "after", 10, 10_100).upstream(engine).sentSinceReport());
@@ -124,6 +126,13 @@
         assertEquals(PrefixIndex.MAX_PREFIXES, index.size());
     }
 
+    private static double estimateMs(RoutingState state, UpstreamName engine) {
+        return Router.choose(state, Fixtures.request(), 10_000, 0).get().candidates().stream()
+                .filter(candidate -> candidate.upstream().equals(engine))
+                .mapToDouble(Candidate::estimatedFirstTokenMs)
+                .sum();
+    }
+
     private static RoutingState idle() {
         RoutingState state = Fixtures.state(ENGINES, RoutingPolicy.ESTIMATED_FIRST_TOKEN);
         for (int i = 0; i < ENGINES; i++) {
