--- a/jayhead-config/src/main/java/io/jayhead/config/settings/DaemonSettings.java
+++ b/jayhead-config/src/main/java/io/jayhead/config/settings/DaemonSettings.java
@@ -3,6 +3,7 @@
 import io.jayhead.model.AvailabilityZone;
 import io.jayhead.model.VmName;
 import java.net.InetSocketAddress;
+import java.util.List;
 
 /**
  * Holds the settings of one daemon.
@@ -13,6 +14,8 @@
  * @param callersAddress where callers connect
  * @param operatorsAddress where operators connect
  * @param peersAddress where other routers connect
+ * @param advertisedPeersAddress the address under which other routers reach this one
+ * @param seedPeers peer addresses to ask while the platform is down at start
  * @param platformAddress the base URL of the platform
  * @param operatorCredentialSha256 the SHA-256 digest of the operators' credential in lower-case hexadecimal
  * @param chargePartitions the number of partitions of the charge log; the same on every router of a fleet
@@ -35,6 +38,8 @@
         InetSocketAddress callersAddress,
         InetSocketAddress operatorsAddress,
         InetSocketAddress peersAddress,
+        InetSocketAddress advertisedPeersAddress,
+        List<InetSocketAddress> seedPeers,
         String platformAddress,
         String operatorCredentialSha256,
         int chargePartitions,
@@ -48,4 +53,10 @@
         long firstByteTimeoutMs,
         long betweenTokensTimeoutMs,
         int queueLimit,
-        LogLevel logLevel) {}
+        LogLevel logLevel) {
+
+    /** Copies the list. */
+    public DaemonSettings {
+        seedPeers = List.copyOf(seedPeers);
+    }
+}
--- a/jayhead-config/src/main/java/io/jayhead/config/settings/SettingsReader.java
+++ b/jayhead-config/src/main/java/io/jayhead/config/settings/SettingsReader.java
@@ -22,6 +22,8 @@
     private static final String CALLERS = "callers_address";
     private static final String OPERATORS = "operators_address";
     private static final String PEERS = "peers_address";
+    private static final String ADVERTISED_PEERS = "advertised_peers_address";
+    private static final String SEED_PEERS = "seed_peers";
     private static final Set<String> REQUIRED_KEYS = Set.of(
             "vm",
             "availability_zone",
@@ -51,7 +53,13 @@
         Optional<InetSocketAddress> operators = endpoint(OPERATORS);
         Optional<InetSocketAddress> peers = endpoint(PEERS);
         requireDistinctAddresses();
-        requireReachable(peers);
+        requireReachable(PEERS, peers);
+        Optional<InetSocketAddress> advertised = root.optional(ADVERTISED_PEERS)
+                .flatMap(value -> value.text(Formats.ENDPOINT_RULE, Formats::endpoint));
+        requireReachable(ADVERTISED_PEERS, advertised);
+        List<InetSocketAddress> seeds = root.items(SEED_PEERS).stream()
+                .flatMap(value -> value.text(Formats.ENDPOINT_RULE, Formats::endpoint).stream())
+                .toList();
         Optional<String> platform = root.required("platform_address", Formats.URL_RULE)
                 .flatMap(value -> value.text(Formats.URL_RULE, Formats::httpUrl));
         Optional<String> digest = root.required("operator_credential_sha256", Formats.DIGEST_RULE)
@@ -69,6 +77,8 @@
                         callers.orElseThrow(),
                         operators.orElseThrow(),
                         peers.orElseThrow(),
+                        advertised.or(() -> peers).orElseThrow(),
+                        seeds,
                         platform.orElseThrow(),
                         digest.orElseThrow(),
                         numbers.get(NumberSetting.CHARGE_PARTITIONS).intValue(),
@@ -87,7 +97,7 @@
 
     private static Set<String> knownKeys() {
         Stream<String> numbers = Stream.of(NumberSetting.values()).map(NumberSetting::key);
-        return Stream.of(REQUIRED_KEYS.stream(), numbers, Stream.of("log_level"))
+        return Stream.of(REQUIRED_KEYS.stream(), numbers, Stream.of("log_level", ADVERTISED_PEERS, SEED_PEERS))
                 .flatMap(keys -> keys)
                 .collect(Collectors.toUnmodifiableSet());
     }
@@ -111,9 +121,9 @@
     }
 
     /** Peers connect to the registered address, so it cannot be the wildcard. */
-    private void requireReachable(Optional<InetSocketAddress> peers) {
+    private void requireReachable(String key, Optional<InetSocketAddress> peers) {
         if (peers.filter(address -> address.getAddress().isAnyLocalAddress()).isPresent()) {
-            root.optional(PEERS).orElseThrow().reject("an address that peers can connect to");
+            root.optional(key).orElseThrow().reject("an address that peers can connect to");
         }
     }
 
--- /dev/null
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/Daemon.java
@@ -0,0 +1,351 @@
+package io.jayhead.daemon;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.flogger.FluentLogger;
+import io.jayhead.admission.AdmissionEvent;
+import io.jayhead.admission.AdmissionSettings;
+import io.jayhead.admission.AdmissionState;
+import io.jayhead.admission.budget.GrantSizer;
+import io.jayhead.config.settings.DaemonSettings;
+import io.jayhead.daemon.budget.AdmissionService;
+import io.jayhead.daemon.budget.Ledgers;
+import io.jayhead.daemon.charge.ChargeLayout;
+import io.jayhead.daemon.charge.ChargeService;
+import io.jayhead.daemon.control.ControlThread;
+import io.jayhead.daemon.control.HybridClock;
+import io.jayhead.daemon.fleet.Configuration;
+import io.jayhead.daemon.fleet.FleetChanges;
+import io.jayhead.daemon.fleet.FleetPoller;
+import io.jayhead.daemon.fleet.Heartbeats;
+import io.jayhead.daemon.fleet.Member;
+import io.jayhead.daemon.fleet.Membership;
+import io.jayhead.daemon.fleet.PeerLinks;
+import io.jayhead.daemon.fleet.PlatformMonitor;
+import io.jayhead.daemon.observe.DecisionLog;
+import io.jayhead.daemon.observe.RouterMetrics;
+import io.jayhead.daemon.operator.OperatorServer;
+import io.jayhead.daemon.operator.StatusDocument;
+import io.jayhead.daemon.request.RequestPipeline;
+import io.jayhead.daemon.request.RequestRegistry;
+import io.jayhead.daemon.request.RetryCounter;
+import io.jayhead.daemon.request.RunTicker;
+import io.jayhead.daemon.request.Services;
+import io.jayhead.daemon.upstream.EngineClient;
+import io.jayhead.daemon.upstream.RoutingService;
+import io.jayhead.daemon.upstream.ServiceClient;
+import io.jayhead.daemon.upstream.UpstreamHttp;
+import io.jayhead.daemon.upstream.UpstreamPoller;
+import io.jayhead.edge.CallerServer;
+import io.jayhead.model.IncarnationId;
+import io.jayhead.peer.PeerClient;
+import io.jayhead.peer.PeerServer;
+import io.jayhead.platform.Backoff;
+import io.jayhead.platform.CallCounters;
+import io.jayhead.platform.CallKind;
+import io.jayhead.platform.HttpObjectStore;
+import io.jayhead.platform.ObjectEditor;
+import io.jayhead.platform.PlatformTimeouts;
+import io.jayhead.platform.RetryPolicy;
+import io.jayhead.routing.LeavingSource;
+import io.jayhead.routing.RoutingParameters;
+import io.jayhead.settlement.charge.ChargeLogSettings;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+/** Wires the parts of one router and runs it. */
+public final class Daemon {
+
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    private static final int MAX_IN_FLIGHT = 512;
+    private static final int EDIT_ATTEMPTS = 6;
+    private static final Backoff EDIT_BACKOFF = new Backoff(10, 200);
+    private static final long CONTROL_TICK_MS = 50;
+    private static final long CHARGE_TICK_MS = 10;
+    private static final long MEMBERS_MS = 1_000;
+    private static final long VM_LIST_MS = 1_000;
+    private static final long REPORT_MS = 2_000;
+    private static final long DRAIN_CHECK_MS = 50;
+    private static final long DRAIN_LOG_MS = 1_000;
+    private static final long CLOSE_LIMIT_MS = 5_000;
+
+    private final DaemonSettings settings;
+    private final HybridClock clock = HybridClock.system();
+    private final ControlThread control = ControlThread.start();
+    private final ExecutorService traffic = Executors.newCachedThreadPool(Daemon::trafficThread);
+    private final EventLoopGroup peerIo = new NioEventLoopGroup(1);
+    private final RouterMetrics metrics = new RouterMetrics();
+    private final DecisionLog decisions = new DecisionLog();
+    private final UpstreamHttp http = new UpstreamHttp();
+    private final PlatformMonitor monitor = new PlatformMonitor(clock);
+    private final CallCounters calls = new CallCounters();
+    private final HttpObjectStore store;
+    private final Configuration configuration;
+    private final Membership membership;
+    private final Heartbeats heartbeats;
+    private final FleetPoller fleetPoller;
+    private final FleetChanges changes;
+    private final Ledgers ledgers;
+    private final AdmissionService admission;
+    private final ChargeLayout layout;
+    private final ChargeService charges;
+    private final RequestRegistry registry;
+    private final RoutingService routing;
+    private final UpstreamPoller upstreamPoller;
+    private final RunTicker ticker = new RunTicker(clock);
+    private final PeerClient peers;
+    private PeerServer peerServer;
+    private CallerServer callerServer;
+    private OperatorServer operatorServer;
+    private volatile boolean draining;
+
+    /**
+     * Creates a router that does not run yet.
+     *
+     * @param settings the settings
+     */
+    public Daemon(DaemonSettings settings) {
+        this.settings = settings;
+        IncarnationId incarnation = IncarnationId.of(UUID.randomUUID().toString());
+        Member self =
+                new Member(settings.vm(), incarnation, settings.availabilityZone(), settings.advertisedPeersAddress());
+        store = new HttpObjectStore(settings.platformAddress(), PlatformTimeouts.standard(), calls);
+        ObjectEditor editor = new ObjectEditor(
+                store,
+                RetryPolicy.of(EDIT_ATTEMPTS, EDIT_BACKOFF, () -> ThreadLocalRandom.current()
+                        .nextDouble()));
+        configuration = new Configuration(settings.vm(), clock, settings.freshnessLimitMs());
+        peers = PeerClient.of(peerIo, metrics);
+        PeerLinks links = new PeerLinks(peers, control);
+        membership = new Membership(self, control, clock, store, editor, monitor, configuration);
+        routing = new RoutingService(RoutingParameters.defaults(), clock, http, decisions);
+        layout = new ChargeLayout(settings.chargePartitions(), store, control, monitor);
+        heartbeats = new Heartbeats(
+                membership,
+                configuration,
+                links,
+                clock,
+                settings.seedPeers(),
+                new Heartbeats.Hooks(
+                        () -> routing.state().leavingForPeers(),
+                        leaving -> routing.leaving(LeavingSource.PEER, leaving),
+                        () -> draining,
+                        layout::partitions,
+                        layout::learned));
+        fleetPoller = new FleetPoller(configuration, control, clock, store, monitor);
+        changes = new FleetChanges(configuration, heartbeats, control, clock, editor, settings.freshnessLimitMs());
+        ledgers = new Ledgers(store, editor, incarnation);
+        GrantSizer sizer = GrantSizer.of(settings.grantInitialTokens());
+        AdmissionSettings admissionSettings = new AdmissionSettings(
+                incarnation, MAX_IN_FLIGHT, settings.queueLimit(), settings.queueLimit(), sizer);
+        admission = new AdmissionService(
+                AdmissionState.of(admissionSettings),
+                control,
+                clock,
+                configuration,
+                membership,
+                links,
+                monitor,
+                ledgers,
+                decisions);
+        charges = new ChargeService(
+                chargeSettings(settings),
+                layout,
+                control,
+                clock,
+                membership,
+                links,
+                store,
+                editor,
+                monitor,
+                decisions);
+        registry = new RequestRegistry(self, charges, links, clock);
+        upstreamPoller = new UpstreamPoller(routing, control, clock, settings.upstreamFreshnessMs());
+    }
+
+    /** Starts to serve. */
+    public void start() {
+        registerGauges();
+        configuration.onAdopted(routing::adopted);
+        peerServer = PeerServer.start(
+                peerIo,
+                settings.peersAddress(),
+                new PeerRequests(control, heartbeats, charges, registry, admission),
+                metrics);
+        control.every(CONTROL_TICK_MS, this::tick);
+        control.every(CHARGE_TICK_MS, charges::tick);
+        control.every(settings.peerHeartbeatMs(), heartbeats::sendAll);
+        control.every(settings.upstreamPollMs(), upstreamPoller::poll);
+        control.every(MEMBERS_MS, membership::refresh);
+        control.every(
+                VM_LIST_MS, new VmListPoller(store, routing, control, monitor)::poll);
+        control.every(REPORT_MS, admission::reportConsumption);
+        control.execute(membership::refresh);
+        operatorServer = OperatorServer.start(
+                settings.operatorsAddress(),
+                new OperatorServer.Parts(
+                        settings.operatorCredentialSha256(),
+                        configuration::view,
+                        changes,
+                        ledgers,
+                        this::status,
+                        decisions,
+                        metrics,
+                        this::isReady));
+        callerServer = CallerServer.start(settings.callersAddress(), new RequestPipeline(services()));
+        LOGGER.atInfo().log(
+                "router started vm=%s incarnation=%s",
+                settings.vm(), membership.self().incarnation());
+    }
+
+    /** Stops gracefully: finishes all requests in flight, returns the grants and commits the charges. */
+    public void drain() {
+        draining = true;
+        LOGGER.atInfo().log("shutdown started");
+        control.execute(() -> {
+            admission.handle(new AdmissionEvent.DrainStarted(clock.nowMs()));
+            membership.startLeaving();
+            heartbeats.sendAll();
+        });
+        awaitIdle();
+        await(control.submit(admission::closeAll).thenCompose(closed -> closed));
+        control.execute(membership::leave);
+        sleep(DRAIN_CHECK_MS * 2);
+        LOGGER.atInfo().log("shutdown finished");
+    }
+
+    /** Closes all connections and threads. */
+    public void close() {
+        callerServer.close();
+        operatorServer.close();
+        peerServer.close();
+        peers.close();
+        ticker.close();
+        control.close();
+        http.close();
+        store.close();
+        traffic.shutdownNow();
+        peerIo.shutdownGracefully(0, DRAIN_CHECK_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void tick() {
+        configuration.refresh();
+        fleetPoller.pollIfDue();
+        layout.refresh();
+        admission.tick();
+    }
+
+    private boolean isReady() {
+        return !draining && configuration.isFresh() && layout.partitions() > 0;
+    }
+
+    private CompletableFuture<ObjectNode> status() {
+        return control.submit(() -> StatusDocument.of(
+                configuration, membership, monitor, routing, admission.state(), charges, clock));
+    }
+
+    private Services services() {
+        return new Services(
+                membership.self(),
+                control,
+                traffic,
+                clock,
+                configuration,
+                admission,
+                routing,
+                charges,
+                registry,
+                new RetryCounter(),
+                new EngineClient(http, clock),
+                new ServiceClient(http),
+                store,
+                monitor,
+                decisions,
+                metrics,
+                ticker);
+    }
+
+    private void registerGauges() {
+        metrics.gauge("jayhead_control_cpu_seconds", "Processor time of the control thread", control::cpuSeconds);
+        metrics.gauge("jayhead_in_flight", "Requests in flight", () -> admission.state().inFlight());
+        metrics.gauge("jayhead_queued", "Requests that wait for admission", () -> admission.state()
+                .queue()
+                .size());
+        metrics.gauge("jayhead_pending_charges", "Charges that are not committed", charges::pendingCharges);
+        metrics.gauge("jayhead_overspent_tokens", "Tokens consumed beyond the grants; always 0", () -> admission
+                .state()
+                .book()
+                .accounts()
+                .mapToLong(account -> Math.max(0, -account.availableTokens()))
+                .sum());
+        metrics.gauge("jayhead_configuration_fresh", "1 if new work may start", () -> configuration.isFresh() ? 1 : 0);
+        metrics.gauge("jayhead_fleet_version", "Configuration version in force", () -> configuration
+                .view()
+                .version());
+        for (CallKind kind : CallKind.values()) {
+            metrics.gauge(
+                    "jayhead_platform_calls_" + kind.label(),
+                    "Calls of the platform of kind " + kind.label(),
+                    () -> calls.calls(kind));
+        }
+    }
+
+    private void awaitIdle() {
+        long limitMs = clock.nowMs() + settings.shutdownLimitMs();
+        long nextLogMs = clock.nowMs() + DRAIN_LOG_MS;
+        while (clock.nowMs() < limitMs) {
+            int inFlight = admission.state().inFlight() + ticker.size();
+            int pending = monitor.isDown() ? 0 : charges.pendingCharges();
+            if (inFlight == 0 && pending == 0) {
+                return;
+            }
+            if (clock.nowMs() >= nextLogMs) {
+                LOGGER.atInfo().log("shutdown waits in_flight=%d pending_charges=%d", inFlight, pending);
+                nextLogMs = clock.nowMs() + DRAIN_LOG_MS;
+            }
+            sleep(DRAIN_CHECK_MS);
+        }
+        LOGGER.atWarning().log("shutdown limit passed with requests in flight");
+    }
+
+    private static void await(CompletableFuture<Void> future) {
+        try {
+            future.get(CLOSE_LIMIT_MS, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (java.util.concurrent.ExecutionException | TimeoutException e) {
+            LOGGER.atWarning().withCause(e).log("grants were not returned");
+        }
+    }
+
+    private static void sleep(long durationMs) {
+        try {
+            Thread.sleep(durationMs);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static ChargeLogSettings chargeSettings(DaemonSettings settings) {
+        ChargeLogSettings standard = ChargeLogSettings.standard();
+        return new ChargeLogSettings(
+                standard.maxBatchEntries(),
+                settings.chargeLingerMs(),
+                standard.retryMs(),
+                standard.retentionMinutes(),
+                standard.slotsPerCheckpoint());
+    }
+
+    private static Thread trafficThread(Runnable task) {
+        Thread thread = new Thread(task, "traffic");
+        thread.setDaemon(true);
+        return thread;
+    }
+}
--- /dev/null
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/JayheadMain.java
@@ -0,0 +1,139 @@
+package io.jayhead.daemon;
+
+import io.jayhead.config.fleet.ConfigProblem;
+import io.jayhead.config.settings.DaemonSettings;
+import io.jayhead.config.settings.SettingsParser;
+import io.jayhead.model.Either;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import joptsimple.OptionException;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import joptsimple.OptionSpec;
+import sun.misc.Signal;
+
+/** The binary {@code jayhead}: one router. */
+public final class JayheadMain {
+
+    private static final int EXIT_DONE = 0;
+    private static final int EXIT_FAILED = 1;
+    private static final int EXIT_USAGE = 2;
+    private static final Logger ROOT_LOGGER = Logger.getLogger("");
+
+    private final OptionParser parser = new OptionParser();
+    private final OptionSpec<String> settingsFile = parser.accepts("settings", "file with the settings in YAML")
+            .withRequiredArg()
+            .describedAs("FILE");
+    private final OptionSpec<Void> check = parser.accepts("check", "check the settings and exit");
+    private final OptionSpec<Void> help =
+            parser.accepts("help", "print this help").forHelp();
+    private final OptionSpec<Void> version =
+            parser.accepts("version", "print the version").forHelp();
+    private final PrintStream out;
+    private final PrintStream err;
+
+    private JayheadMain(PrintStream out, PrintStream err) {
+        this.out = out;
+        this.err = err;
+    }
+
+    /**
+     * Runs the router until it is told to stop.
+     *
+     * @param arguments the command line
+     * @throws Exception if the standard output cannot be written
+     */
+    public static void main(String[] arguments) throws Exception {
+        System.exit(new JayheadMain(System.out, System.err).run(arguments));
+    }
+
+    private int run(String... arguments) throws IOException, InterruptedException {
+        OptionSet options;
+        try {
+            options = parser.parse(arguments);
+        } catch (OptionException e) {
+            err.println("jayhead: " + e.getMessage());
+            return EXIT_USAGE;
+        }
+        if (options.has(help)) {
+            out.println("Usage: jayhead --settings FILE");
+            parser.printHelpOn(out);
+            return EXIT_DONE;
+        }
+        if (options.has(version)) {
+            out.println("jayhead " + programVersion());
+            return EXIT_DONE;
+        }
+        if (!options.has(settingsFile)) {
+            err.println("jayhead: --settings FILE is required");
+            return EXIT_USAGE;
+        }
+        Either<String, DaemonSettings> settings = read(Path.of(options.valueOf(settingsFile)));
+        if (!settings.isRight()) {
+            err.println("jayhead: " + settings.getLeft());
+            return EXIT_USAGE;
+        }
+        return options.has(check) ? EXIT_DONE : serve(settings.get());
+    }
+
+    private int serve(DaemonSettings settings) throws InterruptedException {
+        configureLogs(settings.logLevel().level());
+        CountDownLatch stop = new CountDownLatch(1);
+        Signal.handle(new Signal("TERM"), signal -> stop.countDown());
+        Signal.handle(new Signal("INT"), signal -> stop.countDown());
+        Daemon daemon = new Daemon(settings);
+        try {
+            daemon.start();
+        } catch (RuntimeException e) {
+            err.println("jayhead: cannot start: " + e.getMessage());
+            return EXIT_FAILED;
+        }
+        out.println("ready callers=" + text(settings.callersAddress()) + " operators="
+                + text(settings.operatorsAddress()) + " peers=" + text(settings.peersAddress()));
+        out.flush();
+        stop.await();
+        daemon.drain();
+        daemon.close();
+        return EXIT_DONE;
+    }
+
+    private static Either<String, DaemonSettings> read(Path file) {
+        String text;
+        try {
+            text = Files.readString(file);
+        } catch (IOException e) {
+            return Either.left("cannot read " + file + ": " + e);
+        }
+        return SettingsParser.parse(text)
+                .fold(problems -> Either.left(message(file, problems)), Either::right);
+    }
+
+    private static String message(Path file, List<ConfigProblem> problems) {
+        return file + ": "
+                + problems.stream().map(ConfigProblem::toString).collect(java.util.stream.Collectors.joining("; "));
+    }
+
+    private static void configureLogs(Level level) {
+        System.setProperty("java.util.logging.SimpleFormatter.format", "%1$tFT%1$tT.%1$tL %4$s %3$s %5$s%6$s%n");
+        ROOT_LOGGER.setLevel(level);
+        for (var handler : ROOT_LOGGER.getHandlers()) {
+            handler.setLevel(level);
+        }
+    }
+
+    private static String programVersion() {
+        String implementation = JayheadMain.class.getPackage().getImplementationVersion();
+        return implementation == null ? "development" : implementation;
+    }
+
+    private static String text(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+}
--- /dev/null
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/VmListPoller.java
@@ -0,0 +1,43 @@
+package io.jayhead.daemon;
+
+import io.jayhead.daemon.control.ControlThread;
+import io.jayhead.daemon.fleet.PlatformMonitor;
+import io.jayhead.daemon.upstream.RoutingService;
+import io.jayhead.model.UpstreamName;
+import io.jayhead.platform.ObjectStore;
+import io.jayhead.platform.VmListResult;
+import io.jayhead.platform.VmRecord;
+import io.jayhead.routing.LeavingSource;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+/** Reads from the VM list which upstreams are leaving; an upstream has the name of its VM. */
+final class VmListPoller {
+
+    private final ObjectStore store;
+    private final RoutingService routing;
+    private final ControlThread control;
+    private final PlatformMonitor monitor;
+
+    VmListPoller(ObjectStore store, RoutingService routing, ControlThread control, PlatformMonitor monitor) {
+        this.store = store;
+        this.routing = routing;
+        this.control = control;
+        this.monitor = monitor;
+    }
+
+    void poll() {
+        if (!monitor.mayTry()) {
+            return;
+        }
+        store.vms().thenAccept(result -> {
+            if (result instanceof VmListResult.Listed listed) {
+                Set<UpstreamName> leaving = listed.vms().stream()
+                        .filter(VmRecord::leaving)
+                        .map(vm -> UpstreamName.of(vm.name().value()))
+                        .collect(Collectors.toSet());
+                control.execute(() -> routing.leaving(LeavingSource.VM_LIST, leaving));
+            }
+        });
+    }
+}
--- /dev/null
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/observe/RouterMetrics.java
@@ -0,0 +1,161 @@
+package io.jayhead.daemon.observe;
+
+import io.jayhead.model.ErrorCode;
+import io.jayhead.model.RequestKind;
+import io.jayhead.model.Verdict;
+import io.jayhead.peer.PeerTraffic;
+import io.jayhead.peer.pb.Frame;
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.Optional;
+import java.util.function.DoubleSupplier;
+
+/** Holds the metrics of a router. */
+public final class RouterMetrics implements PeerTraffic {
+
+    private static final double MS_PER_SECOND = 1_000;
+
+    /** The bounds of 0.88 s and 54 ms are the targets for the first token and between tokens. */
+    private static final double[] FIRST_TOKEN_SECONDS = {0.05, 0.1, 0.2, 0.4, 0.6, 0.88, 1.5, 3, 6, 15, 30};
+
+    private static final double[] BETWEEN_TOKENS_SECONDS = {0.005, 0.01, 0.02, 0.035, 0.054, 0.1, 0.25, 1, 5};
+
+    private final PrometheusRegistry registry = new PrometheusRegistry();
+    private final Counter requests = Counter.builder()
+            .name("jayhead_requests_total")
+            .help("Requests by kind, code and verdict")
+            .labelNames("kind", "code", "verdict")
+            .register(registry);
+    private final Histogram queueSeconds = Histogram.builder()
+            .name("jayhead_queue_seconds")
+            .help("Time from arrival to admission")
+            .labelNames("kind")
+            .classicOnly()
+            .register(registry);
+    private final Histogram firstTokenSeconds = Histogram.builder()
+            .name("jayhead_first_token_seconds")
+            .help("Time from arrival to the first token")
+            .labelNames("kind")
+            .classicUpperBounds(FIRST_TOKEN_SECONDS)
+            .register(registry);
+    private final Histogram betweenTokensSeconds = Histogram.builder()
+            .name("jayhead_between_tokens_seconds")
+            .help("Time between two tokens")
+            .labelNames("kind")
+            .classicUpperBounds(BETWEEN_TOKENS_SECONDS)
+            .register(registry);
+    private final Counter peerMessages = Counter.builder()
+            .name("jayhead_peer_messages_total")
+            .help("Messages exchanged with other routers")
+            .labelNames("direction", "type")
+            .register(registry);
+    private final Counter peerBytes = Counter.builder()
+            .name("jayhead_peer_bytes_total")
+            .help("Bytes exchanged with other routers")
+            .labelNames("direction", "type")
+            .register(registry);
+
+    /**
+     * Registers a gauge that is read when the metrics are.
+     *
+     * @param name the name
+     * @param help the description
+     * @param value gives the value
+     */
+    public void gauge(String name, String help, DoubleSupplier value) {
+        GaugeWithCallback.builder()
+                .name(name)
+                .help(help)
+                .callback(callback -> callback.call(value.getAsDouble()))
+                .register(registry);
+    }
+
+    /**
+     * Counts a request that ended.
+     *
+     * @param kind the kind
+     * @param code the outcome
+     * @param verdict whether it ran
+     */
+    public void request(RequestKind kind, String code, Verdict verdict) {
+        requests.labelValues(kind.configName(), code, verdict.code()).inc();
+    }
+
+    /**
+     * Counts a request that was refused before dispatch.
+     *
+     * @param kind the kind, if the request was understood
+     * @param code the error code
+     */
+    public void refused(Optional<RequestKind> kind, ErrorCode code) {
+        requests.labelValues(kind.map(RequestKind::configName).orElse("unknown"), code.code(), "not_run")
+                .inc();
+    }
+
+    /**
+     * Records the time from arrival to admission.
+     *
+     * @param kind the kind
+     * @param durationMs the time
+     */
+    public void queued(RequestKind kind, long durationMs) {
+        queueSeconds.labelValues(kind.configName()).observe(durationMs / MS_PER_SECOND);
+    }
+
+    /**
+     * Records the time from arrival to the first token.
+     *
+     * @param kind the kind
+     * @param durationMs the time
+     */
+    public void firstToken(RequestKind kind, long durationMs) {
+        firstTokenSeconds.labelValues(kind.configName()).observe(durationMs / MS_PER_SECOND);
+    }
+
+    /**
+     * Records the time between two tokens.
+     *
+     * @param kind the kind
+     * @param durationMs the time
+     */
+    public void betweenTokens(RequestKind kind, long durationMs) {
+        betweenTokensSeconds.labelValues(kind.configName()).observe(durationMs / MS_PER_SECOND);
+    }
+
+    @Override
+    public void sent(Frame frame) {
+        count("sent", frame);
+    }
+
+    @Override
+    public void received(Frame frame) {
+        count("received", frame);
+    }
+
+    /**
+     * Writes all metrics.
+     *
+     * @return the text in the Prometheus format
+     */
+    public byte[] expose() {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        try {
+            new PrometheusTextFormatWriter(false).write(out, registry.scrape());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return out.toByteArray();
+    }
+
+    private void count(String direction, Frame frame) {
+        String type = frame.getBodyCase().name().toLowerCase(java.util.Locale.ROOT);
+        peerMessages.labelValues(direction, type).inc();
+        peerBytes.labelValues(direction, type).inc(frame.getSerializedSize());
+    }
+}
--- /dev/null
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/request/BookingAnswer.java
@@ -0,0 +1,72 @@
+package io.jayhead.daemon.request;
+
+import io.jayhead.edge.CallerResponse;
+import io.jayhead.edge.ErrorBody;
+import io.jayhead.model.ErrorCode;
+import io.jayhead.model.Verdict;
+import io.jayhead.settlement.claim.ClaimCommand;
+import java.nio.charset.StandardCharsets;
+
+/** Writes the answer of a booking to its caller, once. */
+final class BookingAnswer {
+
+    private final AdmittedRequest request;
+    private final Services services;
+    private final CallerResponse response;
+    private final String statusPath;
+    private boolean sent;
+
+    BookingAnswer(AdmittedRequest request, Services services, CallerResponse response) {
+        this.request = request;
+        this.services = services;
+        this.response = response;
+        this.statusPath = request.service()
+                .statusService()
+                .map(service -> "/v1/services/" + service)
+                .orElse("");
+    }
+
+    void send(ClaimCommand command) {
+        if (command instanceof ClaimCommand.AnswerFresh fresh) {
+            send(fresh.status(), fresh.body(), "fresh", Verdict.ran());
+        } else if (command instanceof ClaimCommand.AnswerStored stored) {
+            send(stored.status(), stored.body(), "stored", Verdict.ran());
+        } else if (command instanceof ClaimCommand.AnswerInProgress) {
+            refuse(
+                    ErrorCode.IN_PROGRESS,
+                    Verdict.mayHaveRun(),
+                    "an earlier request with the same idempotency key is still running");
+        } else if (command instanceof ClaimCommand.AnswerMayHaveRun) {
+            refuse(
+                    ErrorCode.OUTCOME_UNKNOWN,
+                    Verdict.mayHaveRun(),
+                    "an earlier request with the same idempotency key may have run; read its status");
+        } else if (command instanceof ClaimCommand.Refuse refuse) {
+            refuse(refuse.code(), refuse.verdict(), refuse.message());
+        }
+    }
+
+    private void refuse(ErrorCode code, Verdict verdict, String message) {
+        String path = verdict.isNotRun() ? "" : statusPath;
+        String body = ErrorBody.of(code, verdict, message, request.key().value(), path);
+        send(code.httpStatus(), body, code.code(), verdict);
+    }
+
+    private void send(int status, String body, String code, Verdict verdict) {
+        if (sent) {
+            return;
+        }
+        sent = true;
+        services.metrics().request(request.service().kind(), code, verdict);
+        services.decisions()
+                .record(
+                        "answer",
+                        request.key().value(),
+                        "code=%s verdict=%s status=%d duration_ms=%d",
+                        code,
+                        verdict.code(),
+                        status,
+                        services.clock().nowMs() - request.arrivedAtMs());
+        response.send(status, CallerAnswer.JSON, body.getBytes(StandardCharsets.UTF_8));
+    }
+}
--- /dev/null
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/request/BookingRun.java
@@ -0,0 +1,186 @@
+package io.jayhead.daemon.request;
+
+import io.jayhead.admission.AdmissionEvent;
+import io.jayhead.model.ErrorCode;
+import io.jayhead.model.NotRunProof;
+import io.jayhead.model.Transition;
+import io.jayhead.model.Verdict;
+import io.jayhead.platform.ReadResult;
+import io.jayhead.platform.WriteResult;
+import io.jayhead.settlement.claim.BookingClaims;
+import io.jayhead.settlement.claim.BookingState;
+import io.jayhead.settlement.claim.ClaimCommand;
+import io.jayhead.settlement.claim.ClaimEvent;
+import io.jayhead.settlement.claim.ClaimRecord;
+import io.jayhead.settlement.claim.ClaimRecordCodec;
+import io.jayhead.settlement.claim.ClaimSettings;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+
+/** Runs one booking: claims its key in the platform, dispatches it at most once and stores the answer. */
+final class BookingRun implements CallOutcome {
+
+    private static final String KIND = "claim";
+
+    private final AdmittedRequest request;
+    private final Services services;
+    private final BookingAnswer answer;
+    private final Dispatcher dispatcher;
+    private final Deque<ClaimEvent> events = new ArrayDeque<>();
+    private BookingState state;
+    private boolean handling;
+    private boolean dispatched;
+    private boolean released;
+
+    /** Sends the booking to the upstream. */
+    interface Dispatcher {
+        void dispatch(CallOutcome outcome);
+    }
+
+    BookingRun(AdmittedRequest request, Services services, BookingAnswer answer, Dispatcher dispatcher) {
+        this.request = request;
+        this.services = services;
+        this.answer = answer;
+        this.dispatcher = dispatcher;
+    }
+
+    void start() {
+        ClaimRecord claim = ClaimRecord.claimed(
+                UUID.randomUUID().toString(),
+                services.self().incarnation(),
+                request.bodyDigest(),
+                services.clock().nowMs());
+        Transition<BookingState, ClaimCommand> start = BookingClaims.start(ClaimSettings.standard(), claim);
+        state = start.state();
+        start.commands().forEach(this::execute);
+    }
+
+    @Override
+    public void answered(int status, String body) {
+        post(new ClaimEvent.CallFinished(services.clock().nowMs(), status, body));
+    }
+
+    @Override
+    public void failed(ErrorCode code, Verdict verdict) {
+        post(
+                verdict instanceof Verdict.NotRun notRun
+                        ? new ClaimEvent.CallNotRun(services.clock().nowMs(), notRun.proof())
+                        : new ClaimEvent.CallUnknown());
+    }
+
+    private synchronized void post(ClaimEvent event) {
+        events.add(event);
+        if (handling) {
+            return;
+        }
+        handling = true;
+        try {
+            while (!events.isEmpty()) {
+                Transition<BookingState, ClaimCommand> transition = BookingClaims.handle(state, events.poll());
+                state = transition.state();
+                transition.commands().forEach(this::execute);
+            }
+        } finally {
+            handling = false;
+        }
+    }
+
+    private void execute(ClaimCommand command) {
+        if (command instanceof ClaimCommand.CreateClaim create) {
+            write(services.store().create(KIND, name(), ClaimRecordCodec.encode(create.claim())));
+        } else if (command instanceof ClaimCommand.RetakeReleasedClaim retake) {
+            write(services.store()
+                    .update(KIND, name(), retake.expectedVersion(), ClaimRecordCodec.encode(retake.claim())));
+        } else if (command instanceof ClaimCommand.ReadClaim) {
+            services.store().read(KIND, name()).thenAcceptAsync(this::read, services.traffic());
+        } else if (command instanceof ClaimCommand.Dispatch) {
+            dispatch();
+        } else if (command instanceof ClaimCommand.StoreOutcome store) {
+            store(store.expectedVersion(), store.claim());
+        } else if (command instanceof ClaimCommand.ReleaseClaim release) {
+            store(release.expectedVersion(), release.claim());
+        } else {
+            answer.send(command);
+            releaseUnlessDispatched();
+        }
+    }
+
+    private void dispatch() {
+        if (!services.configuration().isFresh()) {
+            events.add(new ClaimEvent.CallNotRun(services.clock().nowMs(), NotRunProof.BEFORE_DISPATCH));
+            return;
+        }
+        dispatched = true;
+        services.decisions().record("claim", request.key().value(), "claimed nonce=%s", state.claim().nonce());
+        dispatcher.dispatch(this);
+    }
+
+    private void write(CompletableFuture<WriteResult> write) {
+        write.thenAcceptAsync(
+                result -> {
+                    services.platform()
+                            .record(result instanceof WriteResult.Written || result instanceof WriteResult.Conflict);
+                    post(claimEvent(result));
+                },
+                services.traffic());
+    }
+
+    private static ClaimEvent claimEvent(WriteResult result) {
+        if (result instanceof WriteResult.Written written) {
+            return new ClaimEvent.ClaimCreated(written.version());
+        }
+        if (result instanceof WriteResult.Conflict) {
+            return new ClaimEvent.ClaimConflict();
+        }
+        return result instanceof WriteResult.NotWritten ? new ClaimEvent.PlatformDown() : new ClaimEvent.ClaimUnknown();
+    }
+
+    private void read(ReadResult result) {
+        if (result instanceof ReadResult.Unavailable) {
+            post(new ClaimEvent.PlatformDown());
+            return;
+        }
+        Optional<ClaimRecord> claim = result.body().map(ClaimRecordCodec::decode);
+        long version =
+                result instanceof ReadResult.Found found ? found.object().version() : 0;
+        post(new ClaimEvent.ClaimRead(services.clock().nowMs(), claim, version));
+    }
+
+    private void store(long expectedVersion, ClaimRecord claim) {
+        services.store()
+                .update(KIND, name(), expectedVersion, ClaimRecordCodec.encode(claim))
+                .thenAcceptAsync(
+                        result -> post(
+                                result instanceof WriteResult.Written
+                                        ? new ClaimEvent.OutcomeStored()
+                                        : new ClaimEvent.OutcomeStoreFailed()),
+                        services.traffic());
+    }
+
+    /** The call settles the reservation if it was dispatched; otherwise nothing ran and it is released here. */
+    private void releaseUnlessDispatched() {
+        if (dispatched || released) {
+            return;
+        }
+        released = true;
+        services.control().execute(() -> services.admission()
+                .handle(new AdmissionEvent.RequestReleased(
+                        request.id(), services.clock().nowMs())));
+    }
+
+    private String name() {
+        return request.key().value();
+    }
+
+    /** Lets time pass, so that the caller does not wait longer than its bound for a stored outcome. */
+    void tick(long nowMs) {
+        post(new ClaimEvent.Tick(nowMs));
+    }
+
+    boolean isDone() {
+        return state.done();
+    }
+}
--- /dev/null
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/request/CallOutcome.java
@@ -0,0 +1,12 @@
+package io.jayhead.daemon.request;
+
+import io.jayhead.model.ErrorCode;
+import io.jayhead.model.Verdict;
+
+/** Receives the outcome of a call of a plain service. */
+interface CallOutcome {
+
+    void answered(int status, String body);
+
+    void failed(ErrorCode code, Verdict verdict);
+}
--- /dev/null
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/request/CallerAnswer.java
@@ -0,0 +1,100 @@
+package io.jayhead.daemon.request;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.jayhead.dispatch.Usage;
+import io.jayhead.edge.CallerResponse;
+import io.jayhead.edge.ErrorBody;
+import io.jayhead.model.ErrorCode;
+import io.jayhead.model.RequestKey;
+import io.jayhead.model.Verdict;
+import java.nio.charset.StandardCharsets;
+
+/** Writes the answer of a generation to its caller, as a stream or as one document. */
+final class CallerAnswer {
+
+    static final String JSON = "application/json";
+
+    private static final int OK = 200;
+
+    private final CallerResponse response;
+    private final boolean stream;
+    private final String requestId;
+    private final StringBuilder text = new StringBuilder();
+    private boolean started;
+    private boolean over;
+
+    CallerAnswer(CallerResponse response, boolean stream, RequestKey key) {
+        this.response = response;
+        this.stream = stream;
+        this.requestId = key.value();
+    }
+
+    /** Drops everything that follows; the caller is gone. */
+    void drop() {
+        over = true;
+    }
+
+    void token(long index, String token) {
+        if (over) {
+            return;
+        }
+        if (!stream) {
+            text.append(token);
+            return;
+        }
+        start();
+        ObjectNode data = JsonNodeFactory.instance.objectNode();
+        data.put("index", index);
+        data.put("text", token);
+        response.event("token", data.toString());
+    }
+
+    void end(Usage usage) {
+        if (over) {
+            return;
+        }
+        over = true;
+        ObjectNode document = JsonNodeFactory.instance.objectNode();
+        document.put("request_id", requestId);
+        if (!stream) {
+            document.put("text", text.toString());
+        }
+        document.putObject("usage")
+                .put("prompt_tokens", usage.promptTokens())
+                .put("output_tokens", usage.outputTokens());
+        document.put("verdict", Verdict.ran().code());
+        if (!stream) {
+            send(OK, document.toString());
+            return;
+        }
+        start();
+        response.event("done", document.toString());
+        response.endStream();
+    }
+
+    void fail(ErrorCode code, Verdict verdict, String message) {
+        if (over) {
+            return;
+        }
+        over = true;
+        String body = ErrorBody.of(code, verdict, message, requestId);
+        if (!started) {
+            send(code.httpStatus(), body);
+            return;
+        }
+        response.event("error", body);
+        response.abort();
+    }
+
+    private void start() {
+        if (!started) {
+            started = true;
+            response.startStream();
+        }
+    }
+
+    private void send(int status, String body) {
+        response.send(status, JSON, body.getBytes(StandardCharsets.UTF_8));
+    }
+}
--- /dev/null
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/request/StatusAnswer.java
@@ -0,0 +1,41 @@
+package io.jayhead.daemon.request;
+
+import io.jayhead.edge.CallerResponse;
+import io.jayhead.edge.ErrorBody;
+import io.jayhead.model.ErrorCode;
+import io.jayhead.model.Verdict;
+import java.nio.charset.StandardCharsets;
+
+/** Writes the answer of a status read to its caller. */
+final class StatusAnswer implements CallOutcome {
+
+    private final AdmittedRequest request;
+    private final Services services;
+    private final CallerResponse response;
+
+    StatusAnswer(AdmittedRequest request, Services services, CallerResponse response) {
+        this.request = request;
+        this.services = services;
+        this.response = response;
+    }
+
+    @Override
+    public void answered(int status, String body) {
+        conclude("ok", Verdict.ran());
+        response.send(status, CallerAnswer.JSON, body.getBytes(StandardCharsets.UTF_8));
+    }
+
+    @Override
+    public void failed(ErrorCode code, Verdict verdict) {
+        conclude(code.code(), verdict);
+        String body = ErrorBody.of(
+                code, verdict, "the status could not be read", request.key().value());
+        response.send(code.httpStatus(), CallerAnswer.JSON, body.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private void conclude(String code, Verdict verdict) {
+        services.metrics().request(request.service().kind(), code, verdict);
+        services.decisions()
+                .record("answer", request.key().value(), "code=%s verdict=%s", code, verdict.code());
+    }
+}
--- /dev/null
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/upstream/RoutingService.java
@@ -0,0 +1,208 @@
+package io.jayhead.daemon.upstream;
+
+import com.google.common.flogger.FluentLogger;
+import io.jayhead.daemon.control.HybridClock;
+import io.jayhead.daemon.fleet.FleetView;
+import io.jayhead.daemon.observe.DecisionLog;
+import io.jayhead.dispatch.ConnectionCommand;
+import io.jayhead.dispatch.ConnectionHealth;
+import io.jayhead.model.Either;
+import io.jayhead.model.ServiceName;
+import io.jayhead.model.Transition;
+import io.jayhead.model.UpstreamName;
+import io.jayhead.routing.CacheEvent;
+import io.jayhead.routing.Candidate;
+import io.jayhead.routing.LeavingSource;
+import io.jayhead.routing.LoadReport;
+import io.jayhead.routing.Readiness;
+import io.jayhead.routing.Router;
+import io.jayhead.routing.RoutingDecision;
+import io.jayhead.routing.RoutingParameters;
+import io.jayhead.routing.RoutingRefusal;
+import io.jayhead.routing.RoutingRequest;
+import io.jayhead.routing.RoutingState;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.stream.Collectors;
+
+/** Owns the routing state and chooses upstreams; belongs to the control thread. */
+public final class RoutingService {
+
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    private final HybridClock clock;
+    private final UpstreamHttp http;
+    private final DecisionLog decisions;
+    private RoutingState state;
+    private ConnectionHealth health = ConnectionHealth.empty();
+
+    /**
+     * Creates the service.
+     *
+     * @param parameters the routing parameters
+     * @param clock the clock
+     * @param http the HTTP clients, whose pools are dropped after silent failures
+     * @param decisions the decision log
+     */
+    public RoutingService(RoutingParameters parameters, HybridClock clock, UpstreamHttp http, DecisionLog decisions) {
+        this.state = RoutingState.empty(parameters);
+        this.clock = clock;
+        this.http = http;
+        this.decisions = decisions;
+    }
+
+    /**
+     * Takes a new configuration.
+     *
+     * @param view the configuration
+     */
+    public void adopted(FleetView view) {
+        state = state.withFleet(view.spec());
+    }
+
+    /**
+     * Chooses an upstream and counts the request as sent.
+     *
+     * @param requestId the request, for the decision log
+     * @param request the request
+     * @return the decision or the refusal
+     */
+    public Either<RoutingRefusal, RoutingDecision> choose(String requestId, RoutingRequest request) {
+        long nowMs = clock.nowMs();
+        Either<RoutingRefusal, RoutingDecision> result =
+                Router.choose(state, request, nowMs, ThreadLocalRandom.current().nextLong());
+        if (!result.isRight()) {
+            RoutingRefusal refusal = result.getLeft();
+            decisions.record(
+                    "routing",
+                    requestId,
+                    "service=%s refused=%s candidates=[%s] reason=\"%s\"",
+                    request.service(),
+                    refusal.code().code(),
+                    text(refusal.candidates()),
+                    refusal.reason());
+            return result;
+        }
+        RoutingDecision decision = result.get();
+        decisions.record(
+                "routing",
+                requestId,
+                "service=%s upstream=%s candidates=[%s] reason=\"%s\"",
+                request.service(),
+                decision.upstream(),
+                text(decision.candidates()),
+                decision.reason());
+        state = state.withSent(decision.upstream(), requestId, request, nowMs);
+        return result;
+    }
+
+    /**
+     * Records the first token of a request.
+     *
+     * @param upstream the upstream
+     * @param requestId the request
+     */
+    public void firstToken(UpstreamName upstream, String requestId) {
+        state = state.withFirstToken(upstream, requestId, clock.nowMs());
+    }
+
+    /**
+     * Records the end of an attempt.
+     *
+     * @param upstream the upstream
+     * @param requestId the request
+     * @param outputTokens the tokens received
+     */
+    public void finished(UpstreamName upstream, String requestId, long outputTokens) {
+        state = state.withFinished(upstream, requestId, outputTokens, clock.nowMs());
+    }
+
+    /**
+     * Records that a connection to an upstream went silent.
+     *
+     * @param upstream the upstream
+     * @param sentMs when the silent attempt was sent
+     */
+    public void silentFailure(UpstreamName upstream, long sentMs) {
+        long nowMs = clock.nowMs();
+        state = state.withSilentFailure(upstream, nowMs);
+        Transition<ConnectionHealth, ConnectionCommand> transition = health.withSilentFailure(upstream, sentMs, nowMs);
+        health = transition.state();
+        transition.commands().forEach(this::execute);
+    }
+
+    /**
+     * Records a load report.
+     *
+     * @param upstream the upstream
+     * @param report the report
+     * @param sentMs when the report was asked for
+     */
+    public void reported(UpstreamName upstream, LoadReport report, long sentMs) {
+        state = state.withReport(upstream, report, clock.nowMs());
+        Transition<ConnectionHealth, ConnectionCommand> transition = health.withProgress(upstream, sentMs);
+        health = transition.state();
+        transition.commands().forEach(this::execute);
+    }
+
+    /**
+     * Records cache events.
+     *
+     * @param upstream the upstream
+     * @param events the events
+     * @param next the sequence to ask from next
+     * @param gap whether events are missing
+     */
+    public void cached(UpstreamName upstream, List<CacheEvent> events, long next, boolean gap) {
+        state = state.withCacheEvents(upstream, events, next, gap, clock.nowMs());
+    }
+
+    /**
+     * Records the upstreams that a source knows to be leaving.
+     *
+     * @param source the source
+     * @param leaving the upstreams
+     */
+    public void leaving(LeavingSource source, Set<UpstreamName> leaving) {
+        state = state.withLeaving(source, leaving);
+    }
+
+    /**
+     * Returns the state, for operators.
+     *
+     * @return the state
+     */
+    public RoutingState state() {
+        return state;
+    }
+
+    /**
+     * Tells whether a service is ready and what holds it back.
+     *
+     * @param service the service
+     * @return the readiness
+     */
+    public Readiness readiness(ServiceName service) {
+        return Readiness.of(state.fleet(), state, service, clock.nowMs());
+    }
+
+    private void execute(ConnectionCommand command) {
+        LOGGER.atInfo().log("upstream connection command=%s", command);
+        if (command instanceof ConnectionCommand.DropPool drop) {
+            http.dropPool(drop.upstream());
+        }
+    }
+
+    private static String text(List<Candidate> candidates) {
+        return candidates.stream()
+                .map(candidate -> String.format(
+                        "%s:%.0fms,cache=%.2f%s%s",
+                        candidate.upstream(),
+                        candidate.estimatedFirstTokenMs(),
+                        candidate.cacheLikelihood(),
+                        candidate.sameZone() ? ",local" : "",
+                        candidate.note().isEmpty() ? "" : "," + candidate.note()))
+                .collect(Collectors.joining(" "));
+    }
+}
--- /dev/null
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/upstream/UpstreamHttp.java
@@ -0,0 +1,77 @@
+package io.jayhead.daemon.upstream;
+
+import io.jayhead.model.UpstreamName;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
+import java.util.concurrent.TimeUnit;
+import okhttp3.ConnectionPool;
+import okhttp3.Dispatcher;
+import okhttp3.OkHttpClient;
+
+/** Holds one HTTP client with a connection pool of its own for each upstream. */
+public final class UpstreamHttp implements AutoCloseable {
+
+    private static final int MAX_CALLS = 2_048;
+    private static final int MAX_IDLE_CONNECTIONS = 16;
+    private static final long IDLE_SECONDS = 60;
+    private static final long CONNECT_TIMEOUT_MS = 1_000;
+
+    private final OkHttpClient base;
+    private final ConcurrentMap<UpstreamName, OkHttpClient> clients = new ConcurrentHashMap<>();
+
+    /** Creates the clients; connections are opened when needed. */
+    public UpstreamHttp() {
+        Dispatcher dispatcher = new Dispatcher();
+        dispatcher.setMaxRequests(MAX_CALLS);
+        dispatcher.setMaxRequestsPerHost(MAX_CALLS);
+        // The progress deadlines of dispatch end a silent call; OkHttp must neither time out nor repeat on its own.
+        base = new OkHttpClient.Builder()
+                .dispatcher(dispatcher)
+                .connectTimeout(CONNECT_TIMEOUT_MS, TimeUnit.MILLISECONDS)
+                .readTimeout(0, TimeUnit.MILLISECONDS)
+                .writeTimeout(0, TimeUnit.MILLISECONDS)
+                .retryOnConnectionFailure(false)
+                .followRedirects(false)
+                .build();
+    }
+
+    /**
+     * Returns the client of an upstream.
+     *
+     * @param upstream the upstream
+     * @return the client
+     */
+    public OkHttpClient client(UpstreamName upstream) {
+        return clients.computeIfAbsent(upstream, name -> newClient());
+    }
+
+    /**
+     * Returns a client that uses no pooled connection.
+     *
+     * @return the client
+     */
+    public OkHttpClient fresh() {
+        return newClient();
+    }
+
+    /**
+     * Replaces the whole connection pool of an upstream; calls in flight go on.
+     *
+     * @param upstream the upstream
+     */
+    public void dropPool(UpstreamName upstream) {
+        clients.put(upstream, newClient());
+    }
+
+    @Override
+    public void close() {
+        base.dispatcher().cancelAll();
+        base.dispatcher().executorService().shutdown();
+    }
+
+    private OkHttpClient newClient() {
+        return base.newBuilder()
+                .connectionPool(new ConnectionPool(MAX_IDLE_CONNECTIONS, IDLE_SECONDS, TimeUnit.SECONDS))
+                .build();
+    }
+}
--- a/jayhead-edge/src/main/java/io/jayhead/edge/CallerResponse.java
+++ b/jayhead-edge/src/main/java/io/jayhead/edge/CallerResponse.java
@@ -35,7 +35,7 @@
     void abort();
 
     /**
-     * Registers an action that runs when the caller's connection closes, also after a whole answer.
+     * Registers an action that runs when the caller's connection closes before the answer is finished.
      *
      * @param action the action
      */
--- a/jayhead-edge/src/main/java/io/jayhead/edge/JoobyResponse.java
+++ b/jayhead-edge/src/main/java/io/jayhead/edge/JoobyResponse.java
@@ -2,16 +2,21 @@
 
 import io.jooby.Context;
 import io.jooby.Sender;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import java.lang.reflect.Field;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 
 /** Sends answers through Jooby on Netty. */
 final class JoobyResponse implements CallerResponse {
 
     private final Context context;
     private final Channel channel;
+    private final List<ChannelFutureListener> closeListeners = new ArrayList<>();
     private Sender sender;
 
     private JoobyResponse(Context context, Channel channel) {
@@ -25,6 +30,7 @@
 
     @Override
     public void send(int status, String contentType, byte[] body) {
+        removeCloseListeners();
         context.setResponseCode(status);
         context.setResponseType(contentType);
         context.send(body);
@@ -50,20 +56,30 @@
 
     @Override
     public void endStream() {
+        removeCloseListeners();
         sender.close();
     }
 
     @Override
     public void abort() {
+        removeCloseListeners();
         // Queued behind the writes that precede it, so that an error event still reaches the caller.
         channel.eventLoop()
-                .execute(() -> channel.writeAndFlush(io.netty.buffer.Unpooled.EMPTY_BUFFER)
+                .execute(() -> channel.writeAndFlush(Unpooled.EMPTY_BUFFER)
                         .addListener(future -> channel.close()));
     }
 
     @Override
     public void onClose(Runnable action) {
-        channel.closeFuture().addListener(future -> action.run());
+        ChannelFutureListener listener = future -> action.run();
+        closeListeners.add(listener);
+        channel.closeFuture().addListener(listener);
+    }
+
+    /** A connection outlives its requests, so a finished request must not stay referenced by it. */
+    private void removeCloseListeners() {
+        closeListeners.forEach(channel.closeFuture()::removeListener);
+        closeListeners.clear();
     }
 
     /**
--- a/jayhead-peer/src/main/java/io/jayhead/peer/pb/HeartbeatReply.java
+++ b/jayhead-peer/src/main/java/io/jayhead/peer/pb/HeartbeatReply.java
@@ -309,6 +309,21 @@
     return listRevision_;
   }
 
+  public static final int CHARGE_PARTITIONS_FIELD_NUMBER = 10;
+  private int chargePartitions_ = 0;
+  /**
+   * <pre>
+   * Number of partitions of the charge log; 0 if the replying router does not know it yet.
+   * </pre>
+   *
+   * <code>uint32 charge_partitions = 10;</code>
+   * @return The chargePartitions.
+   */
+  @java.lang.Override
+  public int getChargePartitions() {
+    return chargePartitions_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -350,6 +365,9 @@
     if (listRevision_ != 0L) {
       output.writeUInt64(9, listRevision_);
     }
+    if (chargePartitions_ != 0) {
+      output.writeUInt32(10, chargePartitions_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -396,6 +414,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(9, listRevision_);
     }
+    if (chargePartitions_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(10, chargePartitions_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -432,6 +454,8 @@
         .equals(other.getAvailabilityZone())) return false;
     if (getListRevision()
         != other.getListRevision()) return false;
+    if (getChargePartitions()
+        != other.getChargePartitions()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -471,6 +495,8 @@
     hash = (37 * hash) + LIST_REVISION_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getListRevision());
+    hash = (37 * hash) + CHARGE_PARTITIONS_FIELD_NUMBER;
+    hash = (53 * hash) + getChargePartitions();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -618,6 +644,7 @@
       bitField0_ = (bitField0_ & ~0x00000040);
       availabilityZone_ = "";
       listRevision_ = 0L;
+      chargePartitions_ = 0;
       return this;
     }
 
@@ -691,6 +718,9 @@
       if (((from_bitField0_ & 0x00000100) != 0)) {
         result.listRevision_ = listRevision_;
       }
+      if (((from_bitField0_ & 0x00000200) != 0)) {
+        result.chargePartitions_ = chargePartitions_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -769,6 +799,9 @@
       if (other.getListRevision() != 0L) {
         setListRevision(other.getListRevision());
       }
+      if (other.getChargePartitions() != 0) {
+        setChargePartitions(other.getChargePartitions());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -849,6 +882,11 @@
               bitField0_ |= 0x00000100;
               break;
             } // case 72
+            case 80: {
+              chargePartitions_ = input.readUInt32();
+              bitField0_ |= 0x00000200;
+              break;
+            } // case 80
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1597,6 +1635,50 @@
       return this;
     }
 
+    private int chargePartitions_ ;
+    /**
+     * <pre>
+     * Number of partitions of the charge log; 0 if the replying router does not know it yet.
+     * </pre>
+     *
+     * <code>uint32 charge_partitions = 10;</code>
+     * @return The chargePartitions.
+     */
+    @java.lang.Override
+    public int getChargePartitions() {
+      return chargePartitions_;
+    }
+    /**
+     * <pre>
+     * Number of partitions of the charge log; 0 if the replying router does not know it yet.
+     * </pre>
+     *
+     * <code>uint32 charge_partitions = 10;</code>
+     * @param value The chargePartitions to set.
+     * @return This builder for chaining.
+     */
+    public Builder setChargePartitions(int value) {
+
+      chargePartitions_ = value;
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Number of partitions of the charge log; 0 if the replying router does not know it yet.
+     * </pre>
+     *
+     * <code>uint32 charge_partitions = 10;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearChargePartitions() {
+      bitField0_ = (bitField0_ & ~0x00000200);
+      chargePartitions_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:io.jayhead.peer.HeartbeatReply)
   }
 
--- a/jayhead-peer/src/main/java/io/jayhead/peer/pb/HeartbeatReplyOrBuilder.java
+++ b/jayhead-peer/src/main/java/io/jayhead/peer/pb/HeartbeatReplyOrBuilder.java
@@ -135,4 +135,14 @@
    * @return The listRevision.
    */
   long getListRevision();
+
+  /**
+   * <pre>
+   * Number of partitions of the charge log; 0 if the replying router does not know it yet.
+   * </pre>
+   *
+   * <code>uint32 charge_partitions = 10;</code>
+   * @return The chargePartitions.
+   */
+  int getChargePartitions();
 }
--- a/jayhead-settlement/src/main/java/io/jayhead/settlement/charge/ChargeBatchCodec.java
+++ b/jayhead-settlement/src/main/java/io/jayhead/settlement/charge/ChargeBatchCodec.java
@@ -58,7 +58,13 @@
         return new ChargeBatch(header.get(1), Long.parseLong(header.get(2)), entries);
     }
 
-    static String encodeEntry(ChargeEntry entry) {
+    /**
+     * Returns the line of an entry.
+     *
+     * @param entry the entry
+     * @return the line without a line feed
+     */
+    public static String encodeEntry(ChargeEntry entry) {
         return TextFields.join(
                 entry.key(),
                 entry.budget().organisation(),
@@ -69,7 +75,14 @@
                 entry.service());
     }
 
-    static ChargeEntry decodeEntry(String line) {
+    /**
+     * Returns the entry of a line.
+     *
+     * @param line the line without a line feed
+     * @return the entry
+     * @throws IllegalArgumentException if the line is not an entry
+     */
+    public static ChargeEntry decodeEntry(String line) {
         List<String> fields = TextFields.split(line, ENTRY_FIELDS);
         return new ChargeEntry(
                 new RequestKey(fields.get(0)),
