State when a member list may be dropped

Cause: the Javadoc of MemberLists left out that the router which drops a list must have adopted the versions of the members that inform it. Change: Javadoc only. Conclusion: no change of behaviour.

--- a/jayhead-admission/src/main/java/io/jayhead/admission/freshness/MemberLists.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/freshness/MemberLists.java
@@ -11,6 +11,7 @@
  *
  * <p>A decision needs a majority of each list. An older list is dropped once a majority of its members knows a newer
  * one: from then on no router can gather a majority of the older list, because those members no longer count for it.
+ * The router that drops it must have adopted the versions that these members had, so that no accepted version is lost.
  *
  * @param lists the lists, oldest first, not empty
  */
