Keep deleted slots out of the charge ledger

Two faults: a writer applied a slot that another suspended writer had created anew after its deletion; and the minute in a checkpoint was that of ordering its write, so a delayed write allowed deletion at once. Ruled out: deleting no slots; the platform would collect them for ever. Change: a slot read at a position not confirmed for half the retention time leads to a reload from the checkpoint. The retention counts from when this writer knew the checkpoint to be stored; the checkpoint carries the slot below which slots were deleted instead of marks.

--- a/jayhead-settlement/src/main/java/io/jayhead/settlement/charge/ChargeCheckpointCodec.java
+++ b/jayhead-settlement/src/main/java/io/jayhead/settlement/charge/ChargeCheckpointCodec.java
@@ -11,8 +11,8 @@
 /**
  * Converts checkpoints to and from the text of the checkpoint object.
  *
- * <p>The first line is {@code checkpoint-1 <next slot> <latest minute> <active minute> <window minutes>}. Further
- * lines start with their type: {@code mark <next slot> <minute>},
+ * <p>The first line holds the format name, the next slot, the latest minute, the active minute, the window in minutes
+ * and the slot below which slots were deleted. Further lines start with their type:
  * {@code total <organisation> <budget> <incarnation> <tokens>} and {@code key <active minute> <slot> <entry>}. The
  * last line is {@code end}. Fields are separated and escaped as in {@link ChargeBatchCodec}; the entry is one
  * escaped field.
@@ -34,8 +34,12 @@
         ChargeLedger ledger = checkpoint.ledger();
         List<String> lines = new ArrayList<>();
         lines.add(TextFields.join(
-                FORMAT, ledger.nextSlot(), ledger.latestMinute(), ledger.activeMinute(), ledger.windowMinutes()));
-        checkpoint.marks().forEach(mark -> lines.add(TextFields.join("mark", mark.nextSlot(), mark.minute())));
+                FORMAT,
+                ledger.nextSlot(),
+                ledger.latestMinute(),
+                ledger.activeMinute(),
+                ledger.windowMinutes(),
+                checkpoint.deletedBelow()));
         ledger.totals()
                 .forEach((account, tokens) -> lines.add(TextFields.join(
                         "total",
@@ -61,15 +65,14 @@
      */
     public static ChargeCheckpoint decode(String text) {
         List<String> lines = List.of(text.split("\n"));
-        List<String> header = TextFields.split(lines.get(0), 5);
+        List<String> header = TextFields.split(lines.get(0), 6);
         if (!FORMAT.equals(header.get(0)) || !END.equals(lines.get(lines.size() - 1))) {
             throw new IllegalArgumentException("not a complete checkpoint: " + lines.get(0));
         }
-        List<CheckpointMark> marks = new ArrayList<>();
         Map<ChargeAccount, Long> totals = new HashMap<>();
         Map<Long, List<CommittedCharge>> charges = new HashMap<>();
         for (String line : lines.subList(1, lines.size() - 1)) {
-            decodeLine(line, marks, totals, charges);
+            decodeLine(line, totals, charges);
         }
         ChargeWindow window = ChargeWindow.empty();
         for (Map.Entry<Long, List<CommittedCharge>> minute : charges.entrySet()) {
@@ -78,18 +81,12 @@
         return new ChargeCheckpoint(
                 new ChargeLedger(
                         number(header, 1), number(header, 2), number(header, 3), number(header, 4), totals, window),
-                marks);
+                number(header, 5));
     }
 
     private static void decodeLine(
-            String line,
-            List<CheckpointMark> marks,
-            Map<ChargeAccount, Long> totals,
-            Map<Long, List<CommittedCharge>> charges) {
-        if (line.startsWith("mark\t")) {
-            List<String> fields = TextFields.split(line, 3);
-            marks.add(new CheckpointMark(number(fields, 1), number(fields, 2)));
-        } else if (line.startsWith("total\t")) {
+            String line, Map<ChargeAccount, Long> totals, Map<Long, List<CommittedCharge>> charges) {
+        if (line.startsWith("total\t")) {
             List<String> fields = TextFields.split(line, 5);
             BudgetId budget = BudgetId.of(fields.get(1), fields.get(2));
             totals.put(new ChargeAccount(budget, IncarnationId.of(fields.get(3))), number(fields, 4));
--- a/jayhead-settlement/src/main/java/io/jayhead/settlement/charge/ChargeLog.java
+++ b/jayhead-settlement/src/main/java/io/jayhead/settlement/charge/ChargeLog.java
@@ -15,10 +15,11 @@
  *
  * <p>A duplicate of a charge that has left the window is charged again, see {@link ChargeLedger}.
  *
- * <p>Slots are deleted one retention time after a checkpoint covered them. A writer that was suspended for longer
- * could create a deleted slot anew, where no reader looks. A write at a position that was last confirmed more than
- * half the retention time ago therefore counts only after the checkpoint was read. If the checkpoint no longer shows
- * whether an attempt that old took effect, its charges are answered with {@link ChargeOutcome.Unresolved}.
+ * <p>Slots are deleted one retention time after a checkpoint that covers them was known to be stored. A writer that
+ * was suspended for longer could create a deleted slot anew, where no reader looks. A write at a position that was
+ * last confirmed more than half the retention time ago therefore counts only after the checkpoint was read. If the
+ * checkpoint no longer shows whether an attempt that old took effect, its charges are answered with
+ * {@link ChargeOutcome.Unresolved}.
  */
 public final class ChargeLog {
 
--- a/jayhead-settlement/src/main/java/io/jayhead/settlement/charge/ChargeLogState.java
+++ b/jayhead-settlement/src/main/java/io/jayhead/settlement/charge/ChargeLogState.java
@@ -12,7 +12,7 @@
  * @param lingerUntilMs when the first queued charge is written at the latest
  * @param retryAtMs when the call of the phase is repeated; 0 while it is under way or not needed
  * @param confirmedAtMs when the position was last known not to be deleted
- * @param marks the known checkpoints
+ * @param marks the checkpoints that were confirmed as stored, oldest first
  * @param checkpointSlot the next slot of the last checkpoint read or ordered
  * @param deletedBelow the slots below were ordered to be deleted
  */
@@ -67,6 +67,11 @@
         return retryAtMs > 0;
     }
 
+    /** Tells whether the position was confirmed so long ago that its slots may have been deleted. */
+    boolean stale(EventStamp stamp) {
+        return stamp.nowMs() - confirmedAtMs >= settings.staleAfterMs();
+    }
+
     List<PendingCharge> attemptCharges() {
         if (phase instanceof ChargePhase.Writing writing) {
             return writing.attempt().charges();
--- a/jayhead-settlement/src/main/java/io/jayhead/settlement/charge/Checkpoints.java
+++ b/jayhead-settlement/src/main/java/io/jayhead/settlement/charge/Checkpoints.java
@@ -33,13 +33,9 @@
     }
 
     private static ChargeLogState adopt(ChargeLogState state, ChargeCheckpoint checkpoint) {
-        long oldestMark = checkpoint.marks().stream()
-                .mapToLong(CheckpointMark::nextSlot)
-                .min()
-                .orElse(0);
         return state.withLedger(checkpoint.ledger())
-                .withMarks(checkpoint.marks(), checkpoint.ledger().nextSlot())
-                .withDeletedBelow(Math.max(state.deletedBelow(), oldestMark));
+                .withMarks(state.marks(), checkpoint.ledger().nextSlot())
+                .withDeletedBelow(Math.max(state.deletedBelow(), checkpoint.deletedBelow()));
     }
 
     private static Transition<ChargeLogState, ChargeLogCommand> verify(
@@ -72,34 +68,35 @@
         if (nextSlot - state.checkpointSlot() < state.settings().slotsPerCheckpoint()) {
             return Transition.of(state);
         }
-        List<CheckpointMark> marks = marks(state, stamp.minute());
-        ChargeCheckpoint checkpoint = new ChargeCheckpoint(state.ledger(), marks);
+        ChargeCheckpoint checkpoint = new ChargeCheckpoint(state.ledger(), state.deletedBelow());
         return Transition.of(
                 state.withMarks(state.marks(), nextSlot), new ChargeLogCommand.WriteCheckpoint(checkpoint));
     }
 
-    /** Adds at most one mark a minute, so that their number stays near the retention time in minutes. */
-    private static List<CheckpointMark> marks(ChargeLogState state, long nowMinute) {
-        List<CheckpointMark> marks = new ArrayList<>(state.marks());
-        if (marks.isEmpty() || marks.get(marks.size() - 1).minute() < nowMinute) {
-            marks.add(new CheckpointMark(state.ledger().nextSlot(), nowMinute));
-        }
+    static Transition<ChargeLogState, ChargeLogCommand> stored(
+            ChargeLogState state, ChargeLogEvent.CheckpointStored event) {
+        long nowMinute = event.stamp().minute();
         long retainedSince = nowMinute - state.settings().retentionMinutes();
+        List<CheckpointMark> marks = marks(state, event.checkpoint().ledger().nextSlot(), nowMinute);
         while (marks.size() > 1 && marks.get(1).minute() <= retainedSince) {
             marks.remove(0);
         }
-        return marks;
-    }
-
-    static Transition<ChargeLogState, ChargeLogCommand> stored(
-            ChargeLogState state, ChargeLogEvent.CheckpointStored event) {
-        long retentionMinutes = state.settings().retentionMinutes();
-        long keptFrom = event.checkpoint().deletableBelow(event.stamp().minute(), retentionMinutes);
-        ChargeLogState known = state.withMarks(event.checkpoint().marks(), state.checkpointSlot());
-        if (keptFrom <= state.deletedBelow()) {
+        CheckpointMark oldest = marks.get(0);
+        ChargeLogState known = state.withMarks(marks, state.checkpointSlot());
+        if (oldest.minute() > retainedSince || oldest.nextSlot() <= state.deletedBelow()) {
             return Transition.of(known);
         }
         return Transition.of(
-                known.withDeletedBelow(keptFrom), new ChargeLogCommand.DeleteSlots(state.deletedBelow(), keptFrom));
+                known.withDeletedBelow(oldest.nextSlot()),
+                new ChargeLogCommand.DeleteSlots(state.deletedBelow(), oldest.nextSlot()));
+    }
+
+    /** Adds at most one mark a minute, so that their number stays near the retention time in minutes. */
+    private static List<CheckpointMark> marks(ChargeLogState state, long nextSlot, long nowMinute) {
+        List<CheckpointMark> marks = new ArrayList<>(state.marks());
+        if (marks.isEmpty() || marks.get(marks.size() - 1).minute() < nowMinute) {
+            marks.add(new CheckpointMark(nextSlot, nowMinute));
+        }
+        return marks;
     }
 }
--- a/jayhead-settlement/src/main/java/io/jayhead/settlement/charge/SlotReads.java
+++ b/jayhead-settlement/src/main/java/io/jayhead/settlement/charge/SlotReads.java
@@ -11,6 +11,9 @@
         if (event.slot() != state.ledger().nextSlot()) {
             return Transition.of(state);
         }
+        if (state.phase() instanceof ChargePhase.Recovering && state.stale(event.stamp())) {
+            return reload(state, event.stamp());
+        }
         if (state.phase() instanceof ChargePhase.Recovering) {
             ChargeLedger ledger = state.ledger().plus(event.batch());
             return Transition.of(
@@ -23,6 +26,9 @@
         if (event.batch().nonce().equals(attempt.batch().nonce())) {
             return SlotWrites.found(state, attempt, event.stamp());
         }
+        if (state.stale(event.stamp())) {
+            return giveUpAndReload(state, attempt, event.stamp());
+        }
         ChargeLogState lost =
                 SlotWrites.requeued(state, attempt).withLedger(state.ledger().plus(event.batch()));
         return SlotWrites.startIfDue(lost, event.stamp());
@@ -40,9 +46,7 @@
         }
         if (reading.conflict()) {
             // The slot existed and was deleted since, so the position is below the checkpoint.
-            Transition<ChargeLogState, ChargeLogCommand> given =
-                    SlotWrites.givenUp(state, reading.attempt(), event.stamp());
-            return ChargeLog.after(given.commands(), reload(given.state(), event.stamp()));
+            return giveUpAndReload(state, reading.attempt(), event.stamp());
         }
         ChargePhase.Attempt attempt = reading.attempt();
         return Transition.of(
@@ -59,6 +63,13 @@
                 : Transition.of(state);
     }
 
+    private static Transition<ChargeLogState, ChargeLogCommand> giveUpAndReload(
+            ChargeLogState state, ChargePhase.Attempt attempt, EventStamp stamp) {
+        Transition<ChargeLogState, ChargeLogCommand> given = SlotWrites.givenUp(state, attempt, stamp);
+        return ChargeLog.after(given.commands(), reload(given.state(), stamp));
+    }
+
+    /** Starts again from the checkpoint; a slot read at a stale position may be one created anew after deletion. */
     private static Transition<ChargeLogState, ChargeLogCommand> reload(ChargeLogState state, EventStamp stamp) {
         return Transition.of(
                 state.withPhase(new ChargePhase.LoadingCheckpoint(stamp.nowMs())),
--- a/jayhead-settlement/src/main/java/io/jayhead/settlement/charge/SlotWrites.java
+++ b/jayhead-settlement/src/main/java/io/jayhead/settlement/charge/SlotWrites.java
@@ -85,7 +85,7 @@
     /** Handles that a slot contains the batch of this writer. */
     static Transition<ChargeLogState, ChargeLogCommand> found(
             ChargeLogState state, ChargePhase.Attempt attempt, EventStamp stamp) {
-        if (stamp.nowMs() - state.confirmedAtMs() >= state.settings().staleAfterMs()) {
+        if (state.stale(stamp)) {
             return Transition.of(
                     state.withPhase(new ChargePhase.Verifying(attempt, stamp.nowMs())),
                     new ChargeLogCommand.ReadCheckpoint());
