Wire the daemon and add the demonstration

Cause: the whole path must run as separate processes. Ruled out: blocking traffic threads on control; they continue by callbacks. The acceptance of a change counts from the adoption by a majority, as the freshness property showed, and one router edits a ledger one at a time.

--- a/jayhead-config/src/main/java/io/jayhead/config/settings/SettingsReader.java
+++ b/jayhead-config/src/main/java/io/jayhead/config/settings/SettingsReader.java
@@ -54,8 +54,8 @@
         Optional<InetSocketAddress> peers = endpoint(PEERS);
         requireDistinctAddresses();
         requireReachable(PEERS, peers);
-        Optional<InetSocketAddress> advertised = root.optional(ADVERTISED_PEERS)
-                .flatMap(value -> value.text(Formats.ENDPOINT_RULE, Formats::endpoint));
+        Optional<InetSocketAddress> advertised =
+                root.optional(ADVERTISED_PEERS).flatMap(value -> value.text(Formats.ENDPOINT_RULE, Formats::endpoint));
         requireReachable(ADVERTISED_PEERS, advertised);
         List<InetSocketAddress> seeds = root.items(SEED_PEERS).stream()
                 .flatMap(value -> value.text(Formats.ENDPOINT_RULE, Formats::endpoint).stream())
--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/Daemon.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/Daemon.java
@@ -119,8 +119,10 @@
         store = new HttpObjectStore(settings.platformAddress(), PlatformTimeouts.standard(), calls);
         ObjectEditor editor = new ObjectEditor(
                 store,
-                RetryPolicy.of(EDIT_ATTEMPTS, EDIT_BACKOFF, () -> ThreadLocalRandom.current()
-                        .nextDouble()));
+                RetryPolicy.of(
+                        EDIT_ATTEMPTS,
+                        EDIT_BACKOFF,
+                        () -> ThreadLocalRandom.current().nextDouble()));
         configuration = new Configuration(settings.vm(), clock, settings.freshnessLimitMs());
         peers = PeerClient.of(peerIo, metrics);
         PeerLinks links = new PeerLinks(peers, control);
@@ -140,11 +142,12 @@
                         layout::partitions,
                         layout::learned));
         fleetPoller = new FleetPoller(configuration, control, clock, store, monitor);
-        changes = new FleetChanges(configuration, heartbeats, control, clock, editor, settings.freshnessLimitMs());
+        changes = new FleetChanges(
+                configuration, membership, heartbeats, control, clock, editor, settings.freshnessLimitMs());
         ledgers = new Ledgers(store, editor, incarnation);
         GrantSizer sizer = GrantSizer.of(settings.grantInitialTokens());
-        AdmissionSettings admissionSettings = new AdmissionSettings(
-                incarnation, MAX_IN_FLIGHT, settings.queueLimit(), settings.queueLimit(), sizer);
+        AdmissionSettings admissionSettings =
+                new AdmissionSettings(incarnation, MAX_IN_FLIGHT, settings.queueLimit(), settings.queueLimit(), sizer);
         admission = new AdmissionService(
                 AdmissionState.of(admissionSettings),
                 control,
@@ -156,16 +159,7 @@
                 ledgers,
                 decisions);
         charges = new ChargeService(
-                chargeSettings(settings),
-                layout,
-                control,
-                clock,
-                membership,
-                links,
-                store,
-                editor,
-                monitor,
-                decisions);
+                chargeSettings(settings), layout, control, clock, membership, links, store, editor, monitor, decisions);
         registry = new RequestRegistry(self, charges, links, clock);
         upstreamPoller = new UpstreamPoller(routing, control, clock, settings.upstreamFreshnessMs());
     }
@@ -184,8 +178,7 @@
         control.every(settings.peerHeartbeatMs(), heartbeats::sendAll);
         control.every(settings.upstreamPollMs(), upstreamPoller::poll);
         control.every(MEMBERS_MS, membership::refresh);
-        control.every(
-                VM_LIST_MS, new VmListPoller(store, routing, control, monitor)::poll);
+        control.every(VM_LIST_MS, new VmListPoller(store, routing, control, monitor)::poll);
         control.every(REPORT_MS, admission::reportConsumption);
         control.execute(membership::refresh);
         operatorServer = OperatorServer.start(
@@ -247,8 +240,8 @@
     }
 
     private CompletableFuture<ObjectNode> status() {
-        return control.submit(() -> StatusDocument.of(
-                configuration, membership, monitor, routing, admission.state(), charges, clock));
+        return control.submit(() ->
+                StatusDocument.of(configuration, membership, monitor, routing, admission.state(), charges, clock));
     }
 
     private Services services() {
@@ -274,21 +267,29 @@
 
     private void registerGauges() {
         metrics.gauge("jayhead_control_cpu_seconds", "Processor time of the control thread", control::cpuSeconds);
-        metrics.gauge("jayhead_in_flight", "Requests in flight", () -> admission.state().inFlight());
-        metrics.gauge("jayhead_queued", "Requests that wait for admission", () -> admission.state()
-                .queue()
-                .size());
+        metrics.gauge(
+                "jayhead_in_flight",
+                "Requests in flight",
+                () -> admission.state().inFlight());
+        metrics.gauge(
+                "jayhead_queued",
+                "Requests that wait for admission",
+                () -> admission.state().queue().size());
         metrics.gauge("jayhead_pending_charges", "Charges that are not committed", charges::pendingCharges);
-        metrics.gauge("jayhead_overspent_tokens", "Tokens consumed beyond the grants; always 0", () -> admission
-                .state()
-                .book()
-                .accounts()
-                .mapToLong(account -> Math.max(0, -account.availableTokens()))
-                .sum());
+        metrics.gauge(
+                "jayhead_overspent_tokens",
+                "Tokens consumed beyond the grants; always 0",
+                () -> admission
+                        .state()
+                        .book()
+                        .accounts()
+                        .mapToLong(account -> Math.max(0, -account.availableTokens()))
+                        .sum());
         metrics.gauge("jayhead_configuration_fresh", "1 if new work may start", () -> configuration.isFresh() ? 1 : 0);
-        metrics.gauge("jayhead_fleet_version", "Configuration version in force", () -> configuration
-                .view()
-                .version());
+        metrics.gauge(
+                "jayhead_fleet_version",
+                "Configuration version in force",
+                () -> configuration.view().version());
         for (CallKind kind : CallKind.values()) {
             metrics.gauge(
                     "jayhead_platform_calls_" + kind.label(),
--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/JayheadMain.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/JayheadMain.java
@@ -111,8 +111,7 @@
         } catch (IOException e) {
             return Either.left("cannot read " + file + ": " + e);
         }
-        return SettingsParser.parse(text)
-                .fold(problems -> Either.left(message(file, problems)), Either::right);
+        return SettingsParser.parse(text).fold(problems -> Either.left(message(file, problems)), Either::right);
     }
 
     private static String message(Path file, List<ConfigProblem> problems) {
--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/budget/AdmissionService.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/budget/AdmissionService.java
@@ -200,7 +200,9 @@
     private void step(AdmissionEvent event) {
         boolean fresh = configuration.isFresh();
         if (state.fresh() != fresh) {
-            LOGGER.atInfo().log("configuration fresh=%s version=%d", fresh, configuration.view().version());
+            LOGGER.atInfo().log(
+                    "configuration fresh=%s version=%d",
+                    fresh, configuration.view().version());
             apply(new AdmissionEvent.FreshnessChanged(fresh, clock.nowMs()));
         }
         apply(event);
@@ -228,8 +230,8 @@
         } else if (command instanceof AdmissionCommand.ReturnTokens returned) {
             ledgers.returnTokens(returned.budget(), returned.tokens());
         } else if (command instanceof AdmissionCommand.ReportFault fault) {
-            LOGGER.atSevere().log("settlement does not fit its reservation request=%s fault=%s", fault.id(),
-                    fault.fault());
+            LOGGER.atSevere().log(
+                    "settlement does not fit its reservation request=%s fault=%s", fault.id(), fault.fault());
         }
     }
 
@@ -252,8 +254,7 @@
                 .thenAccept(result -> control.execute(() -> granted(ask, grantedTokens.get(), result)));
     }
 
-    private void granted(
-            AdmissionCommand.AskPlatform ask, long tokens, EditResult<Ledgers.GrantRefusal> result) {
+    private void granted(AdmissionCommand.AskPlatform ask, long tokens, EditResult<Ledgers.GrantRefusal> result) {
         long nowMs = clock.nowMs();
         if (result instanceof EditResult.Edited<Ledgers.GrantRefusal> edited) {
             BudgetLedger ledger = LedgerCodec.decode(edited.body());
@@ -285,7 +286,10 @@
     }
 
     private void checkVoided(BudgetId budget, LedgerRefusal refusal) {
-        if (refusal == LedgerRefusal.ENTRY_CLOSED || refusal == LedgerRefusal.RECLAIMING) {
+        boolean lost = refusal == LedgerRefusal.ENTRY_CLOSED
+                || refusal == LedgerRefusal.RECLAIMING
+                || refusal == LedgerRefusal.NO_ENTRY;
+        if (lost) {
             LOGGER.atWarning().log("grant reclaimed budget=%s reason=%s", budget, refusal);
             handle(new AdmissionEvent.BudgetVoided(budget, clock.nowMs()));
         }
--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/budget/Ledgers.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/budget/Ledgers.java
@@ -14,6 +14,8 @@
 import io.jayhead.platform.ReadResult;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Function;
 
@@ -25,6 +27,7 @@
     private final ObjectStore store;
     private final ObjectEditor editor;
     private final IncarnationId incarnation;
+    private final ConcurrentMap<BudgetId, CompletableFuture<?>> lastEdits = new ConcurrentHashMap<>();
 
     /**
      * Creates the editor.
@@ -118,8 +121,8 @@
     public CompletableFuture<EditResult<LedgerRefusal>> close(GrantAccount account) {
         return edit(
                 account.budget(),
-                ledger -> ledger.close(
-                        incarnation, account.consumedTokens(), account.lentTokens(), account.borrowedTokens()));
+                ledger -> opened(ledger)
+                        .close(incarnation, account.consumedTokens(), account.lentTokens(), account.borrowedTokens()));
     }
 
     /**
@@ -155,9 +158,30 @@
         return ledger.open(incarnation).fold(refusal -> ledger, opened -> opened);
     }
 
-    /** Recognises a write without a reply by the entry of this router, which no other router writes while it is open. */
+    /**
+     * Edits a ledger after the earlier edits of this router have ended. A write without a reply is recognised by the
+     * entry of this router, which no other router writes while it is open; that holds for one edit at a time only.
+     */
     private <R> CompletableFuture<EditResult<R>> edit(
             BudgetId budget, Function<BudgetLedger, Either<R, BudgetLedger>> change) {
+        CompletableFuture<EditResult<R>> result = new CompletableFuture<>();
+        lastEdits.compute(budget, (id, previous) -> {
+            CompletableFuture<?> before = previous == null ? CompletableFuture.completedFuture(null) : previous;
+            return before.handle((value, failure) -> this.<R>send(budget, change)
+                            .whenComplete((outcome, error) -> {
+                                if (error == null) {
+                                    result.complete(outcome);
+                                } else {
+                                    result.completeExceptionally(error);
+                                }
+                            }))
+                    .thenCompose(edit -> edit);
+        });
+        return result;
+    }
+
+    private <R> CompletableFuture<EditResult<R>> send(
+            BudgetId budget, Function<BudgetLedger, Either<R, BudgetLedger>> change) {
         return editor.edit(
                 KIND,
                 budget.objectName(),
--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/charge/ChargeService.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/charge/ChargeService.java
@@ -244,9 +244,7 @@
         switch (outcome.getStatus()) {
             case COMMITTED -> commit.complete(ChargeResult.COMMITTED);
             case DUPLICATE ->
-                resolved(
-                        commit,
-                        new ChargeOutcome.Duplicate(ChargeBatchCodec.decodeEntry(outcome.getFirstEntry())));
+                resolved(commit, new ChargeOutcome.Duplicate(ChargeBatchCodec.decodeEntry(outcome.getFirstEntry())));
             default -> appendHere(commit);
         }
     }
@@ -257,7 +255,8 @@
             return;
         }
         release(commit.entry.key());
-        if (outcome instanceof ChargeOutcome.Duplicate duplicate && !duplicate.first().equals(commit.entry)) {
+        if (outcome instanceof ChargeOutcome.Duplicate duplicate
+                && !duplicate.first().equals(commit.entry)) {
             commit.complete(ChargeResult.DUPLICATE);
             return;
         }
--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/charge/PartitionWriter.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/charge/PartitionWriter.java
@@ -140,8 +140,9 @@
     }
 
     private ChargeLogEvent written(long slot, ChargeBatch batch, WriteResult result) {
-        LOGGER.atFine().log("charge slot partition=%d slot=%d entries=%d result=%s", partition, slot,
-                batch.entries().size(), result);
+        LOGGER.atFine().log(
+                "charge slot partition=%d slot=%d entries=%d result=%s",
+                partition, slot, batch.entries().size(), result);
         if (result instanceof WriteResult.Written) {
             return new ChargeLogEvent.SlotWritten(stamp(), slot);
         }
@@ -155,29 +156,32 @@
     }
 
     private void readSlot(long slot) {
-        store.read(LOG_KIND, slotName(slot)).thenAccept(result -> control.execute(() -> {
-            monitor.record(!(result instanceof ReadResult.Unavailable));
-            if (result instanceof ReadResult.Found found) {
-                ChargeBatch batch = ChargeBatchCodec.decode(found.object().body());
-                handle(new ChargeLogEvent.SlotRead(stamp(), slot, batch));
-            } else if (result instanceof ReadResult.Missing) {
-                handle(new ChargeLogEvent.SlotAbsent(stamp(), slot));
-            } else {
-                handle(new ChargeLogEvent.SlotUnreadable(stamp(), slot, result.toString()));
-            }
-        }));
+        store.read(LOG_KIND, slotName(slot))
+                .thenAccept(result -> control.execute(() -> {
+                    monitor.record(!(result instanceof ReadResult.Unavailable));
+                    if (result instanceof ReadResult.Found found) {
+                        ChargeBatch batch =
+                                ChargeBatchCodec.decode(found.object().body());
+                        handle(new ChargeLogEvent.SlotRead(stamp(), slot, batch));
+                    } else if (result instanceof ReadResult.Missing) {
+                        handle(new ChargeLogEvent.SlotAbsent(stamp(), slot));
+                    } else {
+                        handle(new ChargeLogEvent.SlotUnreadable(stamp(), slot, result.toString()));
+                    }
+                }));
     }
 
     private void readCheckpoint() {
-        store.read(CHECKPOINT_KIND, Integer.toString(partition)).thenAccept(result -> control.execute(() -> {
-            monitor.record(!(result instanceof ReadResult.Unavailable));
-            if (result instanceof ReadResult.Unavailable unavailable) {
-                handle(new ChargeLogEvent.CheckpointUnreadable(stamp(), unavailable.reason()));
-                return;
-            }
-            Optional<ChargeCheckpoint> checkpoint = result.body().map(ChargeCheckpointCodec::decode);
-            handle(new ChargeLogEvent.CheckpointRead(stamp(), checkpoint));
-        }));
+        store.read(CHECKPOINT_KIND, Integer.toString(partition))
+                .thenAccept(result -> control.execute(() -> {
+                    monitor.record(!(result instanceof ReadResult.Unavailable));
+                    if (result instanceof ReadResult.Unavailable unavailable) {
+                        handle(new ChargeLogEvent.CheckpointUnreadable(stamp(), unavailable.reason()));
+                        return;
+                    }
+                    Optional<ChargeCheckpoint> checkpoint = result.body().map(ChargeCheckpointCodec::decode);
+                    handle(new ChargeLogEvent.CheckpointRead(stamp(), checkpoint));
+                }));
     }
 
     private void writeCheckpoint(ChargeCheckpoint checkpoint) {
--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/fleet/Configuration.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/fleet/Configuration.java
@@ -25,10 +25,14 @@
 
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
+    private static final long NOT_REGISTERED = Long.MAX_VALUE;
+
     private final HybridClock clock;
     private final long freshnessLimitMs;
     private final List<Consumer<FleetView>> listeners = new ArrayList<>();
+    private final VmName self;
     private FreshnessTracker tracker;
+    private long registeredAtMs = NOT_REGISTERED;
     private volatile FleetView view = FleetView.empty();
     private volatile long freshUntilMs;
 
@@ -40,6 +44,7 @@
      * @param freshnessLimitMs how long a confirmation counts
      */
     public Configuration(VmName self, HybridClock clock, long freshnessLimitMs) {
+        this.self = self;
         this.clock = clock;
         this.freshnessLimitMs = freshnessLimitMs;
         this.tracker = FreshnessTracker.of(self, MemberLists.of(new MemberList(0, Set.of())));
@@ -97,6 +102,14 @@
         refresh();
     }
 
+    /**
+     * Records that this router was registered. A confirmation by the platform counts only from then on: a change could
+     * have been accepted before without this router.
+     */
+    public void registered() {
+        registeredAtMs = clock.nowMs();
+    }
+
     /**
      * Records a version that the platform gave.
      *
@@ -104,6 +117,9 @@
      * @param sentAtMs when the request was sent
      */
     public void platformConfirmed(long version, long sentAtMs) {
+        if (sentAtMs < registeredAtMs) {
+            return;
+        }
         tracker = tracker.platformConfirmed(version, sentAtMs);
         refresh();
     }
@@ -114,7 +130,17 @@
      * @param reply the reply
      */
     public void peerReplied(PeerReply reply) {
-        tracker = tracker.peerReplied(reply);
+        boolean counts = reply.platformAgeMs().isPresent()
+                && reply.sentAtMs() - reply.platformAgeMs().getAsLong() >= registeredAtMs;
+        tracker = tracker.peerReplied(
+                counts
+                        ? reply
+                        : new PeerReply(
+                                reply.peer(),
+                                reply.version(),
+                                reply.listRevision(),
+                                reply.sentAtMs(),
+                                OptionalLong.empty()));
         refresh();
     }
 
@@ -124,7 +150,10 @@
      * @param members the list
      */
     public void registeredChanged(MemberList members) {
-        tracker = tracker.registeredChanged(members);
+        boolean first = tracker.members().newest().revision() == 0;
+        tracker = first
+                ? FreshnessTracker.of(self, MemberLists.of(members)).adopted(view.version())
+                : tracker.registeredChanged(members);
         refresh();
     }
 
--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/fleet/FleetChanges.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/fleet/FleetChanges.java
@@ -1,7 +1,7 @@
 package io.jayhead.daemon.fleet;
 
 import com.google.common.flogger.FluentLogger;
-import io.jayhead.admission.freshness.FreshnessTracker;
+import io.jayhead.admission.freshness.Acceptance;
 import io.jayhead.config.fleet.ConfigProblem;
 import io.jayhead.config.fleet.FleetParser;
 import io.jayhead.daemon.control.ControlThread;
@@ -18,8 +18,8 @@
  * Carries out changes of the configuration.
  *
  * <p>A change is durable once the conditional write took effect. It is reported as accepted only once a majority of
- * the registered routers has adopted it and every other one either has too or has lost its freshness: the freshness
- * limit has passed since the write, and later confirmations by the platform or a majority name the new version.
+ * the registered routers has adopted it and every other one either has too or has lost its freshness, see
+ * {@link Acceptance}.
  */
 public final class FleetChanges {
 
@@ -31,6 +31,7 @@
     private static final long ACCEPT_TIMEOUT_MS = 4_500;
 
     private final Configuration configuration;
+    private final Membership membership;
     private final Heartbeats heartbeats;
     private final ControlThread control;
     private final HybridClock clock;
@@ -41,6 +42,7 @@
      * Creates the service.
      *
      * @param configuration the configuration of this router
+     * @param membership reads the registered routers
      * @param heartbeats pushes the change to other routers
      * @param control the control thread
      * @param clock the clock
@@ -49,12 +51,14 @@
      */
     public FleetChanges(
             Configuration configuration,
+            Membership membership,
             Heartbeats heartbeats,
             ControlThread control,
             HybridClock clock,
             ObjectEditor editor,
             long freshnessLimitMs) {
         this.configuration = configuration;
+        this.membership = membership;
         this.heartbeats = heartbeats;
         this.control = control;
         this.clock = clock;
@@ -90,7 +94,8 @@
     }
 
     private CompletableFuture<ApplyOutcome> written(EditResult<FleetDocument> result, String changeId) {
-        LOGGER.atInfo().log("configuration change=%s write=%s", changeId, result.getClass().getSimpleName());
+        LOGGER.atInfo().log(
+                "configuration change=%s write=%s", changeId, result.getClass().getSimpleName());
         if (result instanceof EditResult.Edited<FleetDocument> edited) {
             return spread(FleetDocument.decode(edited.body()));
         }
@@ -112,32 +117,24 @@
     private CompletableFuture<ApplyOutcome> spread(FleetDocument document) {
         long writtenAtMs = clock.nowMs();
         configuration.adopt(document, "apply");
+        membership.refresh();
+        heartbeats.pushAll(() -> {});
         CompletableFuture<ApplyOutcome> outcome = new CompletableFuture<>();
-        heartbeats.pushAll(() -> check(document.version(), writtenAtMs, outcome));
-        await(document.version(), writtenAtMs, outcome);
+        await(Acceptance.of(document.version(), writtenAtMs), outcome);
         return outcome;
     }
 
-    private void await(long version, long writtenAtMs, CompletableFuture<ApplyOutcome> outcome) {
-        check(version, writtenAtMs, outcome);
-        if (outcome.isDone()) {
+    private void await(Acceptance acceptance, CompletableFuture<ApplyOutcome> outcome) {
+        long nowMs = clock.nowMs();
+        Acceptance next = acceptance.listRead(membership.listReadAtMs()).observed(configuration.tracker(), nowMs);
+        if (next.isAccepted(configuration.tracker(), nowMs, freshnessLimitMs)) {
+            outcome.complete(new ApplyOutcome.Accepted(next.version()));
             return;
         }
-        if (clock.nowMs() - writtenAtMs >= ACCEPT_TIMEOUT_MS) {
-            outcome.complete(new ApplyOutcome.Written(version));
+        if (nowMs - next.writtenAtMs() >= ACCEPT_TIMEOUT_MS) {
+            outcome.complete(new ApplyOutcome.Written(next.version()));
             return;
         }
-        control.after(CHECK_PERIOD_MS, () -> await(version, writtenAtMs, outcome));
-    }
-
-    private void check(long version, long writtenAtMs, CompletableFuture<ApplyOutcome> outcome) {
-        FreshnessTracker tracker = configuration.tracker();
-        boolean byMajority = tracker.isAdoptedByMajority(version);
-        boolean byAll = tracker.adopters(version)
-                .containsAll(tracker.members().newest().members());
-        boolean othersStale = clock.nowMs() - writtenAtMs > freshnessLimitMs;
-        if (byMajority && (byAll || othersStale)) {
-            outcome.complete(new ApplyOutcome.Accepted(version));
-        }
+        control.after(CHECK_PERIOD_MS, () -> await(next, outcome));
     }
 }
--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/fleet/Heartbeats.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/fleet/Heartbeats.java
@@ -176,13 +176,10 @@
         OptionalLong ageMs = reply.hasPlatformConfirmedAgeMs()
                 ? OptionalLong.of(reply.getPlatformConfirmedAgeMs())
                 : OptionalLong.empty();
-        configuration.peerReplied(
-                new PeerReply(vm, reply.getFleetVersion(), reply.getListRevision(), sentAtMs, ageMs));
+        configuration.peerReplied(new PeerReply(vm, reply.getFleetVersion(), reply.getListRevision(), sentAtMs, ageMs));
         leavingByPeer.put(
                 vm,
-                reply.getLeavingUpstreamsList().stream()
-                        .map(UpstreamName::of)
-                        .collect(Collectors.toSet()));
+                reply.getLeavingUpstreamsList().stream().map(UpstreamName::of).collect(Collectors.toSet()));
         Set<UpstreamName> leaving = new HashSet<>();
         leavingByPeer.values().forEach(leaving::addAll);
         onLeavingUpstreams.accept(leaving);
@@ -199,8 +196,7 @@
                 reply.getMembersList().stream().map(Heartbeats::member).toList();
         membership.learned(members);
         configuration.registeredChanged(new MemberList(
-                reply.getListRevision(),
-                members.stream().map(Member::vm).collect(Collectors.toSet())));
+                reply.getListRevision(), members.stream().map(Member::vm).collect(Collectors.toSet())));
     }
 
     private void fetch(InetSocketAddress address) {
--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/fleet/Membership.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/fleet/Membership.java
@@ -38,6 +38,7 @@
     private final PlatformMonitor monitor;
     private final Configuration configuration;
     private final Map<VmName, PeerState> peers = new HashMap<>();
+    private long listReadAtMs;
     private boolean registered;
     private boolean busy;
     private boolean leaving;
@@ -110,11 +111,21 @@
         if (configuration.tracker().members().newest().revision() == 0) {
             return List.of();
         }
-        List<Member> registrations = peers.values().stream().map(PeerState::member).collect(Collectors.toList());
+        List<Member> registrations =
+                peers.values().stream().map(PeerState::member).collect(Collectors.toList());
         registrations.add(self);
         return registrations;
     }
 
+    /**
+     * Returns when the last successful reading of the registered routers was sent.
+     *
+     * @return the time, 0 before the first
+     */
+    public long listReadAtMs() {
+        return listReadAtMs;
+    }
+
     /**
      * Finds a router.
      *
@@ -201,21 +212,27 @@
                 .thenAccept(result -> control.execute(() -> {
                     busy = false;
                     registered = result instanceof EditResult.Edited;
+                    if (registered) {
+                        configuration.registered();
+                    }
                     monitor.record(registered);
-                    LOGGER.atInfo().log("registration vm=%s incarnation=%s done=%s", self.vm(), self.incarnation(),
-                            registered);
+                    LOGGER.atInfo().log(
+                            "registration vm=%s incarnation=%s done=%s", self.vm(), self.incarnation(), registered);
                     refresh();
                 }));
     }
 
     private void list() {
-        store.list(KIND, "").thenAccept(result -> control.execute(() -> {
-            busy = false;
-            monitor.record(result instanceof ListResult.Listed);
-            if (result instanceof ListResult.Listed listed) {
-                update(listed);
-            }
-        }));
+        long sentAtMs = clock.nowMs();
+        store.list(KIND, "")
+                .thenAccept(result -> control.execute(() -> {
+                    busy = false;
+                    monitor.record(result instanceof ListResult.Listed);
+                    if (result instanceof ListResult.Listed listed) {
+                        update(listed);
+                        listReadAtMs = sentAtMs;
+                    }
+                }));
     }
 
     private void update(ListResult.Listed listed) {
--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/fleet/PeerLinks.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/fleet/PeerLinks.java
@@ -34,12 +34,13 @@
      */
     public void send(
             InetSocketAddress address, Frame request, long timeoutMs, Consumer<Frame> onReply, Runnable onFailure) {
-        client.request(address, request, timeoutMs).whenComplete((reply, failure) -> control.execute(() -> {
-            if (failure == null) {
-                onReply.accept(reply);
-            } else {
-                onFailure.run();
-            }
-        }));
+        client.request(address, request, timeoutMs)
+                .whenComplete((reply, failure) -> control.execute(() -> {
+                    if (failure == null) {
+                        onReply.accept(reply);
+                    } else {
+                        onFailure.run();
+                    }
+                }));
     }
 }
--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/fleet/PlatformMonitor.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/fleet/PlatformMonitor.java
@@ -31,8 +31,7 @@
         boolean before = health.isDown();
         health = answered
                 ? health.afterSuccess()
-                : health.afterFailure(
-                        clock.nowMs(), ThreadLocalRandom.current().nextDouble());
+                : health.afterFailure(clock.nowMs(), ThreadLocalRandom.current().nextDouble());
         if (before != health.isDown()) {
             LOGGER.atWarning().log("platform down=%s", health.isDown());
         }
--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/observe/DecisionLog.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/observe/DecisionLog.java
@@ -34,9 +34,7 @@
         String line = "decision stage=" + stage + " request=" + requestId + " " + String.format(format, arguments);
         LOGGER.atInfo().log("%s", line);
         synchronized (linesByRequest) {
-            linesByRequest
-                    .computeIfAbsent(requestId, key -> new ArrayList<>())
-                    .add(line);
+            linesByRequest.computeIfAbsent(requestId, key -> new ArrayList<>()).add(line);
         }
     }
 
--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/operator/OperatorServer.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/operator/OperatorServer.java
@@ -143,7 +143,8 @@
         if (!header.startsWith(BEARER_PREFIX)) {
             return false;
         }
-        String digest = RequestKey.sha256(header.substring(BEARER_PREFIX.length()).trim());
+        String digest =
+                RequestKey.sha256(header.substring(BEARER_PREFIX.length()).trim());
         return MessageDigest.isEqual(
                 digest.getBytes(StandardCharsets.US_ASCII),
                 parts.credentialDigest().getBytes(StandardCharsets.US_ASCII));
@@ -215,9 +216,11 @@
         if (!isKnown(id)) {
             return done(Answer.failed(ErrorCode.NOT_FOUND, "there is no budget " + id));
         }
-        return parts.ledgers().read(id).thenApply(ledger -> ledger.map(
-                        found -> Answer.ok(BudgetDocument.of(found)))
-                .orElseGet(() -> Answer.failed(ErrorCode.PLATFORM_UNAVAILABLE, "the platform does not answer")));
+        return parts.ledgers()
+                .read(id)
+                .thenApply(ledger -> ledger.map(found -> Answer.ok(BudgetDocument.of(found)))
+                        .orElseGet(
+                                () -> Answer.failed(ErrorCode.PLATFORM_UNAVAILABLE, "the platform does not answer")));
     }
 
     private CompletableFuture<Answer> topUp(Context context) {
--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/operator/StatusDocument.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/operator/StatusDocument.java
@@ -57,8 +57,9 @@
         ArrayNode live = root.putArray("live_routers");
         membership.live().stream().map(Member::vm).forEach(vm -> live.add(vm.value()));
         ArrayNode services = root.putArray("services");
-        List<ServiceName> names =
-                configuration.view().spec().services().keySet().stream().sorted().toList();
+        List<ServiceName> names = configuration.view().spec().services().keySet().stream()
+                .sorted()
+                .toList();
         names.forEach(name -> services.add(service(name, routing.readiness(name))));
         ArrayNode upstreams = root.putArray("upstreams");
         List<UpstreamName> upstreamNames = configuration.view().spec().upstreams().keySet().stream()
--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/request/BookingRun.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/request/BookingRun.java
@@ -114,7 +114,12 @@
             return;
         }
         dispatched = true;
-        services.decisions().record("claim", request.key().value(), "claimed nonce=%s", state.claim().nonce());
+        services.decisions()
+                .record(
+                        "claim",
+                        request.key().value(),
+                        "claimed nonce=%s",
+                        state.claim().nonce());
         dispatcher.dispatch(this);
     }
 
@@ -144,8 +149,7 @@
             return;
         }
         Optional<ClaimRecord> claim = result.body().map(ClaimRecordCodec::decode);
-        long version =
-                result instanceof ReadResult.Found found ? found.object().version() : 0;
+        long version = result instanceof ReadResult.Found found ? found.object().version() : 0;
         post(new ClaimEvent.ClaimRead(services.clock().nowMs(), claim, version));
     }
 
@@ -166,9 +170,10 @@
             return;
         }
         released = true;
-        services.control().execute(() -> services.admission()
-                .handle(new AdmissionEvent.RequestReleased(
-                        request.id(), services.clock().nowMs())));
+        services.control()
+                .execute(() -> services.admission()
+                        .handle(new AdmissionEvent.RequestReleased(
+                                request.id(), services.clock().nowMs())));
     }
 
     private String name() {
--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/request/GenerationRun.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/request/GenerationRun.java
@@ -65,7 +65,8 @@
             answer.end(end.usage());
             conclude("ok", Verdict.ran());
         } else if (command instanceof DispatchCommand.FailCaller fail) {
-            answer.fail(fail.code(), fail.verdict(), fail.broken() ? "the answer was broken off" : "the request failed");
+            answer.fail(
+                    fail.code(), fail.verdict(), fail.broken() ? "the answer was broken off" : "the request failed");
             conclude(fail.code().code(), fail.verdict());
         }
     }
@@ -88,7 +89,9 @@
         tokens++;
         if (tokens == 1) {
             UpstreamName upstream = sentTo;
-            services.control().execute(() -> services.routing().firstToken(upstream, request.key().value()));
+            services.control()
+                    .execute(() -> services.routing()
+                            .firstToken(upstream, request.key().value()));
             services.metrics().firstToken(request.service().kind(), nowMs - request.arrivedAtMs());
         } else {
             services.metrics().betweenTokens(request.service().kind(), nowMs - lastTokenMs);
--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/request/RequestPipeline.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/request/RequestPipeline.java
@@ -93,17 +93,18 @@
             services.control().execute(() -> start.accept(Optional.empty()));
             return;
         }
-        services.control().execute(() -> services.registry().begin(request.key(), request.bodyDigest(), lookup -> {
-            if (lookup.differentBody()) {
-                refuse(
-                        response,
-                        Optional.of(request),
-                        ErrorCode.KEY_REUSED,
-                        "the idempotency key was used with another body");
-                return;
-            }
-            start.accept(lookup.upstream());
-        }));
+        services.control()
+                .execute(() -> services.registry().begin(request.key(), request.bodyDigest(), lookup -> {
+                    if (lookup.differentBody()) {
+                        refuse(
+                                response,
+                                Optional.of(request),
+                                ErrorCode.KEY_REUSED,
+                                "the idempotency key was used with another body");
+                        return;
+                    }
+                    start.accept(lookup.upstream());
+                }));
     }
 
     private void book(AdmittedRequest request, byte[] body, CallerResponse response) {
@@ -117,8 +118,12 @@
         }
         long priceTokens = request.service().priceTokens();
         BookingAnswer answer = new BookingAnswer(request, services, response);
-        services.control().execute(() -> admit(request, priceTokens, response, () -> services.traffic()
-                .execute(() -> startBooking(request, body, answer))));
+        services.control()
+                .execute(() -> admit(
+                        request,
+                        priceTokens,
+                        response,
+                        () -> services.traffic().execute(() -> startBooking(request, body, answer))));
     }
 
     private void startBooking(AdmittedRequest request, byte[] body, BookingAnswer answer) {
@@ -147,7 +152,14 @@
             services.traffic().execute(() -> outcome.failed(routed.getLeft().code(), NOT_DISPATCHED));
             return;
         }
-        new CallRun(request, services, limits(request), "POST", request.service().path(), body, outcome)
+        new CallRun(
+                        request,
+                        services,
+                        limits(request),
+                        "POST",
+                        request.service().path(),
+                        body,
+                        outcome)
                 .begin(routed.get().upstream());
     }
 
@@ -158,16 +170,18 @@
             return;
         }
         StatusAnswer answer = new StatusAnswer(request, services, response);
-        services.control().execute(() -> admit(
-                request,
-                request.service().priceTokens(),
-                response,
-                () -> route(
+        services.control()
+                .execute(() -> admit(
                         request,
-                        request.routing(),
+                        request.service().priceTokens(),
                         response,
-                        upstream -> new CallRun(request, services, limits(request), "GET", path, new byte[0], answer)
-                                .begin(upstream))));
+                        () -> route(
+                                request,
+                                request.routing(),
+                                response,
+                                upstream -> new CallRun(
+                                                request, services, limits(request), "GET", path, new byte[0], answer)
+                                        .begin(upstream))));
     }
 
     private DispatchLimits limits(AdmittedRequest request) {
@@ -225,10 +239,7 @@
 
     /** Chooses an upstream for an admitted request; belongs to the control thread. */
     private void route(
-            AdmittedRequest request,
-            RoutingRequest routing,
-            CallerResponse response,
-            Consumer<UpstreamName> onChosen) {
+            AdmittedRequest request, RoutingRequest routing, CallerResponse response, Consumer<UpstreamName> onChosen) {
         if (!services.configuration().isFresh()) {
             release(request);
             refuse(
@@ -270,7 +281,7 @@
         services.metrics().refused(request.map(known -> known.service().kind()), code);
         String body = ErrorBody.of(code, NOT_DISPATCHED, message, requestId);
         services.traffic()
-                .execute(() -> response.send(
-                        code.httpStatus(), CallerAnswer.JSON, body.getBytes(StandardCharsets.UTF_8)));
+                .execute(() ->
+                        response.send(code.httpStatus(), CallerAnswer.JSON, body.getBytes(StandardCharsets.UTF_8)));
     }
 }
--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/request/RequestReader.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/request/RequestReader.java
@@ -65,9 +65,8 @@
         if (organisation == null) {
             return Refusal.of(ErrorCode.UNAUTHENTICATED, "the API key is missing or unknown");
         }
-        ServiceSpec service = request.service().isBlank()
-                ? null
-                : fleet.services().get(ServiceName.of(request.service()));
+        ServiceSpec service =
+                request.service().isBlank() ? null : fleet.services().get(ServiceName.of(request.service()));
         if (service == null) {
             return Refusal.of(ErrorCode.NOT_FOUND, "there is no service " + request.service());
         }
--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/request/RequestRegistry.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/request/RequestRegistry.java
@@ -77,8 +77,10 @@
      * @param callback is told what is known, on the control thread
      */
     public void begin(RequestKey key, String bodyDigest, Consumer<Lookup> callback) {
-        exchange(message(key, bodyDigest).build(), reply -> callback.accept(lookup(reply)), () -> callback.accept(
-                Lookup.unknown()));
+        exchange(
+                message(key, bodyDigest).build(),
+                reply -> callback.accept(lookup(reply)),
+                () -> callback.accept(Lookup.unknown()));
     }
 
     /**
--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/request/Run.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/request/Run.java
@@ -108,8 +108,7 @@
         } else if (command instanceof DispatchCommand.CancelUpstream cancel) {
             cancel(cancel);
         } else if (command instanceof DispatchCommand.DropConnections drop) {
-            services.control()
-                    .execute(() -> services.routing().silentFailure(drop.upstream(), drop.sentMs()));
+            services.control().execute(() -> services.routing().silentFailure(drop.upstream(), drop.sentMs()));
         } else if (command instanceof DispatchCommand.Finish) {
             finish();
         } else {
@@ -184,29 +183,29 @@
                 charge.promptTokens(),
                 charge.outputTokens(),
                 request.service().name().value());
-        services.control().execute(() -> services.charges().commit(entry, result -> {
-            services.decisions()
-                    .record(
-                            "settlement",
-                            request.key().value(),
-                            "charge=%s tokens=%d budget=%s",
-                            result,
-                            entry.tokens(),
-                            request.budget());
-            charged = true;
-            chargedTokens = result == ChargeResult.DUPLICATE ? 0 : entry.tokens();
-            postFromControl(
-                    switch (result) {
-                        case COMMITTED, DUPLICATE -> new DispatchEvent.Charged();
-                        case HELD -> new DispatchEvent.ChargeHeld();
-                        case FAILED -> new DispatchEvent.ChargeFailed();
-                    });
-        }));
+        services.control()
+                .execute(() -> services.charges().commit(entry, result -> {
+                    services.decisions()
+                            .record(
+                                    "settlement",
+                                    request.key().value(),
+                                    "charge=%s tokens=%d budget=%s",
+                                    result,
+                                    entry.tokens(),
+                                    request.budget());
+                    charged = true;
+                    chargedTokens = result == ChargeResult.DUPLICATE ? 0 : entry.tokens();
+                    postFromControl(
+                            switch (result) {
+                                case COMMITTED, DUPLICATE -> new DispatchEvent.Charged();
+                                case HELD -> new DispatchEvent.ChargeHeld();
+                                case FAILED -> new DispatchEvent.ChargeFailed();
+                            });
+                }));
     }
 
     private void cancel(DispatchCommand.CancelUpstream cancel) {
-        Optional<AttemptOrder> order =
-                order(cancel.attempt(), cancel.upstream(), cancel.upstreamRequestId(), 0, false);
+        Optional<AttemptOrder> order = order(cancel.attempt(), cancel.upstream(), cancel.upstreamRequestId(), 0, false);
         if (order.isEmpty()) {
             post(new DispatchEvent.Cancelled(cancel.attempt(), Optional.empty()));
             return;
@@ -233,7 +232,8 @@
 
     private void leave(UpstreamName left) {
         long tokens = receivedTokens();
-        services.control().execute(() -> services.routing().finished(left, request.key().value(), tokens));
+        services.control()
+                .execute(() -> services.routing().finished(left, request.key().value(), tokens));
     }
 
     private void toAdmission(AdmissionEvent event) {
--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/request/StatusAnswer.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/request/StatusAnswer.java
@@ -35,7 +35,6 @@
 
     private void conclude(String code, Verdict verdict) {
         services.metrics().request(request.service().kind(), code, verdict);
-        services.decisions()
-                .record("answer", request.key().value(), "code=%s verdict=%s", code, verdict.code());
+        services.decisions().record("answer", request.key().value(), "code=%s verdict=%s", code, verdict.code());
     }
 }
--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/upstream/EngineClient.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/upstream/EngineClient.java
@@ -107,7 +107,9 @@
     }
 
     private OkHttpClient client(AttemptOrder order) {
-        return order.freshConnection() ? http.fresh() : http.client(order.upstream().name());
+        return order.freshConnection()
+                ? http.fresh()
+                : http.client(order.upstream().name());
     }
 
     private static Request.Builder headers(AttemptOrder order, String url) {
--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/upstream/UpstreamPoller.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/upstream/UpstreamPoller.java
@@ -117,7 +117,8 @@
                         CacheEvent.Operation.valueOf(
                                 event.path("operation").asText().toUpperCase(Locale.ROOT)),
                         event.path("prefix").asText())));
-        routing.cached(upstream, events, root.path("next").asLong(), root.path("gap").asBoolean());
+        routing.cached(
+                upstream, events, root.path("next").asLong(), root.path("gap").asBoolean());
     }
 
     private static Set<String> texts(JsonNode array) {
--- /dev/null
+++ b/jayhead-demo/src/main/java/io/jayhead/demo/package-info.java
@@ -0,0 +1,2 @@
+/** Client of the demonstration. */
+package io.jayhead.demo;
--- a/jayhead-edge/src/main/java/io/jayhead/edge/JoobyResponse.java
+++ b/jayhead-edge/src/main/java/io/jayhead/edge/JoobyResponse.java
@@ -65,8 +65,7 @@
         removeCloseListeners();
         // Queued behind the writes that precede it, so that an error event still reaches the caller.
         channel.eventLoop()
-                .execute(() -> channel.writeAndFlush(Unpooled.EMPTY_BUFFER)
-                        .addListener(future -> channel.close()));
+                .execute(() -> channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(future -> channel.close()));
     }
 
     @Override
