--- /dev/null
+++ b/jayhead-bench/src/main/java/io/jayhead/bench/cases/package-info.java
@@ -0,0 +1,2 @@
+/** The measured operations, each at several sizes. */
+package io.jayhead.bench.cases;
--- /dev/null
+++ b/jayhead-bench/src/main/java/io/jayhead/bench/report/package-info.java
@@ -0,0 +1,2 @@
+/** Tables of the measured figures and their slopes. */
+package io.jayhead.bench.report;
