Show the sum of charges instead of a sum over grants

Cause: the demo's check found 66 of 148 tokens: the sum over ledger entries leaves out tokens that an open entry lent to a closed one. Ruled out: counting the lending bound, which is above the tokens lent. Conclusion: the charge log is the bill; the ledger only bounds the spend.

--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/Daemon.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/Daemon.java
@@ -9,6 +9,7 @@
 import io.jayhead.config.settings.DaemonSettings;
 import io.jayhead.daemon.budget.AdmissionService;
 import io.jayhead.daemon.budget.Ledgers;
+import io.jayhead.daemon.charge.BillReader;
 import io.jayhead.daemon.charge.ChargeLayout;
 import io.jayhead.daemon.charge.ChargeService;
 import io.jayhead.daemon.control.ControlThread;
@@ -188,6 +189,7 @@
                         configuration::view,
                         changes,
                         ledgers,
+                        new BillReader(store, layout),
                         this::status,
                         decisions,
                         metrics,
--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/charge/PartitionWriter.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/charge/PartitionWriter.java
@@ -36,8 +36,11 @@
 
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
-    private static final String LOG_KIND = "charge-log";
-    private static final String CHECKPOINT_KIND = "charge-checkpoint";
+    /** The kind of the slot objects, named by partition and slot. */
+    static final String LOG_KIND = "charge-log";
+
+    /** The kind of the checkpoint objects, named by partition. */
+    static final String CHECKPOINT_KIND = "charge-checkpoint";
 
     private final int partition;
     private final ControlThread control;
--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/operator/BudgetDocument.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/operator/BudgetDocument.java
@@ -5,21 +5,21 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.jayhead.admission.budget.BudgetLedger;
 import io.jayhead.admission.budget.GrantEntry;
+import java.util.Locale;
+import java.util.OptionalLong;
 
 /** Describes a ledger to operators. */
 final class BudgetDocument {
 
     private BudgetDocument() {}
 
-    static ObjectNode of(BudgetLedger ledger) {
-        long openConsumedTokens = ledger.entries().values().stream()
-                .mapToLong(entry -> entry.consumedTokens() - entry.borrowedTokens())
-                .sum();
+    /** Describes a ledger with the sum of its charges, which is exact while grants are open and loans are made. */
+    static ObjectNode of(BudgetLedger ledger, OptionalLong billedTokens) {
         ObjectNode root = JsonNodeFactory.instance.objectNode();
         root.put("organisation", ledger.id().organisation().value());
         root.put("budget", ledger.id().budget().value());
         root.put("paid_tokens", ledger.paidTokens());
-        root.put("spent_tokens", ledger.retiredTokens() + openConsumedTokens);
+        billedTokens.ifPresent(tokens -> root.put("billed_tokens", tokens));
         root.put("retired_tokens", ledger.retiredTokens());
         root.put("unallocated_tokens", ledger.unallocatedTokens());
         ArrayNode grants = root.putArray("grants");
@@ -30,7 +30,7 @@
     private static ObjectNode grant(String incarnation, GrantEntry entry) {
         ObjectNode grant = JsonNodeFactory.instance.objectNode();
         grant.put("incarnation", incarnation);
-        grant.put("state", entry.state().name().toLowerCase(java.util.Locale.ROOT));
+        grant.put("state", entry.state().name().toLowerCase(Locale.ROOT));
         grant.put("granted_tokens", entry.grantedTokens());
         grant.put("consumed_tokens", entry.consumedTokens());
         grant.put("lent_limit_tokens", entry.lentTokens());
--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/operator/OperatorServer.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/operator/OperatorServer.java
@@ -5,9 +5,11 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.jayhead.admission.budget.BudgetLedger;
 import io.jayhead.admission.budget.LedgerRefusal;
 import io.jayhead.daemon.budget.LedgerCodec;
 import io.jayhead.daemon.budget.Ledgers;
+import io.jayhead.daemon.charge.BillReader;
 import io.jayhead.daemon.fleet.ApplyOutcome;
 import io.jayhead.daemon.fleet.FleetChanges;
 import io.jayhead.daemon.fleet.FleetDocument;
@@ -24,10 +26,13 @@
 import io.jayhead.platform.EditResult;
 import io.jooby.Context;
 import io.jooby.Jooby;
+import io.jooby.Route;
 import io.jooby.Server;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
@@ -53,6 +58,7 @@
      * @param configuration gives the configuration in force
      * @param changes changes the configuration
      * @param ledgers reads and tops up budgets
+     * @param bills reads what was billed
      * @param status describes this router
      * @param decisions the decision log
      * @param metrics the metrics
@@ -63,6 +69,7 @@
             Supplier<FleetView> configuration,
             FleetChanges changes,
             Ledgers ledgers,
+            BillReader bills,
             Supplier<CompletableFuture<ObjectNode>> status,
             DecisionLog decisions,
             RouterMetrics metrics,
@@ -122,7 +129,7 @@
         }
     }
 
-    private io.jooby.Route.Handler guarded(Function<Context, CompletableFuture<Answer>> handler) {
+    private Route.Handler guarded(Function<Context, CompletableFuture<Answer>> handler) {
         return context -> {
             if (!isAuthorized(context)) {
                 return send(context, 401, error(ErrorCode.UNAUTHENTICATED, "the operators' credential is missing"));
@@ -216,11 +223,14 @@
         if (!isKnown(id)) {
             return done(Answer.failed(ErrorCode.NOT_FOUND, "there is no budget " + id));
         }
-        return parts.ledgers()
-                .read(id)
-                .thenApply(ledger -> ledger.map(found -> Answer.ok(BudgetDocument.of(found)))
-                        .orElseGet(
-                                () -> Answer.failed(ErrorCode.PLATFORM_UNAVAILABLE, "the platform does not answer")));
+        return parts.ledgers().read(id).thenCombine(parts.bills().billedTokens(id), OperatorServer::budget);
+    }
+
+    private static Answer budget(Optional<BudgetLedger> ledger, Optional<Long> billedTokens) {
+        if (ledger.isEmpty() || billedTokens.isEmpty()) {
+            return Answer.failed(ErrorCode.PLATFORM_UNAVAILABLE, "the platform does not answer");
+        }
+        return Answer.ok(BudgetDocument.of(ledger.get(), OptionalLong.of(billedTokens.get())));
     }
 
     private CompletableFuture<Answer> topUp(Context context) {
@@ -239,7 +249,7 @@
 
     private static Answer toppedUp(EditResult<LedgerRefusal> result) {
         if (result instanceof EditResult.Edited<LedgerRefusal> edited) {
-            return Answer.ok(BudgetDocument.of(LedgerCodec.decode(edited.body())));
+            return Answer.ok(BudgetDocument.of(LedgerCodec.decode(edited.body()), OptionalLong.empty()));
         }
         if (result instanceof EditResult.Refused<LedgerRefusal> refused) {
             return Answer.failed(ErrorCode.CONFLICT, "the top-up was refused: " + refused.refusal());
