--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/request/BookingAnswer.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/request/BookingAnswer.java
@@ -67,6 +67,7 @@
                         verdict.code(),
                         status,
                         services.clock().nowMs() - request.arrivedAtMs());
+        response.header(CallerAnswer.VERDICT_HEADER, verdict.code());
         response.send(status, CallerAnswer.JSON, body.getBytes(StandardCharsets.UTF_8));
     }
 }
--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/request/CallerAnswer.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/request/CallerAnswer.java
@@ -15,6 +15,9 @@
 
     static final String JSON = "application/json";
 
+    /** Carries the verdict beside the answer of a plain service, whose body is passed on as it is. */
+    static final String VERDICT_HEADER = "Jayhead-Verdict";
+
     private static final int OK = 200;
 
     private final CallerResponse response;
--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/request/RequestRegistry.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/request/RequestRegistry.java
@@ -44,13 +44,14 @@
     /**
      * Tells what is known of a request.
      *
+     * @param known whether an earlier request with the same key is known
      * @param differentBody whether the key was used with another body
      * @param upstream where an earlier run of the request is or was
      */
-    public record Lookup(boolean differentBody, Optional<UpstreamName> upstream) {
+    public record Lookup(boolean known, boolean differentBody, Optional<UpstreamName> upstream) {
 
         static Lookup unknown() {
-            return new Lookup(false, Optional.empty());
+            return new Lookup(false, false, Optional.empty());
         }
     }
 
@@ -83,6 +84,20 @@
                 () -> callback.accept(Lookup.unknown()));
     }
 
+    /**
+     * Looks a request up without registering it.
+     *
+     * @param key the request
+     * @param bodyDigest the digest of its body
+     * @param callback is told what is known, on the control thread
+     */
+    public void find(RequestKey key, String bodyDigest, Consumer<Lookup> callback) {
+        exchange(
+                message(key, bodyDigest).setLookupOnly(true).build(),
+                reply -> callback.accept(lookup(reply)),
+                () -> callback.accept(Lookup.unknown()));
+    }
+
     /**
      * Registers where a request runs, or that it finished there.
      *
@@ -127,6 +142,11 @@
         long nowMs = clock.nowMs();
         Registration known = registrations.get(request.getRequestKey());
         boolean expired = known != null && nowMs - known.updatedMs() > RETENTION_MS;
+        if ((known == null || expired) && request.getLookupOnly()) {
+            return BeginReply.newBuilder()
+                    .setStatus(BeginReply.Status.NOT_REGISTERED)
+                    .build();
+        }
         if (known == null || expired) {
             registrations.put(request.getRequestKey(), registration(request, nowMs));
             return BeginReply.newBuilder()
@@ -164,6 +184,8 @@
     private static Lookup lookup(BeginReply reply) {
         Optional<UpstreamName> upstream =
                 reply.getUpstream().isEmpty() ? Optional.empty() : Optional.of(UpstreamName.of(reply.getUpstream()));
-        return new Lookup(reply.getStatus() == BeginReply.Status.DIFFERENT_BODY, upstream);
+        boolean known = reply.getStatus() != BeginReply.Status.REGISTERED
+                && reply.getStatus() != BeginReply.Status.NOT_REGISTERED;
+        return new Lookup(known, reply.getStatus() == BeginReply.Status.DIFFERENT_BODY, upstream);
     }
 }
--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/request/StatusAnswer.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/request/StatusAnswer.java
@@ -22,6 +22,7 @@
     @Override
     public void answered(int status, String body) {
         conclude("ok", Verdict.ran());
+        response.header(CallerAnswer.VERDICT_HEADER, Verdict.ran().code());
         response.send(status, CallerAnswer.JSON, body.getBytes(StandardCharsets.UTF_8));
     }
 
--- a/jayhead-demo/src/main/java/io/jayhead/demo/DemoMain.java
+++ b/jayhead-demo/src/main/java/io/jayhead/demo/DemoMain.java
@@ -69,7 +69,7 @@
         DemoAnswer answer = send(step, router);
         boolean passed = step.check().test(answer);
         System.out.println("== " + step.title() + " (" + step.method() + " " + step.path() + ")");
-        System.out.println("HTTP " + answer.status());
+        System.out.println("HTTP " + answer.status() + ", verdict " + answer.verdict());
         System.out.println(shortened(answer.body()));
         System.out.println((passed ? "as expected: " : "NOT AS EXPECTED, wanted: ") + step.expected());
         System.out.println();
@@ -85,7 +85,10 @@
                 .method(step.method(), body)
                 .build();
         try (Response response = client.newCall(request).execute()) {
-            return new DemoAnswer(response.code(), response.body().string());
+            return new DemoAnswer(
+                    response.code(),
+                    response.header("Jayhead-Verdict", ""),
+                    response.body().string());
         }
     }
 
@@ -126,7 +129,9 @@
                         "{\"order\":\"order-17\",\"slot\":\"monday\"}",
                         "demo",
                         "one execution",
-                        answer -> answer.status() == 201 && answer.body().contains("\"executions\":1")),
+                        answer -> answer.status() == 201
+                                && answer.verdict().equals("ran")
+                                && answer.body().contains("\"executions\":1")),
                 new DemoStep(
                         "the same booking again through another router",
                         "POST",
@@ -134,7 +139,9 @@
                         "{\"order\":\"order-17\",\"slot\":\"monday\"}",
                         "demo",
                         "the stored answer, still one execution",
-                        answer -> answer.status() == 201 && answer.body().contains("\"executions\":1")),
+                        answer -> answer.status() == 201
+                                && answer.verdict().equals("ran")
+                                && answer.body().contains("\"executions\":1")),
                 new DemoStep(
                         "one status read",
                         "GET",
--- a/jayhead-edge/src/main/java/io/jayhead/edge/CallerResponse.java
+++ b/jayhead-edge/src/main/java/io/jayhead/edge/CallerResponse.java
@@ -17,6 +17,14 @@
      */
     void send(int status, String contentType, byte[] body);
 
+    /**
+     * Sets a header of the answer; only before the answer starts.
+     *
+     * @param name the name
+     * @param value the value
+     */
+    void header(String name, String value);
+
     /** Starts a stream of server-sent events with status 200. */
     void startStream();
 
--- a/jayhead-edge/src/main/java/io/jayhead/edge/JoobyResponse.java
+++ b/jayhead-edge/src/main/java/io/jayhead/edge/JoobyResponse.java
@@ -36,6 +36,11 @@
         context.send(body);
     }
 
+    @Override
+    public void header(String name, String value) {
+        context.setResponseHeader(name, value);
+    }
+
     @Override
     public void startStream() {
         context.setResponseCode(200);
--- a/jayhead-peer/src/main/java/io/jayhead/peer/pb/Begin.java
+++ b/jayhead-peer/src/main/java/io/jayhead/peer/pb/Begin.java
@@ -298,6 +298,21 @@
     return finished_;
   }
 
+  public static final int LOOKUP_ONLY_FIELD_NUMBER = 8;
+  private boolean lookupOnly_ = false;
+  /**
+   * <pre>
+   * Only asks; a request that is not known is not registered.
+   * </pre>
+   *
+   * <code>bool lookup_only = 8;</code>
+   * @return The lookupOnly.
+   */
+  @java.lang.Override
+  public boolean getLookupOnly() {
+    return lookupOnly_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -333,6 +348,9 @@
     if (finished_ != false) {
       output.writeBool(7, finished_);
     }
+    if (lookupOnly_ != false) {
+      output.writeBool(8, lookupOnly_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -364,6 +382,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(7, finished_);
     }
+    if (lookupOnly_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(8, lookupOnly_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -393,6 +415,8 @@
         .equals(other.getUpstreamRequestId())) return false;
     if (getFinished()
         != other.getFinished()) return false;
+    if (getLookupOnly()
+        != other.getLookupOnly()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -419,6 +443,9 @@
     hash = (37 * hash) + FINISHED_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getFinished());
+    hash = (37 * hash) + LOOKUP_ONLY_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getLookupOnly());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -561,6 +588,7 @@
       upstream_ = "";
       upstreamRequestId_ = "";
       finished_ = false;
+      lookupOnly_ = false;
       return this;
     }
 
@@ -615,6 +643,9 @@
       if (((from_bitField0_ & 0x00000040) != 0)) {
         result.finished_ = finished_;
       }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.lookupOnly_ = lookupOnly_;
+      }
     }
 
     @java.lang.Override
@@ -662,6 +693,9 @@
       if (other.getFinished() != false) {
         setFinished(other.getFinished());
       }
+      if (other.getLookupOnly() != false) {
+        setLookupOnly(other.getLookupOnly());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -723,6 +757,11 @@
               bitField0_ |= 0x00000040;
               break;
             } // case 56
+            case 64: {
+              lookupOnly_ = input.readBool();
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 64
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1204,6 +1243,50 @@
       return this;
     }
 
+    private boolean lookupOnly_ ;
+    /**
+     * <pre>
+     * Only asks; a request that is not known is not registered.
+     * </pre>
+     *
+     * <code>bool lookup_only = 8;</code>
+     * @return The lookupOnly.
+     */
+    @java.lang.Override
+    public boolean getLookupOnly() {
+      return lookupOnly_;
+    }
+    /**
+     * <pre>
+     * Only asks; a request that is not known is not registered.
+     * </pre>
+     *
+     * <code>bool lookup_only = 8;</code>
+     * @param value The lookupOnly to set.
+     * @return This builder for chaining.
+     */
+    public Builder setLookupOnly(boolean value) {
+
+      lookupOnly_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Only asks; a request that is not known is not registered.
+     * </pre>
+     *
+     * <code>bool lookup_only = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearLookupOnly() {
+      bitField0_ = (bitField0_ & ~0x00000080);
+      lookupOnly_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:io.jayhead.peer.Begin)
   }
 
--- a/jayhead-peer/src/main/java/io/jayhead/peer/pb/BeginOrBuilder.java
+++ b/jayhead-peer/src/main/java/io/jayhead/peer/pb/BeginOrBuilder.java
@@ -87,4 +87,14 @@
    * @return The finished.
    */
   boolean getFinished();
+
+  /**
+   * <pre>
+   * Only asks; a request that is not known is not registered.
+   * </pre>
+   *
+   * <code>bool lookup_only = 8;</code>
+   * @return The lookupOnly.
+   */
+  boolean getLookupOnly();
 }
--- a/jayhead-peer/src/main/java/io/jayhead/peer/pb/BeginReply.java
+++ b/jayhead-peer/src/main/java/io/jayhead/peer/pb/BeginReply.java
@@ -72,6 +72,10 @@
      * <code>DIFFERENT_BODY = 4;</code>
      */
     DIFFERENT_BODY(4),
+    /**
+     * <code>NOT_REGISTERED = 5;</code>
+     */
+    NOT_REGISTERED(5),
     UNRECOGNIZED(-1),
     ;
 
@@ -104,6 +108,10 @@
      * <code>DIFFERENT_BODY = 4;</code>
      */
     public static final int DIFFERENT_BODY_VALUE = 4;
+    /**
+     * <code>NOT_REGISTERED = 5;</code>
+     */
+    public static final int NOT_REGISTERED_VALUE = 5;
 
 
     public final int getNumber() {
@@ -135,6 +143,7 @@
         case 2: return RUNNING;
         case 3: return FINISHED;
         case 4: return DIFFERENT_BODY;
+        case 5: return NOT_REGISTERED;
         default: return null;
       }
     }
--- a/jayhead-peer/src/main/java/io/jayhead/peer/pb/Peer.java
+++ b/jayhead-peer/src/main/java/io/jayhead/peer/pb/Peer.java
@@ -176,22 +176,23 @@
       "\022\023\n\013incarnation\030\002 \001(\t\022\017\n\007entries\030\003 \003(\t\" " +
       "\n\020HoldChargesReply\022\014\n\004held\030\001 \001(\010\";\n\016Rele" +
       "aseCharges\022\023\n\013incarnation\030\001 \001(\t\022\024\n\014reque" +
-      "st_keys\030\002 \003(\t\"\025\n\023ReleaseChargesReply\"\223\001\n" +
+      "st_keys\030\002 \003(\t\"\025\n\023ReleaseChargesReply\"\250\001\n" +
       "\005Begin\022\023\n\013request_key\030\001 \001(\t\022\n\n\002vm\030\002 \001(\t\022" +
       "\023\n\013incarnation\030\003 \001(\t\022\023\n\013body_digest\030\004 \001(" +
       "\t\022\020\n\010upstream\030\005 \001(\t\022\033\n\023upstream_request_" +
-      "id\030\006 \001(\t\022\020\n\010finished\030\007 \001(\010\"\321\001\n\nBeginRepl" +
-      "y\0222\n\006status\030\001 \001(\0162\".io.jayhead.peer.Begi" +
-      "nReply.Status\022\n\n\002vm\030\002 \001(\t\022\020\n\010upstream\030\003 " +
-      "\001(\t\022\033\n\023upstream_request_id\030\004 \001(\t\"T\n\006Stat" +
-      "us\022\013\n\007UNKNOWN\020\000\022\016\n\nREGISTERED\020\001\022\013\n\007RUNNI" +
-      "NG\020\002\022\014\n\010FINISHED\020\003\022\022\n\016DIFFERENT_BODY\020\004\"_" +
-      "\n\006Borrow\022\n\n\002vm\030\001 \001(\t\022\024\n\014organisation\030\002 \001" +
-      "(\t\022\016\n\006budget\030\003 \001(\t\022\023\n\013transfer_id\030\004 \001(\t\022" +
-      "\016\n\006tokens\030\005 \001(\004\"2\n\013BorrowReply\022\023\n\013transf" +
-      "er_id\030\001 \001(\t\022\016\n\006tokens\030\002 \001(\004\"(\n\007Failure\022\014" +
-      "\n\004code\030\001 \001(\t\022\017\n\007message\030\002 \001(\tB\026\n\022io.jayh" +
-      "ead.peer.pbP\001b\006proto3"
+      "id\030\006 \001(\t\022\020\n\010finished\030\007 \001(\010\022\023\n\013lookup_onl" +
+      "y\030\010 \001(\010\"\345\001\n\nBeginReply\0222\n\006status\030\001 \001(\0162\"" +
+      ".io.jayhead.peer.BeginReply.Status\022\n\n\002vm" +
+      "\030\002 \001(\t\022\020\n\010upstream\030\003 \001(\t\022\033\n\023upstream_req" +
+      "uest_id\030\004 \001(\t\"h\n\006Status\022\013\n\007UNKNOWN\020\000\022\016\n\n" +
+      "REGISTERED\020\001\022\013\n\007RUNNING\020\002\022\014\n\010FINISHED\020\003\022" +
+      "\022\n\016DIFFERENT_BODY\020\004\022\022\n\016NOT_REGISTERED\020\005\"" +
+      "_\n\006Borrow\022\n\n\002vm\030\001 \001(\t\022\024\n\014organisation\030\002 " +
+      "\001(\t\022\016\n\006budget\030\003 \001(\t\022\023\n\013transfer_id\030\004 \001(\t" +
+      "\022\016\n\006tokens\030\005 \001(\004\"2\n\013BorrowReply\022\023\n\013trans" +
+      "fer_id\030\001 \001(\t\022\016\n\006tokens\030\002 \001(\004\"(\n\007Failure\022" +
+      "\014\n\004code\030\001 \001(\t\022\017\n\007message\030\002 \001(\tB\026\n\022io.jay" +
+      "head.peer.pbP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -280,7 +281,7 @@
     internal_static_io_jayhead_peer_Begin_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_io_jayhead_peer_Begin_descriptor,
-        new java.lang.String[] { "RequestKey", "Vm", "Incarnation", "BodyDigest", "Upstream", "UpstreamRequestId", "Finished", });
+        new java.lang.String[] { "RequestKey", "Vm", "Incarnation", "BodyDigest", "Upstream", "UpstreamRequestId", "Finished", "LookupOnly", });
     internal_static_io_jayhead_peer_BeginReply_descriptor =
       getDescriptor().getMessageType(14);
     internal_static_io_jayhead_peer_BeginReply_fieldAccessorTable = new
