Take no work before the partitions are known, and hold a charge at two peers

Cause: a router that did not yet know the number of partitions would charge in the wrong one, where a duplicate is not seen; and each charge of an outage was sent to every router. Change: an unknown layout counts as not fresh; two peers of other availability zones are asked, further ones only if those do not answer.

--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/Daemon.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/Daemon.java
@@ -124,12 +124,13 @@
                         EDIT_ATTEMPTS,
                         EDIT_BACKOFF,
                         () -> ThreadLocalRandom.current().nextDouble()));
-        configuration = new Configuration(settings.vm(), clock, settings.freshnessLimitMs());
+        layout = new ChargeLayout(settings.chargePartitions(), store, control, monitor);
+        configuration =
+                new Configuration(settings.vm(), clock, settings.freshnessLimitMs(), () -> layout.partitions() > 0);
         peers = PeerClient.of(peerIo, metrics);
         PeerLinks links = new PeerLinks(peers, control);
         membership = new Membership(self, control, clock, store, editor, monitor, configuration);
         routing = new RoutingService(RoutingParameters.defaults(), clock, http, decisions);
-        layout = new ChargeLayout(settings.chargePartitions(), store, control, monitor);
         heartbeats = new Heartbeats(
                 membership,
                 configuration,
@@ -238,7 +239,7 @@
     }
 
     private boolean isReady() {
-        return !draining && configuration.isFresh() && layout.partitions() > 0;
+        return !draining && configuration.isFresh();
     }
 
     private CompletableFuture<ObjectNode> status() {
--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/charge/ChargeService.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/charge/ChargeService.java
@@ -23,8 +23,10 @@
 import io.jayhead.settlement.charge.ChargeEntry;
 import io.jayhead.settlement.charge.ChargeLogSettings;
 import io.jayhead.settlement.charge.ChargeOutcome;
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -266,13 +268,12 @@
         commit.complete(ChargeResult.COMMITTED);
     }
 
-    /** Asks two peers to hold the charge; all of them if the fleet has fewer. */
+    /** Asks two peers to hold the charge, and further ones if those do not answer. */
     private void hold(PendingCommit commit) {
         if (commit.holding || commit.done) {
             return;
         }
         commit.holding = true;
-        List<Member> peers = membership.livePeersOtherZonesFirst();
         int needed = Math.min(HOLDERS, Math.max(1, membership.peers().size()));
         HoldCharges request = HoldCharges.newBuilder()
                 .setVm(membership.self().vm().value())
@@ -280,38 +281,39 @@
                 .addEntries(ChargeBatchCodec.encodeEntry(commit.entry))
                 .build();
         Frame frame = Frame.newBuilder().setHoldCharges(request).build();
-        List<Member> accepted = new java.util.ArrayList<>();
-        int[] missing = {peers.size()};
-        if (peers.isEmpty()) {
-            notHeld(commit);
-        }
-        for (Member peer : peers) {
-            links.send(
-                    peer.address(),
-                    frame,
-                    HOLD_TIMEOUT_MS,
-                    reply -> {
-                        accepted.add(peer);
-                        holders.put(commit.entry.key(), accepted);
-                        if (accepted.size() == needed) {
-                            decisions.record(
-                                    "settlement", commit.entry.key().value(), "charge=held holders=%s", accepted);
-                            commit.complete(ChargeResult.HELD);
-                        }
-                        countDown(commit, missing);
-                    },
-                    () -> countDown(commit, missing));
+        Iterator<Member> candidates = membership.livePeersOtherZonesFirst().iterator();
+        List<Member> accepted = new ArrayList<>();
+        for (int holder = 0; holder < needed; holder++) {
+            holdAtNext(commit, frame, candidates, accepted, needed);
         }
     }
 
-    private void countDown(PendingCommit commit, int[] missing) {
-        missing[0]--;
-        if (missing[0] == 0 && !commit.done) {
+    private void holdAtNext(
+            PendingCommit commit, Frame frame, Iterator<Member> candidates, List<Member> accepted, int needed) {
+        if (!candidates.hasNext()) {
             notHeld(commit);
+            return;
         }
+        Member peer = candidates.next();
+        links.send(
+                peer.address(),
+                frame,
+                HOLD_TIMEOUT_MS,
+                reply -> {
+                    accepted.add(peer);
+                    holders.put(commit.entry.key(), accepted);
+                    if (accepted.size() == needed) {
+                        decisions.record("settlement", commit.entry.key().value(), "charge=held holders=%s", accepted);
+                        commit.complete(ChargeResult.HELD);
+                    }
+                },
+                () -> holdAtNext(commit, frame, candidates, accepted, needed));
     }
 
     private void notHeld(PendingCommit commit) {
+        if (commit.done) {
+            return;
+        }
         LOGGER.atWarning().log("charge not held request=%s", commit.entry.key());
         commit.complete(ChargeResult.FAILED);
     }
--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/fleet/Configuration.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/fleet/Configuration.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 /**
@@ -29,6 +30,7 @@
 
     private final HybridClock clock;
     private final long freshnessLimitMs;
+    private final BooleanSupplier prerequisite;
     private final List<Consumer<FleetView>> listeners = new ArrayList<>();
     private final VmName self;
     private FreshnessTracker tracker;
@@ -42,11 +44,13 @@
      * @param self the router
      * @param clock the clock
      * @param freshnessLimitMs how long a confirmation counts
+     * @param prerequisite tells whether what else new work needs from the platform is known
      */
-    public Configuration(VmName self, HybridClock clock, long freshnessLimitMs) {
+    public Configuration(VmName self, HybridClock clock, long freshnessLimitMs, BooleanSupplier prerequisite) {
         this.self = self;
         this.clock = clock;
         this.freshnessLimitMs = freshnessLimitMs;
+        this.prerequisite = prerequisite;
         this.tracker = FreshnessTracker.of(self, MemberLists.of(new MemberList(0, Set.of())));
     }
 
@@ -65,7 +69,7 @@
      * @return true if the configuration was confirmed within the limit
      */
     public boolean isFresh() {
-        return clock.nowMs() < freshUntilMs;
+        return prerequisite.getAsBoolean() && clock.nowMs() < freshUntilMs;
     }
 
     /**
