Limit the requests in flight by the places of the engines, and count peer traffic by peer

Cause: a router ran up to 512 requests whatever the engines' load, so in overload they waited in the engines' queues, which know no organisations. Ruled out: a fixed lower limit, which would refuse work while engines are idle. Change: ConcurrencyLimit derives the limit from the load reports; admission takes it as an event. Metrics of messages and bytes have the peer as a label. Conclusion: bounded queues and fairness now act in the routers.

--- a/jayhead-admission/src/main/java/io/jayhead/admission/AdmissionController.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/AdmissionController.java
@@ -93,6 +93,10 @@
             return Optional.of(
                     step.with(state.withMode(changed.fresh(), state.draining())).then(RequestStarter::startWaiting));
         }
+        if (event instanceof AdmissionEvent.CapacityChanged changed) {
+            return Optional.of(
+                    step.with(state.withMaxInFlight(changed.maxInFlight())).then(RequestStarter::startWaiting));
+        }
         if (event instanceof AdmissionEvent.DrainStarted) {
             return Optional.of(step.with(state.withMode(state.fresh(), true)));
         }
--- a/jayhead-admission/src/main/java/io/jayhead/admission/AdmissionEvent.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/AdmissionEvent.java
@@ -53,6 +53,9 @@
     /** The router shuts down. */
     record DrainStarted(long nowMs) implements AdmissionEvent {}
 
+    /** The number of requests that this router may run at a time changed. */
+    record CapacityChanged(int maxInFlight, long nowMs) implements AdmissionEvent {}
+
     /** The entry of this router in a ledger was reclaimed. */
     record BudgetVoided(BudgetId budget, long nowMs) implements AdmissionEvent {}
 }
--- a/jayhead-admission/src/main/java/io/jayhead/admission/AdmissionSettings.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/AdmissionSettings.java
@@ -13,4 +13,8 @@
  * @param sizer decides the size of grants
  */
 public record AdmissionSettings(
-        IncarnationId incarnation, int maxInFlight, int queueLimit, int organisationQueueLimit, GrantSizer sizer) {}
+        IncarnationId incarnation, int maxInFlight, int queueLimit, int organisationQueueLimit, GrantSizer sizer) {
+    AdmissionSettings withMaxInFlight(int newMaxInFlight) {
+        return new AdmissionSettings(incarnation, newMaxInFlight, queueLimit, organisationQueueLimit, sizer);
+    }
+}
--- a/jayhead-admission/src/main/java/io/jayhead/admission/AdmissionState.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/AdmissionState.java
@@ -128,6 +128,23 @@
                 nextSurplusCheckMs);
     }
 
+    AdmissionState withMaxInFlight(int maxInFlight) {
+        return new AdmissionState(
+                settings.withMaxInFlight(maxInFlight),
+                book,
+                queue,
+                waiting,
+                running,
+                demands,
+                inFlightByOrganisation,
+                inFlight,
+                fresh,
+                draining,
+                transfers,
+                meanServiceMs,
+                nextSurplusCheckMs);
+    }
+
     AdmissionState withNextSurplusCheck(long atMs) {
         return new AdmissionState(
                 settings,
--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/Daemon.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/Daemon.java
@@ -47,6 +47,7 @@
 import io.jayhead.platform.ObjectEditor;
 import io.jayhead.platform.PlatformTimeouts;
 import io.jayhead.platform.RetryPolicy;
+import io.jayhead.routing.ConcurrencyLimit;
 import io.jayhead.routing.LeavingSource;
 import io.jayhead.routing.RoutingParameters;
 import io.jayhead.settlement.charge.ChargeLogSettings;
@@ -182,6 +183,7 @@
         control.every(MEMBERS_MS, membership::refresh);
         control.every(VM_LIST_MS, new VmListPoller(store, routing, control, monitor)::poll);
         control.every(REPORT_MS, admission::reportConsumption);
+        control.every(settings.upstreamPollMs(), this::adaptConcurrency);
         control.execute(membership::refresh);
         operatorServer = OperatorServer.start(
                 settings.operatorsAddress(),
@@ -238,6 +240,14 @@
         admission.tick();
     }
 
+    private void adaptConcurrency() {
+        int limit = ConcurrencyLimit.of(routing.state(), membership.live().size(), MAX_IN_FLIGHT, clock.nowMs());
+        if (limit != admission.state().settings().maxInFlight()) {
+            LOGGER.atInfo().log("concurrency limit=%d", limit);
+            admission.handle(new AdmissionEvent.CapacityChanged(limit, clock.nowMs()));
+        }
+    }
+
     private boolean isReady() {
         return !draining && configuration.isFresh();
     }
--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/observe/RouterMetrics.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/observe/RouterMetrics.java
@@ -13,6 +13,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.function.DoubleSupplier;
 
@@ -53,12 +54,12 @@
     private final Counter peerMessages = Counter.builder()
             .name("jayhead_peer_messages_total")
             .help("Messages exchanged with other routers")
-            .labelNames("direction", "type")
+            .labelNames("peer", "direction", "type")
             .register(registry);
     private final Counter peerBytes = Counter.builder()
             .name("jayhead_peer_bytes_total")
             .help("Bytes exchanged with other routers")
-            .labelNames("direction", "type")
+            .labelNames("peer", "direction", "type")
             .register(registry);
 
     /**
@@ -129,13 +130,13 @@
     }
 
     @Override
-    public void sent(Frame frame) {
-        count("sent", frame);
+    public void sent(String peer, Frame frame) {
+        count(peer, "sent", frame);
     }
 
     @Override
-    public void received(Frame frame) {
-        count("received", frame);
+    public void received(String peer, Frame frame) {
+        count(peer, "received", frame);
     }
 
     /**
@@ -153,9 +154,9 @@
         return out.toByteArray();
     }
 
-    private void count(String direction, Frame frame) {
-        String type = frame.getBodyCase().name().toLowerCase(java.util.Locale.ROOT);
-        peerMessages.labelValues(direction, type).inc();
-        peerBytes.labelValues(direction, type).inc(frame.getSerializedSize());
+    private void count(String peer, String direction, Frame frame) {
+        String type = frame.getBodyCase().name().toLowerCase(Locale.ROOT);
+        peerMessages.labelValues(peer, direction, type).inc();
+        peerBytes.labelValues(peer, direction, type).inc(frame.getSerializedSize());
     }
 }
--- a/jayhead-peer/src/main/java/io/jayhead/peer/PeerConnection.java
+++ b/jayhead-peer/src/main/java/io/jayhead/peer/PeerConnection.java
@@ -21,6 +21,7 @@
 final class PeerConnection extends SimpleChannelInboundHandler<Frame> {
 
     private final InetSocketAddress address;
+    private final String peer;
     private final PeerTraffic traffic;
     private final AtomicLong nextCorrelation = new AtomicLong(1);
     private final AtomicLong receivedFrames = new AtomicLong();
@@ -31,6 +32,7 @@
 
     PeerConnection(InetSocketAddress address, PeerTraffic traffic) {
         this.address = address;
+        this.peer = address.getHostString() + ":" + address.getPort();
         this.traffic = traffic;
     }
 
@@ -93,7 +95,7 @@
     @Override
     protected void channelRead0(ChannelHandlerContext readContext, Frame frame) {
         receivedFrames.incrementAndGet();
-        traffic.received(frame);
+        traffic.received(peer, frame);
         CompletableFuture<Frame> reply = pending.remove(frame.getCorrelation());
         if (reply == null) {
             return;
@@ -107,7 +109,7 @@
     }
 
     private synchronized void send(Frame frame) {
-        traffic.sent(frame);
+        traffic.sent(peer, frame);
         if (context == null) {
             waitingForConnect.add(frame);
             return;
--- a/jayhead-peer/src/main/java/io/jayhead/peer/PeerServer.java
+++ b/jayhead-peer/src/main/java/io/jayhead/peer/PeerServer.java
@@ -73,14 +73,14 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, Frame request) {
-            traffic.received(request);
+            traffic.received(PeerTraffic.INBOUND, request);
             handler.handle(request).whenComplete((reply, failure) -> {
                 Frame frame = failure == null ? reply : failed(failure);
                 Frame correlated = frame.toBuilder()
                         .setCorrelation(request.getCorrelation())
                         .setReply(true)
                         .build();
-                traffic.sent(correlated);
+                traffic.sent(PeerTraffic.INBOUND, correlated);
                 context.writeAndFlush(correlated);
             });
         }
--- a/jayhead-peer/src/main/java/io/jayhead/peer/PeerTraffic.java
+++ b/jayhead-peer/src/main/java/io/jayhead/peer/PeerTraffic.java
@@ -5,15 +5,18 @@
 /** Observes the messages exchanged with other routers, for metrics. */
 public interface PeerTraffic {
 
+    /** Stands for the address of a router that opened the connection. */
+    String INBOUND = "inbound";
+
     /** Ignores all messages. */
     PeerTraffic NONE = new PeerTraffic() {
         @Override
-        public void sent(Frame frame) {
+        public void sent(String peer, Frame frame) {
             // Nothing is counted.
         }
 
         @Override
-        public void received(Frame frame) {
+        public void received(String peer, Frame frame) {
             // Nothing is counted.
         }
     };
@@ -21,14 +24,16 @@
     /**
      * Observes a message sent.
      *
+     * @param peer the address of the other router, or {@link #INBOUND} on a connection that it opened
      * @param frame the message
      */
-    void sent(Frame frame);
+    void sent(String peer, Frame frame);
 
     /**
      * Observes a message received.
      *
+     * @param peer the address of the other router, or {@link #INBOUND} on a connection that it opened
      * @param frame the message
      */
-    void received(Frame frame);
+    void received(String peer, Frame frame);
 }
