Do not consume tokens for the second of two equal charges of one router

Cause: two requests with one key at one router end with equal charges; the second was taken for the first one's repetition and consumed tokens again. Ruled out: a map of committed keys; the commit knows whether it was sent twice. Change: an equal first charge counts as own only after a repetition or a hold. Conclusion: consumption follows the bill.

--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/charge/ChargeService.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/charge/ChargeService.java
@@ -239,7 +239,12 @@
                 Frame.newBuilder().setAppend(append).build(),
                 APPEND_TIMEOUT_MS,
                 reply -> answered(commit, reply.getAppendReply().getOutcomes(0)),
-                () -> appendHere(commit));
+                () -> appendAgain(commit));
+    }
+
+    private void appendAgain(PendingCommit commit) {
+        commit.sentTwice = true;
+        appendHere(commit);
     }
 
     private void answered(PendingCommit commit, AppendOutcome outcome) {
@@ -247,7 +252,7 @@
             case COMMITTED -> commit.complete(ChargeResult.COMMITTED);
             case DUPLICATE ->
                 resolved(commit, new ChargeOutcome.Duplicate(ChargeBatchCodec.decodeEntry(outcome.getFirstEntry())));
-            default -> appendHere(commit);
+            default -> appendAgain(commit);
         }
     }
 
@@ -366,12 +371,21 @@
         private final Consumer<ChargeResult> callback;
         private boolean done;
         private boolean holding;
+        private boolean sentTwice;
 
         PendingCommit(ChargeEntry entry, Consumer<ChargeResult> callback) {
             this.entry = entry;
             this.callback = callback;
         }
 
+        /**
+         * Tells whether the first charge of the key is this one, written by the owner or by a holder. An equal charge
+         * of another request with the same key at this router must not consume tokens a second time.
+         */
+        boolean isOwn(ChargeEntry first) {
+            return (sentTwice || holding) && first.equals(entry);
+        }
+
         void complete(ChargeResult result) {
             if (done) {
                 return;
