--- a/jayhead-bench/src/main/java/io/jayhead/bench/cases/RoutingCases.java
+++ b/jayhead-bench/src/main/java/io/jayhead/bench/cases/RoutingCases.java
@@ -57,7 +57,7 @@
 
     private static Operation choose(RoutingState state, long seed) {
         Random random = new Random(seed);
-        RoutingRequest request = request("prefix");
+        RoutingRequest request = request("0011223344556677");
         return () -> Router.choose(state, request, NOW_MS, random.nextLong());
     }
 
