Find the budget of a request by organisation

budgetFor scanned all budgets on each request.

The list of budgets and its order are unchanged, so the first matching budget is the same.

--- a/jayhead-model/src/main/java/io/jayhead/model/fleet/FleetSpec.java
+++ b/jayhead-model/src/main/java/io/jayhead/model/fleet/FleetSpec.java
@@ -18,6 +18,7 @@
  * @param services the services by name
  * @param organisations the organisations by name
  * @param budgets the budgets
+ * @param budgetsByOrganisation the budgets of each organisation, in the order of the list
  * @param organisationsByKeyDigest the organisations by the digest of each API key
  */
 public record FleetSpec(
@@ -27,6 +28,7 @@
         Map<ServiceName, ServiceSpec> services,
         Map<OrganisationName, OrganisationSpec> organisations,
         List<BudgetSpec> budgets,
+        Map<OrganisationName, List<BudgetSpec>> budgetsByOrganisation,
         Map<String, OrganisationSpec> organisationsByKeyDigest) {
 
     /** Copies the collections. */
@@ -36,6 +38,7 @@
         services = Map.copyOf(services);
         organisations = Map.copyOf(organisations);
         budgets = List.copyOf(budgets);
+        budgetsByOrganisation = Map.copyOf(budgetsByOrganisation);
         organisationsByKeyDigest = Map.copyOf(organisationsByKeyDigest);
     }
 
@@ -68,6 +71,9 @@
                 index(services, ServiceSpec::name),
                 index(organisations, OrganisationSpec::name),
                 budgets,
+                budgets.stream()
+                        .collect(Collectors.groupingBy(
+                                budget -> budget.id().organisation(), Collectors.toUnmodifiableList())),
                 byDigest);
     }
 
@@ -88,8 +94,7 @@
      * @return the budget, or empty if the organisation may not use the service
      */
     public Optional<BudgetSpec> budgetFor(OrganisationName organisation, ServiceName service) {
-        return budgets.stream()
-                .filter(budget -> budget.id().organisation().equals(organisation))
+        return budgetsByOrganisation.getOrDefault(organisation, List.of()).stream()
                 .filter(budget -> budget.services().contains(service))
                 .findFirst();
     }
