Count the confirming majority once per member list

majorityAsOfMs tested for a majority after each added peer, which is quadratic in the peers, and runs after each heartbeat reply.

The time is the earliest over all lists of the confirmation that completes the majority of that list, as before.

--- a/jayhead-admission/src/main/java/io/jayhead/admission/freshness/FreshnessTracker.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/freshness/FreshnessTracker.java
@@ -1,10 +1,9 @@
 package io.jayhead.admission.freshness;
 
 import io.jayhead.model.VmName;
-import java.util.Comparator;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -192,25 +191,29 @@
     }
 
     private long majorityAsOfMs(long nowMs) {
-        Set<VmName> confirming = new HashSet<>(Set.of(self));
-        if (members.hasMajorityIn(confirming)) {
-            return nowMs;
-        }
-        for (Map.Entry<VmName, MemberReply> member : usableReplies()) {
-            confirming.add(member.getKey());
-            if (members.hasMajorityIn(confirming)) {
-                return member.getValue().sentAtMs();
+        return members.lists().stream()
+                .mapToLong(list -> majorityAsOfMs(list, nowMs))
+                .min()
+                .orElse(Long.MIN_VALUE);
+    }
+
+    /** Returns the time of the last confirmation that a majority needs, when the latest ones are taken first. */
+    private long majorityAsOfMs(MemberList list, long nowMs) {
+        long[] confirmedMs = new long[list.members().size()];
+        int count = 0;
+        for (VmName member : list.members()) {
+            MemberReply reply = replies.get(member);
+            if (member.equals(self)) {
+                confirmedMs[count++] = nowMs;
+            } else if (reply != null && isUsable(reply)) {
+                confirmedMs[count++] = Math.min(nowMs, reply.sentAtMs());
             }
         }
-        return Long.MIN_VALUE;
-    }
-
-    private List<Map.Entry<VmName, MemberReply>> usableReplies() {
-        return replies.entrySet().stream()
-                .filter(member -> isUsable(member.getValue()))
-                .sorted(Comparator.comparingLong((Map.Entry<VmName, MemberReply> member) ->
-                        -member.getValue().sentAtMs()))
-                .toList();
+        if (count < list.majority()) {
+            return Long.MIN_VALUE;
+        }
+        Arrays.sort(confirmedMs, 0, count);
+        return confirmedMs[count - list.majority()];
     }
 
     private boolean isUsable(MemberReply reply) {
@@ -222,13 +225,19 @@
     /** A member informs of a newer list only once this router has adopted the version that the member had. */
     private FreshnessTracker pruned() {
         MemberLists next = members.pruned(router -> isAhead(router) ? Long.MIN_VALUE : knownRevision(router));
+        boolean complete = replies.keySet().stream().allMatch(peer -> isMember(next, peer));
+        if (complete) {
+            return new FreshnessTracker(self, version, next, platform, replies);
+        }
         Map<VmName, MemberReply> known = new HashMap<>(replies);
-        known.keySet()
-                .removeIf(peer ->
-                        next.lists().stream().noneMatch(list -> list.members().contains(peer)));
+        known.keySet().removeIf(peer -> !isMember(next, peer));
         return new FreshnessTracker(self, version, next, platform, known);
     }
 
+    private static boolean isMember(MemberLists lists, VmName router) {
+        return lists.lists().stream().anyMatch(list -> list.members().contains(router));
+    }
+
     private boolean isAhead(VmName router) {
         return replies.containsKey(router) && replies.get(router).version() > version;
     }
