Gather the budgets that are waited for once per surplus check

The check looked through all waiting requests for each budget in use, and a stream over 256 empty buckets allocated 37 KB each time.

Streams over a PersistentMap skip empty buckets. The returned tokens are the same.

--- a/jayhead-admission/src/main/java/io/jayhead/admission/AdmissionController.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/AdmissionController.java
@@ -15,6 +15,9 @@
 import io.jayhead.model.Transition;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /** Decides which requests start, wait or are refused, and when tokens are asked for, lent and returned. */
 public final class AdmissionController {
@@ -194,8 +197,9 @@
             return step;
         }
         Step next = step.with(step.state().withNextSurplusCheck(step.nowMs() + SURPLUS_CHECK_MS));
+        Set<BudgetId> waitedFor = waitedFor(step.state()).collect(Collectors.toSet());
         for (BudgetId budget : step.state().demands().keys().toList()) {
-            next = returnSurplus(next, budget);
+            next = waitedFor.contains(budget) ? next : returnSurplus(next, budget);
         }
         return next;
     }
@@ -203,7 +207,7 @@
     private static Step returnSurplus(Step step, BudgetId budget) {
         AdmissionState state = step.state();
         BudgetDemand demand = state.demand(budget, step.nowMs());
-        if (demand.ask() != AskState.IDLE || isWaitedFor(state, budget)) {
+        if (demand.ask() != AskState.IDLE) {
             return step;
         }
         long available = state.book().account(budget).availableTokens();
@@ -220,8 +224,13 @@
     }
 
     private static boolean isWaitedFor(AdmissionState state, BudgetId budget) {
+        return waitedFor(state).anyMatch(budget::equals);
+    }
+
+    private static Stream<BudgetId> waitedFor(AdmissionState state) {
         return state.waiting()
                 .values()
-                .anyMatch(request -> request.budget().equals(budget) && request.worstCaseTokens() > 0);
+                .filter(request -> request.worstCaseTokens() > 0)
+                .map(AdmissionRequest::budget);
     }
 }
--- a/jayhead-admission/src/main/java/io/jayhead/admission/collection/PersistentMap.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/collection/PersistentMap.java
@@ -85,7 +85,7 @@
      * @return the keys
      */
     public Stream<K> keys() {
-        return Stream.of(buckets).flatMap(bucket -> bucket.keySet().stream());
+        return nonEmptyBuckets().flatMap(bucket -> bucket.keySet().stream());
     }
 
     /**
@@ -94,7 +94,11 @@
      * @return the values
      */
     public Stream<V> values() {
-        return Stream.of(buckets).flatMap(bucket -> bucket.values().stream());
+        return nonEmptyBuckets().flatMap(bucket -> bucket.values().stream());
+    }
+
+    private Stream<Map<K, V>> nonEmptyBuckets() {
+        return Stream.of(buckets).filter(bucket -> !bucket.isEmpty());
     }
 
     private PersistentMap<K, V> replaced(int index, Map<K, V> bucket) {
