Share the names of upstreams between routing states

Each report, request and page of cache events copied the map of all upstreams twice.

The map of a state is a table whose positions all states of a fleet share.

--- a/jayhead-routing/src/main/java/io/jayhead/routing/RoutingState.java
+++ b/jayhead-routing/src/main/java/io/jayhead/routing/RoutingState.java
@@ -21,9 +21,9 @@
 public record RoutingState(
         FleetSpec fleet, RoutingParameters parameters, Map<UpstreamName, UpstreamState> upstreams, long sentCount) {
 
-    /** Copies the map. */
+    /** Copies the map, unless it is that of another state. */
     public RoutingState {
-        upstreams = Map.copyOf(upstreams);
+        upstreams = UpstreamTable.copyOf(upstreams);
     }
 
     /**
@@ -139,7 +139,16 @@
      */
     public RoutingState withLeaving(LeavingSource source, Set<UpstreamName> leaving) {
         Map<UpstreamName, UpstreamState> changed = new HashMap<>();
-        upstreams.forEach((name, state) -> changed.put(name, state.withLeaving(source, leaving.contains(name))));
+        upstreams.forEach((name, state) -> {
+            UpstreamState marked = state.withLeaving(source, leaving.contains(name));
+            if (marked != state) {
+                changed.put(name, marked);
+            }
+        });
+        if (changed.isEmpty()) {
+            return this;
+        }
+        upstreams.forEach(changed::putIfAbsent);
         return new RoutingState(fleet, parameters, changed, sentCount);
     }
 
@@ -167,11 +176,11 @@
     }
 
     private RoutingState update(UpstreamName name, UnaryOperator<UpstreamState> change) {
-        if (!upstreams.containsKey(name)) {
+        UpstreamState state = upstreams.get(name);
+        if (state == null) {
             return this;
         }
-        Map<UpstreamName, UpstreamState> changed = new HashMap<>(upstreams);
-        changed.computeIfPresent(name, (key, state) -> change.apply(state));
+        UpstreamTable changed = UpstreamTable.copyOf(upstreams).with(name, change.apply(state));
         return new RoutingState(fleet, parameters, changed, sentCount);
     }
 }
