--- a/jayhead-settlement/src/main/java/io/jayhead/settlement/charge/ChargeCheckpointCodec.java
+++ b/jayhead-settlement/src/main/java/io/jayhead/settlement/charge/ChargeCheckpointCodec.java
@@ -80,7 +80,12 @@
         }
         return new ChargeCheckpoint(
                 new ChargeLedger(
-                        number(header, 1), number(header, 2), number(header, 3), number(header, 4), totals, window),
+                        number(header, 1),
+                        number(header, 2),
+                        number(header, 3),
+                        number(header, 4),
+                        ChargeTotals.of(totals),
+                        window),
                 number(header, 5));
     }
 
--- a/jayhead-settlement/src/main/java/io/jayhead/settlement/charge/ChargeLedger.java
+++ b/jayhead-settlement/src/main/java/io/jayhead/settlement/charge/ChargeLedger.java
@@ -2,7 +2,6 @@
 
 import io.jayhead.model.RequestKey;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -26,7 +25,7 @@
     private final long latestMinute;
     private final long activeMinute;
     private final long windowMinutes;
-    private final Map<ChargeAccount, Long> totals;
+    private final ChargeTotals totals;
     private final ChargeWindow window;
 
     ChargeLedger(
@@ -34,13 +33,13 @@
             long latestMinute,
             long activeMinute,
             long windowMinutes,
-            Map<ChargeAccount, Long> totals,
+            ChargeTotals totals,
             ChargeWindow window) {
         this.nextSlot = nextSlot;
         this.latestMinute = latestMinute;
         this.activeMinute = activeMinute;
         this.windowMinutes = windowMinutes;
-        this.totals = Map.copyOf(totals);
+        this.totals = totals;
         this.window = window;
     }
 
@@ -51,7 +50,7 @@
      * @return the ledger
      */
     public static ChargeLedger empty(long windowMinutes) {
-        return new ChargeLedger(0, 0, 0, windowMinutes, Map.of(), ChargeWindow.empty());
+        return new ChargeLedger(0, 0, 0, windowMinutes, ChargeTotals.of(Map.of()), ChargeWindow.empty());
     }
 
     /**
@@ -78,7 +77,7 @@
      * @return the sums over all slots contained
      */
     public Map<ChargeAccount, Long> totals() {
-        return totals;
+        return totals.toMap();
     }
 
     /**
@@ -100,17 +99,15 @@
     public ChargeLedger plus(ChargeBatch batch) {
         long minute = Math.max(latestMinute, batch.committedMinute());
         long active = activeMinute + Math.min(minute - latestMinute, 1);
-        Map<ChargeAccount, Long> sums = new HashMap<>(totals);
         List<CommittedCharge> first = new ArrayList<>();
         Set<RequestKey> inBatch = new HashSet<>();
         for (ChargeEntry entry : batch.entries()) {
             if (inBatch.add(entry.key()) && find(entry.key()).isEmpty()) {
                 first.add(new CommittedCharge(entry, nextSlot));
-                sums.merge(entry.account(), entry.tokens(), Math::addExact);
             }
         }
         ChargeWindow next = window.plus(active, first).since(active - windowMinutes);
-        return new ChargeLedger(nextSlot + 1, minute, active, windowMinutes, sums, next);
+        return new ChargeLedger(nextSlot + 1, minute, active, windowMinutes, totals.plus(first), next);
     }
 
     ChargeWindow window() {
