Use chained hashing for the look-ups of the fleet

Map.copyOf probes linearly, and names such as organisation-1, organisation-2 have consecutive hashes that make long runs in it.

The maps stay unmodifiable copies.

--- a/jayhead-model/src/main/java/io/jayhead/model/fleet/FleetSpec.java
+++ b/jayhead-model/src/main/java/io/jayhead/model/fleet/FleetSpec.java
@@ -3,6 +3,8 @@
 import io.jayhead.model.OrganisationName;
 import io.jayhead.model.ServiceName;
 import io.jayhead.model.UpstreamName;
+import java.util.Collections;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -33,13 +35,13 @@
 
     /** Copies the collections. */
     public FleetSpec {
-        models = Map.copyOf(models);
-        upstreams = Map.copyOf(upstreams);
-        services = Map.copyOf(services);
-        organisations = Map.copyOf(organisations);
+        models = copyOf(models);
+        upstreams = copyOf(upstreams);
+        services = copyOf(services);
+        organisations = copyOf(organisations);
         budgets = List.copyOf(budgets);
-        budgetsByOrganisation = Map.copyOf(budgetsByOrganisation);
-        organisationsByKeyDigest = Map.copyOf(organisationsByKeyDigest);
+        budgetsByOrganisation = copyOf(budgetsByOrganisation);
+        organisationsByKeyDigest = copyOf(organisationsByKeyDigest);
     }
 
     /**
@@ -99,6 +101,11 @@
                 .findFirst();
     }
 
+    /** Map.copyOf probes linearly, and names that end in consecutive numbers make long runs in it. */
+    private static <K, V> Map<K, V> copyOf(Map<K, V> map) {
+        return Collections.unmodifiableMap(new HashMap<>(map));
+    }
+
     private static <K, V> Map<K, V> index(List<V> values, Function<V, K> key) {
         return values.stream().collect(Collectors.toMap(key, Function.identity()));
     }
