Check the members of a reply without streams

Each reply made one stream for each peer to find replies of routers that are in no list any more.

The remaining cost is the copy of the replies and the look-up of each peer.

--- a/jayhead-admission/src/main/java/io/jayhead/admission/freshness/FreshnessTracker.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/freshness/FreshnessTracker.java
@@ -225,17 +225,23 @@
     /** A member informs of a newer list only once this router has adopted the version that the member had. */
     private FreshnessTracker pruned() {
         MemberLists next = members.pruned(router -> isAhead(router) ? Long.MIN_VALUE : knownRevision(router));
-        boolean complete = replies.keySet().stream().allMatch(peer -> isMember(next, peer));
-        if (complete) {
-            return new FreshnessTracker(self, version, next, platform, replies);
+        for (VmName peer : replies.keySet()) {
+            if (!isMember(next, peer)) {
+                Map<VmName, MemberReply> known = new HashMap<>(replies);
+                known.keySet().removeIf(router -> !isMember(next, router));
+                return new FreshnessTracker(self, version, next, platform, known);
+            }
         }
-        Map<VmName, MemberReply> known = new HashMap<>(replies);
-        known.keySet().removeIf(peer -> !isMember(next, peer));
-        return new FreshnessTracker(self, version, next, platform, known);
+        return new FreshnessTracker(self, version, next, platform, replies);
     }
 
     private static boolean isMember(MemberLists lists, VmName router) {
-        return lists.lists().stream().anyMatch(list -> list.members().contains(router));
+        for (MemberList list : lists.lists()) {
+            if (list.members().contains(router)) {
+                return true;
+            }
+        }
+        return false;
     }
 
     private boolean isAhead(VmName router) {
