Plan the requests of a load run

Cause: an open-loop run needs arrivals and contents that do not depend on the answers and can be repeated.

--- /dev/null
+++ b/jayhead-load/src/main/java/io/jayhead/load/plan/PlannedRequest.java
@@ -0,0 +1,63 @@
+package io.jayhead.load.plan;
+
+import io.jayhead.model.OrganisationName;
+import io.jayhead.model.RequestKey;
+import io.jayhead.model.RequestKind;
+import io.jayhead.model.ServiceName;
+import java.nio.charset.StandardCharsets;
+
+/**
+ * Describes one request before it is sent.
+ *
+ * @param arrivalNs the planned arrival since the start of the run
+ * @param shape what is asked for
+ * @param organisation the organisation that asks
+ * @param service the service called
+ * @param router the index of the router that receives it
+ * @param key the idempotency key; for bookings and status reads, the order
+ * @param prompt the prompt; empty for plain services
+ * @param maxTokens the output cap; 0 for plain services
+ * @param retry whether it repeats an earlier request with the same key
+ */
+public record PlannedRequest(
+        long arrivalNs,
+        RequestShape shape,
+        String organisation,
+        String service,
+        int router,
+        String key,
+        String prompt,
+        int maxTokens,
+        boolean retry) {
+
+    /**
+     * Returns the kind of request.
+     *
+     * @return the kind
+     */
+    public RequestKind kind() {
+        return shape.kind();
+    }
+
+    /**
+     * Returns the tokens that a router has to reserve for a generation.
+     *
+     * @return the bytes of the prompt and the output cap
+     */
+    public long worstCaseTokens() {
+        return prompt.getBytes(StandardCharsets.UTF_8).length + (long) maxTokens;
+    }
+
+    /**
+     * Returns the key under which the request is billed.
+     *
+     * @return the key
+     */
+    public RequestKey requestKey() {
+        return RequestKey.of(OrganisationName.of(organisation), ServiceName.of(service), key);
+    }
+
+    PlannedRequest retriedAt(long laterNs, int otherRouter) {
+        return new PlannedRequest(laterNs, shape, organisation, service, otherRouter, key, prompt, maxTokens, true);
+    }
+}
