--- /dev/null
+++ b/jayhead-load/src/main/java/io/jayhead/load/client/AnswerReader.java
@@ -0,0 +1,147 @@
+package io.jayhead.load.client;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.jayhead.load.plan.PlannedRequest;
+import io.jayhead.model.RequestKind;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.LongSupplier;
+import okhttp3.Response;
+import okhttp3.ResponseBody;
+import okio.BufferedSource;
+
+/** Reads one answer and compares it with the expected text. */
+final class AnswerReader {
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final int NOT_FOUND = 404;
+    private static final String EVENT = "event:";
+    private static final String DATA = "data:";
+
+    private final PlannedRequest request;
+    private final LongSupplier sinceArrivalNs;
+    private final StringBuilder text = new StringBuilder();
+    private final List<Long> gapsNs = new ArrayList<>();
+    private long firstTokenNs;
+    private long lastTokenNs;
+    private int nextIndex;
+
+    AnswerReader(PlannedRequest request, LongSupplier sinceArrivalNs) {
+        this.request = request;
+        this.sinceArrivalNs = sinceArrivalNs;
+    }
+
+    /** Reads the answer; a connection that breaks gives an outcome too. */
+    Outcome read(Response response) {
+        try (ResponseBody body = response.body()) {
+            if (isEventStream(response)) {
+                return readStream(body.source());
+            }
+            return readWhole(response.code(), body.string());
+        } catch (IOException e) {
+            return ended(OutcomeType.BROKEN, "connection_lost", 0);
+        }
+    }
+
+    private static boolean isEventStream(Response response) {
+        String type = response.header("Content-Type", "");
+        return response.isSuccessful() && type.startsWith("text/event-stream");
+    }
+
+    private Outcome readWhole(int status, String body) throws IOException {
+        JsonNode root = parse(body);
+        if (root.path("error").has("verdict")) {
+            return refusal(root.path("error"));
+        }
+        if (!request.kind().isGeneration()) {
+            return plainAnswer(status, root);
+        }
+        if (status / 100 != 2) {
+            return ended(OutcomeType.BROKEN, "http_" + status, 0);
+        }
+        text.append(root.path("text").asText());
+        return compared(root);
+    }
+
+    /** Accepts a status read of an order that does not exist, since its booking may have been refused. */
+    private Outcome plainAnswer(int status, JsonNode root) {
+        if (status == NOT_FOUND && request.kind() == RequestKind.STATUS_READ) {
+            return ended(OutcomeType.WHOLE, "", 0);
+        }
+        if (status / 100 != 2) {
+            return ended(OutcomeType.BROKEN, "http_" + status, 0);
+        }
+        boolean own = root.path("order").asText().equals(request.key());
+        return ended(own ? OutcomeType.WHOLE : OutcomeType.WRONG, own ? "" : "other_order", 0);
+    }
+
+    private Outcome readStream(BufferedSource source) throws IOException {
+        String event = "";
+        for (String line = source.readUtf8Line(); line != null; line = source.readUtf8Line()) {
+            if (line.startsWith(EVENT)) {
+                event = line.substring(EVENT.length()).strip();
+                continue;
+            }
+            if (!line.startsWith(DATA)) {
+                continue;
+            }
+            JsonNode data = parse(line.substring(DATA.length()));
+            if (event.equals("done")) {
+                return compared(data);
+            }
+            if (event.equals("error")) {
+                return streamError(data);
+            }
+            if (event.equals("token") && !accept(data)) {
+                return ended(OutcomeType.WRONG, "token_index", 0);
+            }
+        }
+        return ended(OutcomeType.BROKEN, "stream_cut", 0);
+    }
+
+    private boolean accept(JsonNode token) {
+        long nowNs = sinceArrivalNs.getAsLong();
+        if (nextIndex == 0) {
+            firstTokenNs = nowNs;
+        } else {
+            gapsNs.add(nowNs - lastTokenNs);
+        }
+        lastTokenNs = nowNs;
+        text.append(token.path("text").asText());
+        return token.path("index").asInt(-1) == nextIndex++;
+    }
+
+    private Outcome compared(JsonNode end) {
+        JsonNode usage = end.path("usage");
+        long tokens = usage.path("prompt_tokens").asLong()
+                + usage.path("output_tokens").asLong();
+        boolean right = ExpectedText.of(request).contentEquals(text);
+        return ended(right ? OutcomeType.WHOLE : OutcomeType.WRONG, right ? "" : "other_text", tokens);
+    }
+
+    private Outcome streamError(JsonNode data) {
+        JsonNode error = data.has("error") ? data.path("error") : data;
+        return nextIndex > 0 ? ended(OutcomeType.BROKEN, error.path("code").asText("unknown"), 0) : refusal(error);
+    }
+
+    private Outcome refusal(JsonNode error) {
+        OutcomeType type =
+                switch (error.path("verdict").asText()) {
+                    case "not_run" -> OutcomeType.REFUSED;
+                    case "may_have_run" -> OutcomeType.MAY_HAVE_RUN;
+                    default -> OutcomeType.BROKEN;
+                };
+        return ended(type, error.path("code").asText("unknown"), 0);
+    }
+
+    private Outcome ended(OutcomeType type, String code, long tokens) {
+        return new Outcome(type, code, firstTokenNs, sinceArrivalNs.getAsLong(), gapsNs, tokens);
+    }
+
+    private static JsonNode parse(String json) throws IOException {
+        JsonNode root = MAPPER.readTree(json);
+        return root == null ? MAPPER.missingNode() : root;
+    }
+}
--- /dev/null
+++ b/jayhead-load/src/main/java/io/jayhead/load/client/CallerClient.java
@@ -0,0 +1,119 @@
+package io.jayhead.load.client;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.jayhead.load.plan.PlannedRequest;
+import io.jayhead.model.RequestKind;
+import java.io.IOException;
+import java.net.ConnectException;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import okhttp3.Call;
+import okhttp3.Callback;
+import okhttp3.ConnectionPool;
+import okhttp3.Dispatcher;
+import okhttp3.HttpUrl;
+import okhttp3.MediaType;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+
+/** Sends requests to routers as callers do. */
+public final class CallerClient implements AutoCloseable {
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final MediaType JSON = MediaType.get("application/json");
+
+    /** An open loop must not wait for earlier requests; the limit only guards the memory of this process. */
+    private static final int MAX_CALLS = 20_000;
+
+    private static final int IDLE_CONNECTIONS = 256;
+    private static final int CONNECT_TIMEOUT_MS = 2_000;
+
+    private final List<HttpUrl> routers;
+    private final Map<String, String> apiKeys;
+    private final OkHttpClient http;
+
+    /**
+     * Creates a client.
+     *
+     * @param routers the base addresses of the routers
+     * @param apiKeys the API key of each organisation
+     * @param silenceLimitMs the time without a byte after which a caller gives up
+     */
+    public CallerClient(List<String> routers, Map<String, String> apiKeys, long silenceLimitMs) {
+        this.routers = routers.stream().map(HttpUrl::get).toList();
+        this.apiKeys = Map.copyOf(apiKeys);
+        Dispatcher dispatcher = new Dispatcher();
+        dispatcher.setMaxRequests(MAX_CALLS);
+        dispatcher.setMaxRequestsPerHost(MAX_CALLS);
+        this.http = new OkHttpClient.Builder()
+                .dispatcher(dispatcher)
+                .connectionPool(new ConnectionPool(IDLE_CONNECTIONS, 1, TimeUnit.MINUTES))
+                .retryOnConnectionFailure(false)
+                .connectTimeout(CONNECT_TIMEOUT_MS, TimeUnit.MILLISECONDS)
+                .readTimeout(silenceLimitMs, TimeUnit.MILLISECONDS)
+                .build();
+    }
+
+    /**
+     * Sends a request without waiting.
+     *
+     * @param planned the request
+     * @param sinceArrivalNs the time since its planned arrival
+     * @param receiver receives the outcome on another thread
+     */
+    public void send(PlannedRequest planned, LongSupplier sinceArrivalNs, Consumer<Outcome> receiver) {
+        http.newCall(request(planned)).enqueue(new Callback() {
+            @Override
+            public void onFailure(Call call, IOException e) {
+                boolean refused = e instanceof ConnectException;
+                OutcomeType type = refused ? OutcomeType.UNREACHABLE : OutcomeType.BROKEN;
+                String code = refused ? "connect_failed" : "no_answer";
+                receiver.accept(Outcome.of(type, code, sinceArrivalNs.getAsLong()));
+            }
+
+            @Override
+            public void onResponse(Call call, Response response) {
+                receiver.accept(new AnswerReader(planned, sinceArrivalNs).read(response));
+            }
+        });
+    }
+
+    @Override
+    public void close() {
+        http.dispatcher().cancelAll();
+        http.dispatcher().executorService().shutdown();
+        http.connectionPool().evictAll();
+    }
+
+    private Request request(PlannedRequest planned) {
+        HttpUrl.Builder url =
+                routers.get(planned.router()).newBuilder().addPathSegments("v1/services/" + planned.service());
+        Request.Builder request = new Request.Builder()
+                .header("Authorization", "Bearer " + apiKeys.getOrDefault(planned.organisation(), ""));
+        if (planned.kind() == RequestKind.STATUS_READ) {
+            return request.url(url.addPathSegment(planned.key()).build()).build();
+        }
+        if (planned.kind().isGeneration()) {
+            request.header("Idempotency-Key", planned.key());
+        }
+        return request.url(url.build())
+                .post(RequestBody.create(body(planned).toString(), JSON))
+                .build();
+    }
+
+    private static ObjectNode body(PlannedRequest planned) {
+        ObjectNode body = MAPPER.createObjectNode();
+        if (planned.kind() == RequestKind.BOOKING) {
+            return body.put("order", planned.key());
+        }
+        return body.put("prompt", planned.prompt())
+                .put("max_tokens", planned.maxTokens())
+                .put("stream", planned.shape().stream());
+    }
+}
--- /dev/null
+++ b/jayhead-load/src/main/java/io/jayhead/load/client/package-info.java
@@ -0,0 +1,2 @@
+/** Caller side of the routers' interface. */
+package io.jayhead.load.client;
