--- /dev/null
+++ b/jayhead-load/src/main/java/io/jayhead/load/audit/package-info.java
@@ -0,0 +1,2 @@
+/** Checks of budgets, bills and bookings after a run. */
+package io.jayhead.load.audit;
--- /dev/null
+++ b/jayhead-load/src/main/java/io/jayhead/load/measure/package-info.java
@@ -0,0 +1,2 @@
+/** Figures computed from the outcomes of a run. */
+package io.jayhead.load.measure;
--- /dev/null
+++ b/jayhead-load/src/test/java/io/jayhead/load/audit/AuditTest.java
@@ -0,0 +1,102 @@
+package io.jayhead.load.audit;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.jayhead.load.client.Outcome;
+import io.jayhead.load.client.OutcomeType;
+import io.jayhead.load.client.Result;
+import io.jayhead.load.plan.Mix;
+import io.jayhead.load.plan.PlanSettings;
+import io.jayhead.load.plan.PlannedRequest;
+import io.jayhead.load.plan.RequestPlan;
+import io.jayhead.model.BudgetId;
+import io.jayhead.model.RequestKind;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+class AuditTest {
+
+    private final List<PlannedRequest> plan = RequestPlan.of(new PlanSettings(Mix.USER2, 20, 20, 1, 3, 0));
+    private final PlannedRequest question = first(RequestKind.INTERACTIVE);
+    private final PlannedRequest booking = first(RequestKind.BOOKING);
+
+    private PlannedRequest first(RequestKind kind) {
+        return plan.stream()
+                .filter(request -> request.kind() == kind)
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private static Result whole(PlannedRequest request, long tokens) {
+        return new Result(request, new Outcome(OutcomeType.WHOLE, "", 0, 1, List.of(), tokens));
+    }
+
+    private static Result refused(PlannedRequest request, String code) {
+        return new Result(request, Outcome.of(OutcomeType.REFUSED, code, 1));
+    }
+
+    private static Bill bill(PlannedRequest request, long tokens) {
+        return new Bill(request.requestKey().value(), BudgetId.of(request.organisation(), "main"), tokens);
+    }
+
+    private Map<Check, Long> budgets(Result result, long paidTokens, long consumedTokens) {
+        BudgetState state = new BudgetState(question.organisation(), paidTokens, consumedTokens);
+        return Audit.of(List.of(result), new Evidence(Optional.of(List.of(state)), Optional.empty(), Optional.empty()));
+    }
+
+    /** Guards against refusals counted as false when the rest could not cover the worst case, and the reverse. */
+    @Test
+    void aRefusalIsFalseIfTheRestCoversItsWorstCase() {
+        long worst = question.worstCaseTokens();
+        Result refusal = refused(question, "budget_exhausted");
+        assertEquals(1, budgets(refusal, worst + 10, 10).get(Check.FALSE_REFUSALS));
+        assertEquals(0, budgets(refusal, worst + 9, 10).get(Check.FALSE_REFUSALS));
+        assertEquals(0, budgets(refused(question, "overloaded"), worst, 0).get(Check.FALSE_REFUSALS));
+    }
+
+    /** Guards against spend that only one of ledger and charge log shows. */
+    @Test
+    void overspendIsFoundInLedgerAndCharges() {
+        assertEquals(5, budgets(whole(question, 1), 10, 15).get(Check.OVERSPEND_TOKENS));
+        BudgetState state = new BudgetState(question.organisation(), 10, 0);
+        Evidence evidence =
+                new Evidence(Optional.of(List.of(state)), Optional.of(List.of(bill(question, 17))), Optional.empty());
+        assertEquals(7, Audit.of(List.of(whole(question, 17)), evidence).get(Check.OVERSPEND_TOKENS));
+    }
+
+    /** Guards against bills that are repeated, missing or different from the answer. */
+    @Test
+    void eachAnswerHasOneBillOfItsTokens() {
+        assertEquals(List.of(0L, 0L, 0L), bills(List.of(bill(question, 30))));
+        assertEquals(List.of(1L, 0L, 0L), bills(List.of(bill(question, 30), bill(question, 30))));
+        assertEquals(List.of(0L, 1L, 0L), bills(List.of()));
+        assertEquals(List.of(0L, 0L, 1L), bills(List.of(bill(question, 31))));
+    }
+
+    private List<Long> bills(List<Bill> bills) {
+        Map<Check, Long> counts = Audit.of(
+                List.of(whole(question, 30)), new Evidence(Optional.empty(), Optional.of(bills), Optional.empty()));
+        return List.of(
+                counts.get(Check.DOUBLE_BILLS), counts.get(Check.MISSING_BILLS), counts.get(Check.DIFFERENT_BILLS));
+    }
+
+    /** Guards against bookings that ran twice, ran though refused, or never ran. */
+    @Test
+    void executionsAgreeWithWhatCallersWereTold() {
+        assertEquals(List.of(0L, 0L, 0L), executions(whole(booking, 0), Map.of(booking.key(), 1)));
+        assertEquals(List.of(2L, 0L, 0L), executions(whole(booking, 0), Map.of(booking.key(), 3)));
+        assertEquals(List.of(0L, 1L, 0L), executions(refused(booking, "draining"), Map.of(booking.key(), 1)));
+        assertEquals(List.of(0L, 0L, 1L), executions(whole(booking, 0), Map.of()));
+    }
+
+    private static List<Long> executions(Result result, Map<String, Integer> executions) {
+        Map<Check, Long> counts =
+                Audit.of(List.of(result), new Evidence(Optional.empty(), Optional.empty(), Optional.of(executions)));
+        return List.of(
+                counts.get(Check.DOUBLE_EXECUTIONS),
+                counts.get(Check.EXECUTED_THOUGH_REFUSED),
+                counts.get(Check.MISSING_EXECUTIONS));
+    }
+}
