--- /dev/null
+++ b/jayhead-load/src/main/java/io/jayhead/load/baseline/package-info.java
@@ -0,0 +1,2 @@
+/** Offline comparison of budget policies on the same arrivals. */
+package io.jayhead.load.baseline;
--- /dev/null
+++ b/jayhead-load/src/main/java/io/jayhead/load/report/package-info.java
@@ -0,0 +1,2 @@
+/** Text and JSON form of the measures. */
+package io.jayhead.load.report;
--- /dev/null
+++ b/jayhead-load/src/test/java/io/jayhead/load/RunOptionsTest.java
@@ -0,0 +1,66 @@
+package io.jayhead.load;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.jayhead.load.plan.Mix;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class RunOptionsTest {
+
+    private static RunOptions parse(String line) {
+        return RunOptions.parse(line.split(" "));
+    }
+
+    /** Guards against an option that is declared and not read. */
+    @Test
+    void allOptionsAreRead() {
+        RunOptions options = parse("--routers http://a,http://b --mix user2 --rate 2.5 --duration-s 9 --seed 4"
+                + " --credentials keys --retry-share 0.5 --platform http://p --operators http://o"
+                + " --booking http://x,http://y --json");
+        assertEquals(List.of("http://a", "http://b"), options.routers());
+        assertEquals(Mix.USER2, options.plan().mix());
+        assertEquals(2.5, options.plan().ratePerSecond());
+        assertEquals(9, options.plan().durationS());
+        assertEquals(4, options.plan().seed());
+        assertEquals(2, options.plan().routers());
+        assertEquals(0.5, options.plan().retryShare());
+        assertEquals("http://p", options.evidence().platform().orElseThrow());
+        assertEquals("http://o", options.evidence().operators().orElseThrow());
+        assertEquals(List.of("http://x", "http://y"), options.evidence().bookings());
+        assertTrue(options.json());
+    }
+
+    /** Guards against a run that starts with guessed settings. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "--mix user1 --credentials keys",
+                "--routers http://a --credentials keys",
+                "--routers http://a --mix user1",
+                "--routers http://a --mix user1 --credentials keys --rate fast",
+                "--routers http://a --mix user1 --credentials keys stray"
+            })
+    void anIncompleteLineIsRefused(String line) {
+        assertThrows(UsageException.class, () -> parse(line));
+    }
+
+    /** Guards against numbers that would give an endless or an empty plan. */
+    @ParameterizedTest
+    @ValueSource(strings = {"--mix user3", "--mix user1 --rate 0", "--mix user1 --retry-share 2"})
+    void impossibleValuesAreRefused(String options) {
+        assertThrows(IllegalArgumentException.class, () -> parse("--routers http://a --credentials keys " + options));
+    }
+
+    /** Guards against requests without a credential because of a typing error in the file. */
+    @Test
+    void credentialsAreOneOrganisationALine() {
+        assertEquals(Map.of("org-1", "k1", "org-2", "k2"), Credentials.parse("# keys\norg-1 k1\n\norg-2  k2\n"));
+        assertThrows(UsageException.class, () -> Credentials.parse("org-1\n"));
+    }
+}
--- /dev/null
+++ b/jayhead-load/src/test/java/io/jayhead/load/report/ReportTest.java
@@ -0,0 +1,19 @@
+package io.jayhead.load.report;
+
+import org.approvaltests.Approvals;
+import org.junit.jupiter.api.Test;
+
+class ReportTest {
+
+    /** Guards against columns that move or figures that get lost. */
+    @Test
+    void theTextReportShowsEachKindAndEachCheck() {
+        Approvals.verify(TextReport.of(Samples.report()));
+    }
+
+    /** Guards against renamed fields, which scripts read. */
+    @Test
+    void theJsonReportKeepsItsFieldNames() {
+        Approvals.verify(JsonReport.of(Samples.report()));
+    }
+}
