Pay bookings from a budget of their own

Cause: booking services do not check fencing, so the grant of a lost router could never be reclaimed from a budget that also pays generations. Change: budgets main and bookings for each organisation; checks by budget.

--- a/jayhead-load/src/main/java/io/jayhead/load/plan/Mix.java
+++ b/jayhead-load/src/main/java/io/jayhead/load/plan/Mix.java
@@ -35,6 +35,18 @@
     /** Both users have three booking services, each of which knows only its own bookings. */
     public static final int BOOKING_SERVICES = 3;
 
+    /** The charge of one booking; small next to a generation. */
+    public static final int BOOKING_PRICE_TOKENS = 5;
+
+    /** Pays generations. */
+    public static final String GENERATIONS_BUDGET = "main";
+
+    /**
+     * Pays bookings. Booking services do not check fencing, and a grant of a lost router can be reclaimed only if all
+     * upstreams of its budget do.
+     */
+    public static final String BOOKINGS_BUDGET = "bookings";
+
     private static final int ORGANISATIONS = 10;
 
     private final int engines;
--- a/jayhead-load/src/main/java/io/jayhead/load/plan/PlannedRequest.java
+++ b/jayhead-load/src/main/java/io/jayhead/load/plan/PlannedRequest.java
@@ -1,5 +1,6 @@
 package io.jayhead.load.plan;
 
+import io.jayhead.model.BudgetId;
 import io.jayhead.model.OrganisationName;
 import io.jayhead.model.RequestKey;
 import io.jayhead.model.RequestKind;
@@ -40,11 +41,14 @@
     }
 
     /**
-     * Returns the tokens that a router has to reserve for a generation.
+     * Returns the tokens that a router has to reserve.
      *
-     * @return the bytes of the prompt and the output cap
+     * @return the bytes of the prompt and the output cap, or the price of a booking
      */
     public long worstCaseTokens() {
+        if (kind() == RequestKind.BOOKING) {
+            return Mix.BOOKING_PRICE_TOKENS;
+        }
         return prompt.getBytes(StandardCharsets.UTF_8).length + (long) maxTokens;
     }
 
@@ -57,6 +61,15 @@
         return RequestKey.of(OrganisationName.of(organisation), ServiceName.of(service), key);
     }
 
+    /**
+     * Returns the budget that pays.
+     *
+     * @return the budget
+     */
+    public BudgetId budget() {
+        return BudgetId.of(organisation, kind().isGeneration() ? Mix.GENERATIONS_BUDGET : Mix.BOOKINGS_BUDGET);
+    }
+
     PlannedRequest retriedAt(long laterNs, int otherRouter) {
         return new PlannedRequest(laterNs, shape, organisation, service, otherRouter, key, prompt, maxTokens, true);
     }
