Add experiments with processes of their own

Change: load experiment starts platform, engines, booking services and routers, applies a fleet text, tops up, runs a mix under one fault and appends a row. A partition cuts the first router's links to the platform and to its peers by TCP forwarding with replaced addresses. Not proved: no run with routers, since the daemon is not wired yet.

--- a/jayhead-load/src/main/java/io/jayhead/load/LoadMain.java
+++ b/jayhead-load/src/main/java/io/jayhead/load/LoadMain.java
@@ -7,7 +7,7 @@
 
     private static final int EXIT_FAILED = 1;
     private static final int EXIT_USAGE = 2;
-    private static final String USAGE = "usage: load run|baseline [options]";
+    private static final String USAGE = "usage: load run|experiment|baseline [options]";
 
     private LoadMain() {}
 
@@ -43,6 +43,7 @@
         String[] options = Arrays.copyOfRange(arguments, 1, arguments.length);
         switch (arguments[0]) {
             case "run" -> RunCommand.run(System.out, options);
+            case "experiment" -> ExperimentCommand.run(options);
             case "baseline" -> BaselineCommand.run(System.out, options);
             default -> throw new UsageException(USAGE);
         }
--- /dev/null
+++ b/jayhead-load/src/main/java/io/jayhead/load/experiment/LocalFleet.java
@@ -0,0 +1,188 @@
+package io.jayhead.load.experiment;
+
+import io.jayhead.load.plan.Mix;
+import io.jayhead.model.RequestKey;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Holds the processes of one user's fleet and the links between them. */
+final class LocalFleet implements AutoCloseable {
+
+    static final String OPERATOR_CREDENTIAL = "operator-of-experiments";
+
+    private static final String STANDINS_MAIN = "io.jayhead.standins.StandinsMain";
+    private static final String ROUTER_MAIN = "io.jayhead.daemon.JayheadMain";
+    private static final String LOOPBACK = "127.0.0.1:";
+
+    /** Half of the default, so that the longest answer ends within the drain of an experiment. */
+    private static final int TOKEN_MS = 10;
+
+    private final ExperimentSettings settings;
+    private final ProcessGroup processes;
+    private final Gate gate = new Gate();
+    private final List<Link> links = new ArrayList<>();
+    private final List<ChildProcess> routers = new ArrayList<>();
+    private final int platformPort;
+    private final List<Integer> enginePorts;
+    private final List<Integer> bookingPorts;
+    private final List<Integer> callerPorts;
+    private final List<Integer> operatorPorts;
+    private final List<Integer> peerPorts;
+
+    LocalFleet(ExperimentSettings settings) {
+        this.settings = settings;
+        this.processes = new ProcessGroup(settings.directory());
+        Mix mix = settings.mix();
+        List<Integer> ports = Ports.free(1 + mix.engines() + Mix.BOOKING_SERVICES + 3 * mix.routers());
+        int bookingsFrom = 1 + mix.engines();
+        int routersFrom = bookingsFrom + Mix.BOOKING_SERVICES;
+        platformPort = ports.get(0);
+        enginePorts = ports.subList(1, bookingsFrom);
+        bookingPorts = ports.subList(bookingsFrom, routersFrom);
+        callerPorts = ports.subList(routersFrom, routersFrom + mix.routers());
+        operatorPorts = ports.subList(routersFrom + mix.routers(), routersFrom + 2 * mix.routers());
+        peerPorts = ports.subList(routersFrom + 2 * mix.routers(), ports.size());
+    }
+
+    /** Starts the stand-ins, then the routers, and waits until all of them serve. */
+    void start() throws InterruptedException {
+        startStandin("platform", platformPort);
+        for (int index = 0; index < enginePorts.size(); index++) {
+            startStandin(
+                    "engine",
+                    enginePorts.get(index),
+                    "--name=engine-" + (index + 1),
+                    "--zone=" + FleetText.zone(index),
+                    "--models=large,small",
+                    "--token-ms=" + TOKEN_MS,
+                    "--check-fencing");
+        }
+        for (int index = 0; index < bookingPorts.size(); index++) {
+            startStandin("booking", bookingPorts.get(index), "--name=booking-" + (index + 1));
+        }
+        processes.awaitReady();
+        List<Integer> platformPorts = platformPorts();
+        for (int index = 0; index < callerPorts.size(); index++) {
+            startRouter(index, platformPorts.get(index));
+        }
+        processes.awaitReady();
+    }
+
+    private void startStandin(String kind, int port, String... options) {
+        List<String> arguments = new ArrayList<>(List.of(kind, "--port=" + port));
+        arguments.addAll(List.of(options));
+        processes.start(kind + "-" + port, System.getProperty("java.class.path"), STANDINS_MAIN, arguments);
+    }
+
+    private void startRouter(int index, int routerPlatformPort) {
+        String name = "vm-" + (index + 1);
+        Path file = settings.directory().resolve(name + ".yaml");
+        try {
+            Files.writeString(file, routerSettings(index, name, routerPlatformPort));
+        } catch (IOException e) {
+            throw new UncheckedIOException("cannot write the settings of " + name, e);
+        }
+        List<String> arguments = List.of("--settings", file.toString());
+        routers.add(processes.start(name, settings.daemonClassPath(), ROUTER_MAIN, arguments));
+    }
+
+    private String routerSettings(int index, String name, int routerPlatformPort) {
+        return String.join(
+                "\n",
+                "vm: " + name,
+                "availability_zone: " + FleetText.zone(index),
+                "region: " + (settings.mix() == Mix.USER1 ? "ga-east" : "ch-mittelland"),
+                "callers_address: " + LOOPBACK + callerPorts.get(index),
+                "operators_address: " + LOOPBACK + operatorPorts.get(index),
+                "peers_address: " + LOOPBACK + peerPorts.get(index),
+                "platform_address: http://" + LOOPBACK + routerPlatformPort,
+                "operator_credential_sha256: " + RequestKey.sha256(OPERATOR_CREDENTIAL),
+                "");
+    }
+
+    /**
+     * Returns the platform port of each router.
+     *
+     * <p>For a partition each router reaches the platform through a link. There, the first router reads the addresses
+     * of links that can be cut in place of its peers', and the others read one in place of the first router's.
+     */
+    private List<Integer> platformPorts() {
+        if (settings.fault() != Fault.PARTITION) {
+            return callerPorts.stream().map(port -> platformPort).toList();
+        }
+        Map<String, String> seenByFirst = new HashMap<>();
+        for (int port : peerPorts.subList(1, peerPorts.size())) {
+            seenByFirst.put(LOOPBACK + port, LOOPBACK + link(port, gate).port());
+        }
+        int firstPeer = peerPorts.get(0);
+        Map<String, String> seenByOthers =
+                Map.of(LOOPBACK + firstPeer, LOOPBACK + link(firstPeer, gate).port());
+        List<Integer> ports = new ArrayList<>();
+        for (int index = 0; index < callerPorts.size(); index++) {
+            Link link = link(platformPort, index == 0 ? gate : new Gate());
+            link.replace(index == 0 ? seenByFirst : seenByOthers);
+            ports.add(link.port());
+        }
+        return ports;
+    }
+
+    private Link link(int port, Gate linkGate) {
+        Link link = Link.to(port, linkGate);
+        links.add(link);
+        return link;
+    }
+
+    String fleetText() {
+        return new FleetText(settings.mix()).write(enginePorts, bookingPorts);
+    }
+
+    String platform() {
+        return url(platformPort);
+    }
+
+    List<String> engines() {
+        return enginePorts.stream().map(LocalFleet::url).toList();
+    }
+
+    List<String> bookings() {
+        return bookingPorts.stream().map(LocalFleet::url).toList();
+    }
+
+    List<String> callers() {
+        return callerPorts.stream().map(LocalFleet::url).toList();
+    }
+
+    List<String> operators() {
+        return operatorPorts.stream().map(LocalFleet::url).toList();
+    }
+
+    ChildProcess firstRouter() {
+        return routers.get(0);
+    }
+
+    Gate partition() {
+        return gate;
+    }
+
+    private static String url(int port) {
+        return "http://" + LOOPBACK + port;
+    }
+
+    @Override
+    public void close() {
+        processes.close();
+        for (Link link : links) {
+            try {
+                link.close();
+            } catch (IOException e) {
+                throw new UncheckedIOException("cannot close a link", e);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/jayhead-load/src/test/java/io/jayhead/load/experiment/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the load tool. */
+package io.jayhead.load.experiment;
