Read the ledgers in the form that routers answer

Cause: the budget document lists grants with borrowed tokens; adding up all consumed tokens would count a loan twice once its lender's entry is closed.

--- a/jayhead-load/src/main/java/io/jayhead/load/audit/Audit.java
+++ b/jayhead-load/src/main/java/io/jayhead/load/audit/Audit.java
@@ -51,12 +51,13 @@
         Map<BudgetId, Long> billed = firstBills(bills).values().stream()
                 .collect(Collectors.groupingBy(Bill::budget, Collectors.summingLong(Bill::tokens)));
         long overspend = 0;
+        Map<BudgetId, Long> left = new HashMap<>();
         for (BudgetState budget : budgets) {
             long spent = Math.max(budget.consumedTokens(), billed.getOrDefault(budget.id(), 0L));
             overspend += Math.max(0, spent - budget.paidTokens());
+            left.put(budget.id(), budget.paidTokens() - spent);
         }
         counts.put(Check.OVERSPEND_TOKENS, overspend);
-        Map<BudgetId, Long> left = budgets.stream().collect(Collectors.toMap(BudgetState::id, BudgetState::leftTokens));
         counts.put(
                 Check.FALSE_REFUSALS,
                 results.stream()
--- a/jayhead-load/src/main/java/io/jayhead/load/audit/BudgetState.java
+++ b/jayhead-load/src/main/java/io/jayhead/load/audit/BudgetState.java
@@ -7,16 +7,7 @@
  *
  * @param id the budget
  * @param paidTokens the sum of the top-ups
- * @param consumedTokens the tokens of closed entries and those consumed in open ones
+ * @param consumedTokens the tokens of closed entries and those consumed of the grants of open ones; a loan counts once
+ *     its lender's entry is closed, so that the charges can be ahead of it
  */
-public record BudgetState(BudgetId id, long paidTokens, long consumedTokens) {
-
-    /**
-     * Returns what was left.
-     *
-     * @return unallocated tokens and unspent open grants
-     */
-    public long leftTokens() {
-        return paidTokens - consumedTokens;
-    }
-}
+public record BudgetState(BudgetId id, long paidTokens, long consumedTokens) {}
--- a/jayhead-load/src/main/java/io/jayhead/load/audit/EvidenceReader.java
+++ b/jayhead-load/src/main/java/io/jayhead/load/audit/EvidenceReader.java
@@ -67,8 +67,8 @@
 
     static BudgetState budget(BudgetId id, JsonNode ledger) {
         long consumedTokens = tokens(ledger, "retired_tokens");
-        for (JsonNode entry : ledger.path("entries")) {
-            consumedTokens += tokens(entry, "consumed_tokens");
+        for (JsonNode grant : ledger.path("grants")) {
+            consumedTokens += tokens(grant, "consumed_tokens") - tokens(grant, "borrowed_tokens");
         }
         return new BudgetState(id, tokens(ledger, "paid_tokens"), consumedTokens);
     }
--- a/jayhead-load/src/test/java/io/jayhead/load/client/CallerClientTest.java
+++ b/jayhead-load/src/test/java/io/jayhead/load/client/CallerClientTest.java
@@ -11,6 +11,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.logging.Level;
+import java.util.logging.Logger;
 import java.util.stream.Stream;
 import okhttp3.mockwebserver.MockResponse;
 import okhttp3.mockwebserver.MockWebServer;
@@ -31,6 +33,13 @@
     private static final String DONE = "event: done\ndata: {\"usage\":{\"prompt_tokens\":3,\"output_tokens\":4}}\n\n";
     private static final String BROKEN = "{\"code\":\"stream_broken\",\"verdict\":\"may_have_run\"}";
 
+    /** The server warns of each connection that it leaves unanswered, which one test orders. */
+    private static final Logger SERVER_LOG = Logger.getLogger(MockWebServer.class.getName());
+
+    static {
+        SERVER_LOG.setLevel(Level.SEVERE);
+    }
+
     private static PlannedRequest first(RequestKind kind) {
         return PLAN.stream()
                 .filter(request -> request.kind() == kind)
