--- a/jayhead-load/src/test/java/io/jayhead/load/report/ReportTest.java
+++ b/jayhead-load/src/test/java/io/jayhead/load/report/ReportTest.java
@@ -16,4 +16,10 @@
     void theJsonReportKeepsItsFieldNames() {
         Approvals.verify(JsonReport.of(Samples.report()));
     }
+
+    /** Guards against a row whose cells do not match the head of the table. */
+    @Test
+    void theRowHasTheColumnsOfTheHeader() {
+        Approvals.verify(MarkdownRow.header() + MarkdownRow.of(Samples.report()));
+    }
 }
