Run experiments against the wired daemon

Cause: engines report loaded weights, and the fleet text named weights other than the models of the engine stand-ins, so each generation was refused as dependency_not_ready. Change: weights are named like their models; child processes start with a small heap.

--- a/jayhead-load/src/main/java/io/jayhead/load/experiment/ChildProcess.java
+++ b/jayhead-load/src/main/java/io/jayhead/load/experiment/ChildProcess.java
@@ -11,7 +11,10 @@
 /** Runs one Java process and writes its output to a file. */
 final class ChildProcess {
 
-    private static final List<String> JVM_OPTIONS = List.of("-Xmx128m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1");
+    /** A small initial heap: the default takes the whole limit at once, which adds up over two dozen processes. */
+    private static final List<String> JVM_OPTIONS =
+            List.of("-Xms16m", "-Xmx128m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1");
+
     private static final String READY = "ready ";
     private static final long POLL_MS = 50;
 
--- a/jayhead-load/src/main/java/io/jayhead/load/experiment/FleetText.java
+++ b/jayhead-load/src/main/java/io/jayhead/load/experiment/FleetText.java
@@ -11,7 +11,7 @@
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
-/** Writes the fleet text of an experiment. */
+/** Writes the fleet text of an experiment; weights are named like their models, which engines report as loaded. */
 final class FleetText {
 
     static final List<String> ZONES = List.of("az-1", "az-2", "az-3");
@@ -29,8 +29,8 @@
 
     String write(List<Integer> enginePorts, List<Integer> bookingPorts) {
         StringBuilder text = new StringBuilder("fleet: " + mix.text() + "\n");
-        text.append("weights:\n  - name: large-v1\n  - name: small-v1\n");
-        text.append("models:\n  - name: large\n    weights: large-v1\n  - name: small\n    weights: small-v1\n");
+        text.append("weights:\n  - name: large\n  - name: small\n");
+        text.append("models:\n  - name: large\n    weights: large\n  - name: small\n    weights: small\n");
         text.append("upstreams:\n");
         upstreams(text, "engine", "model_engine", enginePorts);
         upstreams(text, "booking", "plain_service", bookingPorts);
