--- a/jayhead-load/src/main/java/io/jayhead/load/client/CallerClient.java
+++ b/jayhead-load/src/main/java/io/jayhead/load/client/CallerClient.java
@@ -63,15 +63,26 @@
     /**
      * Sends a request without waiting.
      *
+     * <p>A refused connection goes on to the next router, as the platform's load balancer does it. Nothing was sent
+     * then, and the time counts on.
+     *
      * @param planned the request
      * @param sinceArrivalNs the time since its planned arrival
      * @param receiver receives the outcome on another thread
      */
     public void send(PlannedRequest planned, LongSupplier sinceArrivalNs, Consumer<Outcome> receiver) {
-        http.newCall(request(planned)).enqueue(new Callback() {
+        send(planned, 0, sinceArrivalNs, receiver);
+    }
+
+    private void send(PlannedRequest planned, int refusals, LongSupplier sinceArrivalNs, Consumer<Outcome> receiver) {
+        http.newCall(request(planned, refusals)).enqueue(new Callback() {
             @Override
             public void onFailure(Call call, IOException e) {
                 boolean refused = e instanceof ConnectException;
+                if (refused && refusals + 1 < routers.size()) {
+                    send(planned, refusals + 1, sinceArrivalNs, receiver);
+                    return;
+                }
                 OutcomeType type = refused ? OutcomeType.UNREACHABLE : OutcomeType.BROKEN;
                 String code = refused ? "connect_failed" : "no_answer";
                 receiver.accept(Outcome.of(type, code, sinceArrivalNs.getAsLong()));
@@ -91,9 +102,9 @@
         http.connectionPool().evictAll();
     }
 
-    private Request request(PlannedRequest planned) {
-        HttpUrl.Builder url =
-                routers.get(planned.router()).newBuilder().addPathSegments("v1/services/" + planned.service());
+    private Request request(PlannedRequest planned, int refusals) {
+        HttpUrl router = routers.get((planned.router() + refusals) % routers.size());
+        HttpUrl.Builder url = router.newBuilder().addPathSegments("v1/services/" + planned.service());
         Request.Builder request = new Request.Builder()
                 .header("Authorization", "Bearer " + apiKeys.getOrDefault(planned.organisation(), ""));
         if (planned.kind() == RequestKind.STATUS_READ) {
--- a/jayhead-load/src/main/java/io/jayhead/load/client/OutcomeType.java
+++ b/jayhead-load/src/main/java/io/jayhead/load/client/OutcomeType.java
@@ -12,7 +12,7 @@
     BROKEN,
     /** The router said that the request may have run. */
     MAY_HAVE_RUN,
-    /** No connection to the router could be opened. */
+    /** No router accepted a connection. */
     UNREACHABLE,
     /** No answer came before the run was over. */
     UNFINISHED
