--- a/jayhead-load/src/main/java/io/jayhead/load/audit/EvidenceReader.java
+++ b/jayhead-load/src/main/java/io/jayhead/load/audit/EvidenceReader.java
@@ -17,8 +17,8 @@
 /**
  * Reads ledgers, charges and executions after a run.
  *
- * <p>Charges are read from the slots of the charge log alone. Routers delete a slot once its duplicate window of an hour
- * is over, so a longer run would report missing bills.
+ * <p>Charges are read from the slots of the charge log alone. Routers delete slots once their duplicate window is over,
+ * an hour by default, so a longer run would report missing bills.
  */
 public final class EvidenceReader {
 
