Keep routers fresh in an outage, wait longer for grants and read bills step by step

In an outage routers did not count each other, because each had read the same member list at another revision of the platform. Requests that got no grant in time were refused as budget_exhausted. A budget query read all slots of the charge log each time. Ruled out: revisions by member object only, which would miss removals. Change: heartbeats carry the revision and a digest of the member list; queue limits are 5 s for questions and bookings, 10 s for summaries, 3 s for status reads; no answer in time is overloaded; the bill reader remembers its sums.

--- a/jayhead-admission/src/main/java/io/jayhead/admission/RequestStarter.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/RequestStarter.java
@@ -128,8 +128,12 @@
         if (request.worstCaseTokens() <= account.availableTokens()) {
             return ErrorCode.OVERLOADED;
         }
-        boolean unavailable = state.demand(request.budget(), nowMs).platform() == PlatformAnswer.UNAVAILABLE;
-        return unavailable ? ErrorCode.PLATFORM_UNAVAILABLE : ErrorCode.BUDGET_EXHAUSTED;
+        return switch (state.demand(request.budget(), nowMs).platform()) {
+            case UNAVAILABLE -> ErrorCode.PLATFORM_UNAVAILABLE;
+            case REFUSED -> ErrorCode.BUDGET_EXHAUSTED;
+            // No answer came in time, which says nothing about the budget.
+            case GRANTED -> ErrorCode.OVERLOADED;
+        };
     }
 
     private static String describe(QueueRefusal refusal) {
--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/charge/BillReader.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/charge/BillReader.java
@@ -13,15 +13,21 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
 import java.util.stream.IntStream;
 
-/** Reads what was billed from the charge log: the checkpoint of each partition and the slots after it. */
+/**
+ * Reads what was billed from the charge log: the checkpoint of each partition and the slots after it. Slots that were
+ * read once are remembered in the sums, so that a later reading costs two reads for each partition and new slot.
+ */
 public final class BillReader {
 
     private static final long WINDOW_MINUTES = 60;
 
     private final ObjectStore store;
     private final ChargeLayout layout;
+    private final ConcurrentMap<Integer, ChargeLedger> read = new ConcurrentHashMap<>();
 
     /**
      * Creates a reader.
@@ -81,7 +87,8 @@
                             .map(ChargeCheckpointCodec::decode)
                             .map(ChargeCheckpoint::ledger)
                             .orElseGet(() -> ChargeLedger.empty(WINDOW_MINUTES));
-                    return readSlots(partition, ledger);
+                    ChargeLedger known = read.getOrDefault(partition, ledger);
+                    return readSlots(partition, known.nextSlot() > ledger.nextSlot() ? known : ledger);
                 });
     }
 
@@ -94,6 +101,7 @@
                                 ledger.plus(
                                         ChargeBatchCodec.decode(found.object().body())));
                     }
+                    read.put(partition, ledger);
                     return CompletableFuture.completedFuture(
                             result instanceof ReadResult.Missing ? Optional.of(ledger) : Optional.empty());
                 });
--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/fleet/Heartbeats.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/fleet/Heartbeats.java
@@ -5,6 +5,7 @@
 import io.jayhead.daemon.control.HybridClock;
 import io.jayhead.model.AvailabilityZone;
 import io.jayhead.model.IncarnationId;
+import io.jayhead.model.RequestKey;
 import io.jayhead.model.UpstreamName;
 import io.jayhead.model.VmName;
 import io.jayhead.peer.pb.FleetPush;
@@ -42,6 +43,7 @@
     private final IntSupplier chargePartitions;
     private final IntConsumer onChargePartitions;
     private final Map<VmName, Set<UpstreamName>> leavingByPeer = new HashMap<>();
+    private boolean membersWanted;
 
     /**
      * Creates the exchange.
@@ -120,7 +122,8 @@
                 .setIncarnation(membership.self().incarnation().value())
                 .setAvailabilityZone(membership.self().zone().value())
                 .setFleetVersion(configuration.view().version())
-                .setListRevision(configuration.tracker().members().newest().revision())
+                .setListRevision(newestList().revision())
+                .setListDigest(digest(newestList()))
                 .setShuttingDown(shuttingDown.getAsBoolean())
                 .setChargePartitions(chargePartitions.getAsInt());
         leavingUpstreams.get().forEach(upstream -> reply.addLeavingUpstreams(upstream.value()));
@@ -160,7 +163,7 @@
                 .setFleetVersion(configuration.view().version())
                 .setPeerAddress(membership.self().addressText())
                 .setShuttingDown(shuttingDown.getAsBoolean())
-                .setWantMembers(configuration.tracker().members().newest().revision() == 0);
+                .setWantMembers(membersWanted || newestList().revision() == 0);
         Frame frame = Frame.newBuilder().setHeartbeat(heartbeat).build();
         links.send(address, frame, TIMEOUT_MS, reply -> received(address, reply, sentAtMs), () -> {});
     }
@@ -185,13 +188,27 @@
         onLeavingUpstreams.accept(leaving);
     }
 
+    /**
+     * Takes a newer member list from a peer. Routers read the list at different revisions; during an outage of the
+     * platform they would otherwise not count each other, because a member with a newer list does not count.
+     */
     private void learn(HeartbeatReply reply) {
         if (reply.getChargePartitions() > 0) {
             onChargePartitions.accept(reply.getChargePartitions());
         }
+        if (reply.getListRevision() <= newestList().revision()) {
+            return;
+        }
+        if (reply.getListDigest().equals(digest(newestList()))) {
+            configuration.registeredChanged(
+                    new MemberList(reply.getListRevision(), newestList().members()));
+            return;
+        }
         if (reply.getMembersCount() == 0) {
+            membersWanted = true;
             return;
         }
+        membersWanted = false;
         List<Member> members =
                 reply.getMembersList().stream().map(Heartbeats::member).toList();
         membership.learned(members);
@@ -199,6 +216,15 @@
                 reply.getListRevision(), members.stream().map(Member::vm).collect(Collectors.toSet())));
     }
 
+    private MemberList newestList() {
+        return configuration.tracker().members().newest();
+    }
+
+    private static String digest(MemberList list) {
+        return RequestKey.sha256(
+                list.members().stream().sorted().map(VmName::value).collect(Collectors.joining("/")));
+    }
+
     private void fetch(InetSocketAddress address) {
         FleetPush ask = FleetPush.newBuilder()
                 .setVersion(configuration.view().version())
--- a/jayhead-model/src/main/java/io/jayhead/model/RequestKind.java
+++ b/jayhead-model/src/main/java/io/jayhead/model/RequestKind.java
@@ -9,13 +9,13 @@
     /** A long generation that can wait, such as a care plan or a route digest. */
     LONG_GENERATION(120_000, 30_000, 3, RetryRule.RESUME, true),
     /** A short question whose answer is streamed to a person. */
-    INTERACTIVE(30_000, 800, 7, RetryRule.RESUME, true),
+    INTERACTIVE(30_000, 5_000, 7, RetryRule.RESUME, true),
     /** A short summary or label. */
-    SUMMARY(30_000, 5_000, 5, RetryRule.RESUME, true),
+    SUMMARY(30_000, 10_000, 5, RetryRule.RESUME, true),
     /** A call that must run at most once. */
-    BOOKING(10_000, 2_000, 9, RetryRule.NEVER, false),
+    BOOKING(10_000, 5_000, 9, RetryRule.NEVER, false),
     /** An idempotent read. */
-    STATUS_READ(5_000, 1_000, 8, RetryRule.REPEAT, false);
+    STATUS_READ(5_000, 3_000, 8, RetryRule.REPEAT, false);
 
     private final long deadlineMs;
     private final long queueLimitMs;
--- a/jayhead-peer/src/main/java/io/jayhead/peer/pb/HeartbeatReply.java
+++ b/jayhead-peer/src/main/java/io/jayhead/peer/pb/HeartbeatReply.java
@@ -34,6 +34,7 @@
         com.google.protobuf.LazyStringArrayList.emptyList();
     members_ = java.util.Collections.emptyList();
     availabilityZone_ = "";
+    listDigest_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -324,6 +325,53 @@
     return chargePartitions_;
   }
 
+  public static final int LIST_DIGEST_FIELD_NUMBER = 11;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object listDigest_ = "";
+  /**
+   * <pre>
+   * SHA-256 of the sorted VM names of that member list.
+   * </pre>
+   *
+   * <code>string list_digest = 11;</code>
+   * @return The listDigest.
+   */
+  @java.lang.Override
+  public java.lang.String getListDigest() {
+    java.lang.Object ref = listDigest_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      listDigest_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * SHA-256 of the sorted VM names of that member list.
+   * </pre>
+   *
+   * <code>string list_digest = 11;</code>
+   * @return The bytes for listDigest.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getListDigestBytes() {
+    java.lang.Object ref = listDigest_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      listDigest_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -368,6 +416,9 @@
     if (chargePartitions_ != 0) {
       output.writeUInt32(10, chargePartitions_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(listDigest_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 11, listDigest_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -418,6 +469,9 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(10, chargePartitions_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(listDigest_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(11, listDigest_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -456,6 +510,8 @@
         != other.getListRevision()) return false;
     if (getChargePartitions()
         != other.getChargePartitions()) return false;
+    if (!getListDigest()
+        .equals(other.getListDigest())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -497,6 +553,8 @@
         getListRevision());
     hash = (37 * hash) + CHARGE_PARTITIONS_FIELD_NUMBER;
     hash = (53 * hash) + getChargePartitions();
+    hash = (37 * hash) + LIST_DIGEST_FIELD_NUMBER;
+    hash = (53 * hash) + getListDigest().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -645,6 +703,7 @@
       availabilityZone_ = "";
       listRevision_ = 0L;
       chargePartitions_ = 0;
+      listDigest_ = "";
       return this;
     }
 
@@ -721,6 +780,9 @@
       if (((from_bitField0_ & 0x00000200) != 0)) {
         result.chargePartitions_ = chargePartitions_;
       }
+      if (((from_bitField0_ & 0x00000400) != 0)) {
+        result.listDigest_ = listDigest_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -802,6 +864,11 @@
       if (other.getChargePartitions() != 0) {
         setChargePartitions(other.getChargePartitions());
       }
+      if (!other.getListDigest().isEmpty()) {
+        listDigest_ = other.listDigest_;
+        bitField0_ |= 0x00000400;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -887,6 +954,11 @@
               bitField0_ |= 0x00000200;
               break;
             } // case 80
+            case 90: {
+              listDigest_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000400;
+              break;
+            } // case 90
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1679,6 +1751,98 @@
       return this;
     }
 
+    private java.lang.Object listDigest_ = "";
+    /**
+     * <pre>
+     * SHA-256 of the sorted VM names of that member list.
+     * </pre>
+     *
+     * <code>string list_digest = 11;</code>
+     * @return The listDigest.
+     */
+    public java.lang.String getListDigest() {
+      java.lang.Object ref = listDigest_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        listDigest_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * SHA-256 of the sorted VM names of that member list.
+     * </pre>
+     *
+     * <code>string list_digest = 11;</code>
+     * @return The bytes for listDigest.
+     */
+    public com.google.protobuf.ByteString
+        getListDigestBytes() {
+      java.lang.Object ref = listDigest_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        listDigest_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * SHA-256 of the sorted VM names of that member list.
+     * </pre>
+     *
+     * <code>string list_digest = 11;</code>
+     * @param value The listDigest to set.
+     * @return This builder for chaining.
+     */
+    public Builder setListDigest(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      listDigest_ = value;
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * SHA-256 of the sorted VM names of that member list.
+     * </pre>
+     *
+     * <code>string list_digest = 11;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearListDigest() {
+      listDigest_ = getDefaultInstance().getListDigest();
+      bitField0_ = (bitField0_ & ~0x00000400);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * SHA-256 of the sorted VM names of that member list.
+     * </pre>
+     *
+     * <code>string list_digest = 11;</code>
+     * @param value The bytes for listDigest to set.
+     * @return This builder for chaining.
+     */
+    public Builder setListDigestBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      listDigest_ = value;
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:io.jayhead.peer.HeartbeatReply)
   }
 
--- a/jayhead-peer/src/main/java/io/jayhead/peer/pb/HeartbeatReplyOrBuilder.java
+++ b/jayhead-peer/src/main/java/io/jayhead/peer/pb/HeartbeatReplyOrBuilder.java
@@ -145,4 +145,24 @@
    * @return The chargePartitions.
    */
   int getChargePartitions();
+
+  /**
+   * <pre>
+   * SHA-256 of the sorted VM names of that member list.
+   * </pre>
+   *
+   * <code>string list_digest = 11;</code>
+   * @return The listDigest.
+   */
+  java.lang.String getListDigest();
+  /**
+   * <pre>
+   * SHA-256 of the sorted VM names of that member list.
+   * </pre>
+   *
+   * <code>string list_digest = 11;</code>
+   * @return The bytes for listDigest.
+   */
+  com.google.protobuf.ByteString
+      getListDigestBytes();
 }
--- a/jayhead-peer/src/main/java/io/jayhead/peer/pb/Peer.java
+++ b/jayhead-peer/src/main/java/io/jayhead/peer/pb/Peer.java
@@ -151,7 +151,7 @@
       "nation\030\002 \001(\t\022\031\n\021availability_zone\030\003 \001(\t\022" +
       "\025\n\rfleet_version\030\004 \001(\004\022\031\n\021leaving_upstre" +
       "ams\030\005 \003(\t\022\025\n\rshutting_down\030\006 \001(\010\022\024\n\014want" +
-      "_members\030\007 \001(\010\022\024\n\014peer_address\030\010 \001(\t\"\267\002\n" +
+      "_members\030\007 \001(\010\022\024\n\014peer_address\030\010 \001(\t\"\314\002\n" +
       "\016HeartbeatReply\022\n\n\002vm\030\001 \001(\t\022\023\n\013incarnati" +
       "on\030\002 \001(\t\022\025\n\rfleet_version\030\003 \001(\004\022&\n\031platf" +
       "orm_confirmed_age_ms\030\004 \001(\004H\000\210\001\001\022\031\n\021leavi" +
@@ -159,40 +159,41 @@
       "\010\022(\n\007members\030\007 \003(\0132\027.io.jayhead.peer.Mem" +
       "ber\022\031\n\021availability_zone\030\010 \001(\t\022\025\n\rlist_r" +
       "evision\030\t \001(\004\022\031\n\021charge_partitions\030\n \001(\r" +
-      "B\034\n\032_platform_confirmed_age_ms\"Z\n\006Member" +
-      "\022\n\n\002vm\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\t\022\031\n\021ava" +
-      "ilability_zone\030\003 \001(\t\022\024\n\014peer_address\030\004 \001" +
-      "(\t\"=\n\tFleetPush\022\017\n\007version\030\001 \001(\004\022\021\n\tchan" +
-      "ge_id\030\002 \001(\t\022\014\n\004text\030\003 \001(\t\"N\n\016FleetPushRe" +
-      "ply\022\n\n\002vm\030\001 \001(\t\022\017\n\007version\030\002 \001(\004\022\021\n\tchan" +
-      "ge_id\030\003 \001(\t\022\014\n\004text\030\004 \001(\t\",\n\006Append\022\021\n\tp" +
-      "artition\030\001 \001(\r\022\017\n\007entries\030\002 \003(\t\"?\n\013Appen" +
-      "dReply\0220\n\010outcomes\030\001 \003(\0132\036.io.jayhead.pe" +
-      "er.AppendOutcome\"\232\001\n\rAppendOutcome\0225\n\006st" +
-      "atus\030\001 \001(\0162%.io.jayhead.peer.AppendOutco" +
-      "me.Status\022\023\n\013first_entry\030\002 \001(\t\"=\n\006Status" +
-      "\022\013\n\007UNKNOWN\020\000\022\r\n\tCOMMITTED\020\001\022\r\n\tDUPLICAT" +
-      "E\020\002\022\010\n\004HELD\020\003\"?\n\013HoldCharges\022\n\n\002vm\030\001 \001(\t" +
-      "\022\023\n\013incarnation\030\002 \001(\t\022\017\n\007entries\030\003 \003(\t\" " +
-      "\n\020HoldChargesReply\022\014\n\004held\030\001 \001(\010\";\n\016Rele" +
-      "aseCharges\022\023\n\013incarnation\030\001 \001(\t\022\024\n\014reque" +
-      "st_keys\030\002 \003(\t\"\025\n\023ReleaseChargesReply\"\250\001\n" +
-      "\005Begin\022\023\n\013request_key\030\001 \001(\t\022\n\n\002vm\030\002 \001(\t\022" +
-      "\023\n\013incarnation\030\003 \001(\t\022\023\n\013body_digest\030\004 \001(" +
-      "\t\022\020\n\010upstream\030\005 \001(\t\022\033\n\023upstream_request_" +
-      "id\030\006 \001(\t\022\020\n\010finished\030\007 \001(\010\022\023\n\013lookup_onl" +
-      "y\030\010 \001(\010\"\345\001\n\nBeginReply\0222\n\006status\030\001 \001(\0162\"" +
-      ".io.jayhead.peer.BeginReply.Status\022\n\n\002vm" +
-      "\030\002 \001(\t\022\020\n\010upstream\030\003 \001(\t\022\033\n\023upstream_req" +
-      "uest_id\030\004 \001(\t\"h\n\006Status\022\013\n\007UNKNOWN\020\000\022\016\n\n" +
-      "REGISTERED\020\001\022\013\n\007RUNNING\020\002\022\014\n\010FINISHED\020\003\022" +
-      "\022\n\016DIFFERENT_BODY\020\004\022\022\n\016NOT_REGISTERED\020\005\"" +
-      "_\n\006Borrow\022\n\n\002vm\030\001 \001(\t\022\024\n\014organisation\030\002 " +
-      "\001(\t\022\016\n\006budget\030\003 \001(\t\022\023\n\013transfer_id\030\004 \001(\t" +
-      "\022\016\n\006tokens\030\005 \001(\004\"2\n\013BorrowReply\022\023\n\013trans" +
-      "fer_id\030\001 \001(\t\022\016\n\006tokens\030\002 \001(\004\"(\n\007Failure\022" +
-      "\014\n\004code\030\001 \001(\t\022\017\n\007message\030\002 \001(\tB\026\n\022io.jay" +
-      "head.peer.pbP\001b\006proto3"
+      "\022\023\n\013list_digest\030\013 \001(\tB\034\n\032_platform_confi" +
+      "rmed_age_ms\"Z\n\006Member\022\n\n\002vm\030\001 \001(\t\022\023\n\013inc" +
+      "arnation\030\002 \001(\t\022\031\n\021availability_zone\030\003 \001(" +
+      "\t\022\024\n\014peer_address\030\004 \001(\t\"=\n\tFleetPush\022\017\n\007" +
+      "version\030\001 \001(\004\022\021\n\tchange_id\030\002 \001(\t\022\014\n\004text" +
+      "\030\003 \001(\t\"N\n\016FleetPushReply\022\n\n\002vm\030\001 \001(\t\022\017\n\007" +
+      "version\030\002 \001(\004\022\021\n\tchange_id\030\003 \001(\t\022\014\n\004text" +
+      "\030\004 \001(\t\",\n\006Append\022\021\n\tpartition\030\001 \001(\r\022\017\n\007e" +
+      "ntries\030\002 \003(\t\"?\n\013AppendReply\0220\n\010outcomes\030" +
+      "\001 \003(\0132\036.io.jayhead.peer.AppendOutcome\"\232\001" +
+      "\n\rAppendOutcome\0225\n\006status\030\001 \001(\0162%.io.jay" +
+      "head.peer.AppendOutcome.Status\022\023\n\013first_" +
+      "entry\030\002 \001(\t\"=\n\006Status\022\013\n\007UNKNOWN\020\000\022\r\n\tCO" +
+      "MMITTED\020\001\022\r\n\tDUPLICATE\020\002\022\010\n\004HELD\020\003\"?\n\013Ho" +
+      "ldCharges\022\n\n\002vm\030\001 \001(\t\022\023\n\013incarnation\030\002 \001" +
+      "(\t\022\017\n\007entries\030\003 \003(\t\" \n\020HoldChargesReply\022" +
+      "\014\n\004held\030\001 \001(\010\";\n\016ReleaseCharges\022\023\n\013incar" +
+      "nation\030\001 \001(\t\022\024\n\014request_keys\030\002 \003(\t\"\025\n\023Re" +
+      "leaseChargesReply\"\250\001\n\005Begin\022\023\n\013request_k" +
+      "ey\030\001 \001(\t\022\n\n\002vm\030\002 \001(\t\022\023\n\013incarnation\030\003 \001(" +
+      "\t\022\023\n\013body_digest\030\004 \001(\t\022\020\n\010upstream\030\005 \001(\t" +
+      "\022\033\n\023upstream_request_id\030\006 \001(\t\022\020\n\010finishe" +
+      "d\030\007 \001(\010\022\023\n\013lookup_only\030\010 \001(\010\"\345\001\n\nBeginRe" +
+      "ply\0222\n\006status\030\001 \001(\0162\".io.jayhead.peer.Be" +
+      "ginReply.Status\022\n\n\002vm\030\002 \001(\t\022\020\n\010upstream\030" +
+      "\003 \001(\t\022\033\n\023upstream_request_id\030\004 \001(\t\"h\n\006St" +
+      "atus\022\013\n\007UNKNOWN\020\000\022\016\n\nREGISTERED\020\001\022\013\n\007RUN" +
+      "NING\020\002\022\014\n\010FINISHED\020\003\022\022\n\016DIFFERENT_BODY\020\004" +
+      "\022\022\n\016NOT_REGISTERED\020\005\"_\n\006Borrow\022\n\n\002vm\030\001 \001" +
+      "(\t\022\024\n\014organisation\030\002 \001(\t\022\016\n\006budget\030\003 \001(\t" +
+      "\022\023\n\013transfer_id\030\004 \001(\t\022\016\n\006tokens\030\005 \001(\004\"2\n" +
+      "\013BorrowReply\022\023\n\013transfer_id\030\001 \001(\t\022\016\n\006tok" +
+      "ens\030\002 \001(\004\"(\n\007Failure\022\014\n\004code\030\001 \001(\t\022\017\n\007me" +
+      "ssage\030\002 \001(\tB\026\n\022io.jayhead.peer.pbP\001b\006pro" +
+      "to3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -215,7 +216,7 @@
     internal_static_io_jayhead_peer_HeartbeatReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_io_jayhead_peer_HeartbeatReply_descriptor,
-        new java.lang.String[] { "Vm", "Incarnation", "FleetVersion", "PlatformConfirmedAgeMs", "LeavingUpstreams", "ShuttingDown", "Members", "AvailabilityZone", "ListRevision", "ChargePartitions", });
+        new java.lang.String[] { "Vm", "Incarnation", "FleetVersion", "PlatformConfirmedAgeMs", "LeavingUpstreams", "ShuttingDown", "Members", "AvailabilityZone", "ListRevision", "ChargePartitions", "ListDigest", });
     internal_static_io_jayhead_peer_Member_descriptor =
       getDescriptor().getMessageType(3);
     internal_static_io_jayhead_peer_Member_fieldAccessorTable = new
