--- /dev/null
+++ b/jayhead-scenarios/src/main/java/io/jayhead/scenarios/process/package-info.java
@@ -0,0 +1,2 @@
+/** Processes of a scenario: start, signals, output. */
+package io.jayhead.scenarios.process;
