Cut, silence and heal links between processes

A relay stands in front of each process. It finds the connecting process in the kernel's socket tables, so that one relay per target serves all pairs and a partition can separate any two routers. One relay per pair was ruled out, because a router registers one address for all its peers.

--- /dev/null
+++ b/jayhead-scenarios/src/main/java/io/jayhead/scenarios/link/Link.java
@@ -0,0 +1,41 @@
+package io.jayhead.scenarios.link;
+
+import io.jayhead.scenarios.language.LinkState;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Holds the state of the connections from one process to another. */
+final class Link {
+
+    private LinkState state = LinkState.HEAL;
+    private final List<RelayedConnection> connections = new ArrayList<>();
+
+    synchronized void set(LinkState next) {
+        state = next;
+        if (next == LinkState.CUT) {
+            connections.forEach(RelayedConnection::close);
+            connections.clear();
+        }
+        notifyAll();
+    }
+
+    /** Adds a connection unless the link is cut. */
+    synchronized boolean add(RelayedConnection connection) {
+        if (state == LinkState.CUT) {
+            return false;
+        }
+        connections.add(connection);
+        return true;
+    }
+
+    synchronized void remove(RelayedConnection connection) {
+        connections.remove(connection);
+    }
+
+    /** Waits while the link is silent. */
+    synchronized void awaitForwarding() throws InterruptedException {
+        while (state == LinkState.SILENCE) {
+            wait();
+        }
+    }
+}
--- /dev/null
+++ b/jayhead-scenarios/src/main/java/io/jayhead/scenarios/link/Network.java
@@ -0,0 +1,59 @@
+package io.jayhead.scenarios.link;
+
+import io.jayhead.scenarios.language.LinkState;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.stream.Stream;
+
+/** Holds the relays in front of the processes of one scenario. */
+public final class Network implements AutoCloseable {
+
+    private static final String OUTSIDE = "outside";
+
+    private final Map<String, Relay> relays = new ConcurrentHashMap<>();
+    private final Map<String, Long> pids = new ConcurrentHashMap<>();
+
+    /**
+     * Opens the relay in front of a process, or returns the one that exists.
+     *
+     * @param node the name of the process
+     * @return the relay
+     */
+    public Relay relay(String node) {
+        return relays.computeIfAbsent(node, name -> new Relay(this::sourceOfPort));
+    }
+
+    /**
+     * Registers a process as the source of connections.
+     *
+     * @param node the name of the process
+     * @param pid its id
+     */
+    public void register(String node, long pid) {
+        pids.put(node, pid);
+    }
+
+    /**
+     * Sets the state of the links between two processes, in both directions.
+     *
+     * @param state the state
+     * @param first a process
+     * @param second another process
+     */
+    public void set(LinkState state, String first, String second) {
+        Stream.of(first, second).filter(name -> !pids.containsKey(name)).forEach(name -> {
+            throw new IllegalArgumentException("no process " + name);
+        });
+        relay(second).set(first, state);
+        relay(first).set(second, state);
+    }
+
+    @Override
+    public void close() {
+        relays.values().forEach(Relay::close);
+    }
+
+    private String sourceOfPort(int port) {
+        return SocketOwner.find(port, pids).orElse(OUTSIDE);
+    }
+}
