--- /dev/null
+++ b/jayhead-scenarios/src/main/java/io/jayhead/scenarios/client/AnswerReader.java
@@ -0,0 +1,88 @@
+package io.jayhead.scenarios.client;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import okhttp3.Response;
+import okio.BufferedSource;
+
+/** Reads answers of routers to callers. */
+final class AnswerReader {
+
+    private static final String EVENT_STREAM = "text/event-stream";
+
+    private final int status;
+    private final List<ReceivedToken> tokens = new ArrayList<>();
+    private boolean complete;
+    private JsonNode last = Json.empty();
+    private String fault = "";
+
+    private AnswerReader(int status) {
+        this.status = status;
+    }
+
+    static CallerAnswer read(Response response) throws IOException {
+        AnswerReader reader = new AnswerReader(response.code());
+        if (response.header("Content-Type", "").startsWith(EVENT_STREAM)) {
+            reader.readEvents(response.body().source());
+        } else {
+            reader.readDocument(response.body().string());
+        }
+        return reader.answer();
+    }
+
+    private void readDocument(String body) {
+        last = Json.read(body);
+        complete = status / 100 == 2;
+        if (last.path("text").isTextual()) {
+            tokens.add(new ReceivedToken(0, last.path("text").asText()));
+        }
+    }
+
+    private void readEvents(BufferedSource source) {
+        try {
+            String event = "";
+            for (String line = source.readUtf8Line(); line != null; line = source.readUtf8Line()) {
+                if (line.startsWith("event:")) {
+                    event = line.substring("event:".length()).strip();
+                } else if (line.startsWith("data:")) {
+                    event(event, Json.read(line.substring("data:".length())));
+                }
+            }
+        } catch (IOException e) {
+            // Tokens that arrived before the failure are kept, because they must be true as well.
+            fault = e.toString();
+        }
+    }
+
+    private void event(String event, JsonNode data) {
+        if (event.equals("token")) {
+            tokens.add(new ReceivedToken(
+                    data.path("index").asInt(-1), data.path("text").asText()));
+            return;
+        }
+        last = data;
+        complete = event.equals("done");
+    }
+
+    private CallerAnswer answer() {
+        JsonNode error = last.path("error");
+        JsonNode verdict = error.isMissingNode() ? last.path("verdict") : error.path("verdict");
+        JsonNode usage = last.path("usage");
+        return new CallerAnswer(
+                status,
+                tokens,
+                complete && fault.isEmpty(),
+                text(verdict),
+                text(error.path("code")),
+                usage.path("prompt_tokens").asLong(),
+                usage.path("output_tokens").asLong(),
+                fault);
+    }
+
+    private static Optional<String> text(JsonNode node) {
+        return node.isTextual() ? Optional.of(node.asText()) : Optional.empty();
+    }
+}
