Run scenarios and check their expectations

Answers are compared with the text that the prompt determines, refusals with the executions that the stand-ins counted, and charges with the slots read from the platform.

--- /dev/null
+++ b/jayhead-scenarios/src/main/java/io/jayhead/scenarios/run/Expectations.java
@@ -0,0 +1,144 @@
+package io.jayhead.scenarios.run;
+
+import io.jayhead.scenarios.client.CallerAnswer;
+import io.jayhead.scenarios.language.Command;
+import io.jayhead.scenarios.language.Counted;
+import io.jayhead.scenarios.language.NodeKind;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+
+/** Checks the expectations of a scenario. Each check returns what was found instead, or empty. */
+final class Expectations {
+
+    private static final String ALL = "*";
+    private static final String PROBE_SERVICE = "label";
+    private static final String STALE = "configuration_stale";
+
+    private final Deployment deployment;
+    private final Operators operators;
+    private final Callers callers;
+    private final BudgetChecks budgets;
+    private final Map<String, Long> notedRuns;
+
+    Expectations(
+            Deployment deployment,
+            Operators operators,
+            Callers callers,
+            BudgetChecks budgets,
+            Map<String, Long> notedRuns) {
+        this.deployment = deployment;
+        this.operators = operators;
+        this.callers = callers;
+        this.budgets = budgets;
+        this.notedRuns = notedRuns;
+    }
+
+    Optional<String> check(Command command) {
+        if (command instanceof Command.ExpectOutcome expected) {
+            return operators.knows(expected.id())
+                    ? operators.check(expected.id(), expected.outcome())
+                    : AnswerChecks.check(callers.find(expected.id()), expected.outcome());
+        }
+        if (command instanceof Command.ExpectOneAccepted expected) {
+            return operators.checkOneAccepted(expected.ids());
+        }
+        if (command instanceof Command.ExpectCount expected) {
+            return Poll.until(expected.withinMs(), () -> checkCount(expected));
+        }
+        if (command instanceof Command.ExpectNoNewRuns expected) {
+            long before = notedRuns.get(expected.engine());
+            return equal(before, deployment.counts(expected.engine()).runs());
+        }
+        if (command instanceof Command.ExpectOverspend expected) {
+            ChargeLogView charges = ChargeLogView.read(deployment.platform());
+            return equal(expected.tokens(), budgets.overspentTokens(callers, charges));
+        }
+        return checkRouters(command);
+    }
+
+    private Optional<String> checkRouters(Command command) {
+        if (command instanceof Command.ExpectVersion expected) {
+            return Poll.until(expected.withinMs(), () -> checkInForce(expected.version()));
+        }
+        if (command instanceof Command.ExpectVersionAt expected) {
+            return Poll.until(
+                    expected.withinMs(), () -> equal(expected.version(), operators.version(expected.router())));
+        }
+        if (command instanceof Command.ExpectRefusing expected) {
+            return Poll.until(expected.withinMs(), () -> checkRefusing(expected.router(), expected.code()));
+        }
+        if (command instanceof Command.ExpectServing expected) {
+            return Poll.until(expected.withinMs(), () -> {
+                CallerAnswer answer = probe(expected.router());
+                return answer.complete() ? Optional.empty() : Optional.of(answer.toString());
+            });
+        }
+        if (command instanceof Command.ExpectExit expected) {
+            OptionalInt status = deployment.process(expected.node()).awaitExit(expected.withinMs());
+            return status.isPresent() ? equal(expected.status(), status.getAsInt()) : Optional.of("still runs");
+        }
+        throw new IllegalArgumentException("cannot execute " + command);
+    }
+
+    private Optional<String> checkCount(Command.ExpectCount expected) {
+        long actual = count(expected.counted(), expected.subject());
+        boolean holds = expected.comparison().holds(actual, expected.number());
+        return holds ? Optional.empty() : Optional.of(Long.toString(actual));
+    }
+
+    private long count(Counted counted, String subject) {
+        return switch (counted) {
+            case EXECUTIONS -> deployment.counts(NodeKind.BOOKING).executionsOf(subject);
+            case BILLS -> bills(subject);
+            case RUNS -> deployment.isNode(subject) ? deployment.counts(subject).runs() : runs(subject);
+        };
+    }
+
+    private long bills(String key) {
+        ChargeLogView charges = ChargeLogView.read(deployment.platform());
+        if (key.equals(ALL)) {
+            return charges.bills();
+        }
+        return callers.all().stream()
+                .filter(request -> request.key().equals(key))
+                .map(SentRequest::requestKey)
+                .distinct()
+                .mapToLong(charges::billsOf)
+                .sum();
+    }
+
+    private long runs(String key) {
+        StandinCounts engines = deployment.counts(NodeKind.ENGINE);
+        return callers.all().stream()
+                .filter(request -> request.key().equals(key))
+                .map(SentRequest::requestKey)
+                .distinct()
+                .mapToLong(requestKey -> engines.executionsWithPrefix(requestKey.value()))
+                .sum();
+    }
+
+    private Optional<String> checkInForce(long version) {
+        for (String router : deployment.servingRouters()) {
+            long found = operators.version(router);
+            if (found != version && checkRefusing(router, STALE).isPresent()) {
+                return Optional.of(router + " takes new work with version " + found);
+            }
+        }
+        return Optional.empty();
+    }
+
+    private Optional<String> checkRefusing(String router, String code) {
+        CallerAnswer answer = probe(router);
+        boolean holds = answer.isNotRun() && answer.errorCode().equals(Optional.of(code));
+        return holds ? Optional.empty() : Optional.of(answer.toString());
+    }
+
+    private CallerAnswer probe(String router) {
+        return callers.probe(router, operators.outputCap(PROBE_SERVICE));
+    }
+
+    private static Optional<String> equal(long expected, long actual) {
+        return expected == actual ? Optional.empty() : Optional.of(Long.toString(actual));
+    }
+}
--- /dev/null
+++ b/jayhead-scenarios/src/main/java/io/jayhead/scenarios/run/Operators.java
@@ -0,0 +1,131 @@
+package io.jayhead.scenarios.run;
+
+import io.jayhead.scenarios.client.HttpReply;
+import io.jayhead.scenarios.client.Json;
+import io.jayhead.scenarios.language.Command;
+import io.jayhead.scenarios.language.FleetEdit;
+import io.jayhead.scenarios.language.Outcome;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.NoSuchElementException;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+/** Acts as the operators of a scenario. */
+final class Operators {
+
+    private static final String FLEET_PATH = "/operator/v1/fleet";
+    private static final long WAIT_MS = 10_000;
+
+    private final Deployment deployment;
+    private final Map<String, CompletableFuture<HttpReply>> changes = new HashMap<>();
+    private final Map<String, FleetText> proposed = new HashMap<>();
+    private FleetText current;
+
+    Operators(Deployment deployment, FleetText first) {
+        this.deployment = deployment;
+        this.current = first;
+    }
+
+    /** Returns the output cap of a service under the newest text that was accepted. */
+    int outputCap(String service) {
+        acceptFinished();
+        return current.outputCap(service);
+    }
+
+    boolean knows(String id) {
+        return changes.containsKey(id);
+    }
+
+    CompletableFuture<HttpReply> change(String id) {
+        return Optional.ofNullable(changes.get(id)).orElseThrow(() -> new NoSuchElementException("no change " + id));
+    }
+
+    void apply(Command.Apply command) {
+        acceptFinished();
+        FleetText next = current;
+        for (FleetEdit edit : command.edits()) {
+            next = next.with(edit);
+        }
+        long expected = command.expectedVersion().orElseGet(() -> version(command.router()));
+        String body = Json.object()
+                .put("expected_version", expected)
+                .put("change_id", "change-" + command.id())
+                .put("text", deployment.render(next))
+                .toString();
+        proposed.put(command.id(), next);
+        changes.put(
+                command.id(), Callers.background(() -> deployment.operate("PUT", command.router(), FLEET_PATH, body)));
+    }
+
+    /** Adds tokens. The first top-up repeats while the router is not ready. */
+    Optional<String> topUp(Command.TopUp command, String router) {
+        String path = "/operator/v1/budgets/" + command.organisation() + "/" + command.budget() + "/topups";
+        String body = Json.object()
+                .put("id", command.topUpId())
+                .put("tokens", command.tokens())
+                .toString();
+        return Poll.until(WAIT_MS, () -> {
+            HttpReply reply = deployment.operate("POST", router, path, body);
+            return reply.isSuccess() ? Optional.empty() : Optional.of(reply.toString());
+        });
+    }
+
+    /** Returns the version that a router uses, or -1 if it does not answer. */
+    long version(String router) {
+        HttpReply reply = deployment.operate("GET", router, FLEET_PATH, "");
+        return reply.json().path("version").asLong(-1);
+    }
+
+    Optional<String> awaitReady(String router) {
+        return Poll.until(WAIT_MS, () -> {
+            HttpReply reply = deployment.operate("GET", router, "/ready", "");
+            return reply.isSuccess() ? Optional.empty() : Optional.of(router + " is not ready: " + reply);
+        });
+    }
+
+    Optional<String> check(String id, Outcome outcome) {
+        HttpReply reply = change(id).getNow(new HttpReply(0, "no answer yet"));
+        boolean holds;
+        if (outcome instanceof Outcome.Accepted accepted) {
+            holds = isAccepted(reply) && reply.json().path("version").asLong() == accepted.version();
+        } else if (outcome instanceof Outcome.Conflict conflict) {
+            holds = isConflict(reply) && conflictVersion(reply) == conflict.version();
+        } else {
+            return Optional.of("is a configuration change");
+        }
+        return holds ? Optional.empty() : Optional.of(reply.toString());
+    }
+
+    Optional<String> checkOneAccepted(List<String> ids) {
+        List<HttpReply> replies = ids.stream()
+                .map(id -> change(id).getNow(new HttpReply(0, "no answer yet")))
+                .toList();
+        long accepted = replies.stream().filter(Operators::isAccepted).count();
+        long conflicts = replies.stream().filter(Operators::isConflict).count();
+        boolean holds = accepted == 1 && conflicts == ids.size() - 1;
+        return holds ? Optional.empty() : Optional.of(replies.toString());
+    }
+
+    private void acceptFinished() {
+        changes.forEach((id, change) -> {
+            if (change.isDone() && isAccepted(change.join())) {
+                Optional.ofNullable(proposed.remove(id)).ifPresent(text -> current = text);
+            }
+        });
+    }
+
+    private static boolean isAccepted(HttpReply reply) {
+        return reply.isSuccess() && reply.json().path("state").asText().equals("accepted");
+    }
+
+    private static boolean isConflict(HttpReply reply) {
+        return reply.status() == 409 && reply.body().contains("conflict");
+    }
+
+    private static long conflictVersion(HttpReply reply) {
+        long outer = reply.json().path("version").asLong(-1);
+        return outer >= 0 ? outer : reply.json().path("error").path("version").asLong(-1);
+    }
+}
--- /dev/null
+++ b/jayhead-scenarios/src/main/java/io/jayhead/scenarios/run/package-info.java
@@ -0,0 +1,2 @@
+/** Execution of scenarios. */
+package io.jayhead.scenarios.run;
