--- /dev/null
+++ b/jayhead-scenarios/src/test/java/io/jayhead/scenarios/ProcessControlTest.java
@@ -0,0 +1,84 @@
+package io.jayhead.scenarios;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.jayhead.scenarios.client.HttpSender;
+import io.jayhead.scenarios.language.LinkState;
+import io.jayhead.scenarios.language.ProcessSignal;
+import io.jayhead.scenarios.link.Network;
+import io.jayhead.scenarios.process.ProcessLauncher;
+import io.jayhead.scenarios.process.RunningProcess;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against faults that scenarios order but that do not happen. */
+class ProcessControlTest {
+
+    private static final long READY_LIMIT_MS = 20_000;
+
+    private final Network network = new Network();
+    private RunningProcess engine;
+    private String direct;
+
+    @BeforeEach
+    void startEngine() {
+        ProcessLauncher launcher = new ProcessLauncher(Path.of("target", "scenarios", "process-control"));
+        engine = launcher.start("engine", "io.jayhead.standins.StandinsMain", List.of("engine"));
+        direct = engine.awaitLine("ready ", READY_LIMIT_MS);
+        network.register("client", ProcessHandle.current().pid());
+        network.register("engine", engine.pid());
+        network.relay("engine").forwardTo(direct);
+    }
+
+    @AfterEach
+    void stopEngine() {
+        network.close();
+        engine.send(ProcessSignal.KILL);
+    }
+
+    @Test
+    void aPausedProcessAnswersOnlyAfterItIsResumed() {
+        engine.send(ProcessSignal.PAUSE);
+        assertFalse(answers(direct));
+        engine.send(ProcessSignal.RESUME);
+        assertTrue(answers(direct));
+        engine.send(ProcessSignal.KILL);
+        assertFalse(engine.isAlive());
+    }
+
+    @Test
+    void aLinkFailsOnlyBetweenItsTwoProcesses() {
+        String relayed = network.relay("engine").address();
+        for (LinkState state : List.of(LinkState.CUT, LinkState.SILENCE)) {
+            network.set(state, "client", "engine");
+            assertFalse(answers(relayed), state.name());
+            network.set(LinkState.HEAL, "client", "engine");
+            assertTrue(answers(relayed), state.name());
+        }
+        network.register("other", 1);
+        network.set(LinkState.CUT, "other", "engine");
+        assertTrue(answers(relayed));
+    }
+
+    @Test
+    void aDeadProcessRefusesConnections() {
+        engine.send(ProcessSignal.KILL);
+        network.relay("engine").refuse();
+        String fault = get(network.relay("engine").address());
+        assertTrue(fault.contains("ConnectException"), fault);
+    }
+
+    private static boolean answers(String address) {
+        return !get(address).contains("Exception");
+    }
+
+    private static String get(String address) {
+        return HttpSender.send("GET", "http://" + address.replaceFirst("^http://", "") + "/v1/totals", Map.of(), "")
+                .body();
+    }
+}
--- /dev/null
+++ b/jayhead-scenarios/src/test/java/io/jayhead/scenarios/ScenarioParserTest.java
@@ -0,0 +1,67 @@
+package io.jayhead.scenarios;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.jayhead.scenarios.language.Command;
+import io.jayhead.scenarios.language.NodeKind;
+import io.jayhead.scenarios.language.Outcome;
+import io.jayhead.scenarios.language.Scenario;
+import io.jayhead.scenarios.language.ScenarioParser;
+import io.jayhead.scenarios.language.ScenarioSyntaxException;
+import java.nio.file.Path;
+import java.util.OptionalLong;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Guards against scenario files that check less than they say. */
+class ScenarioParserTest {
+
+    private static final String HEAD = "scenario s\nguards: a failure\nfleet: platform, engine e1 az-2 fencing\n";
+
+    @Test
+    void readsTimesOptionsAndQuotedTexts() {
+        Scenario scenario = ScenarioParser.parse(HEAD
+                + "at 300 ms: generate g1 via r1 service plan key k-1 prompt \"a b\" max 20 stream\n"
+                + "expect g1 verdict ran\n");
+        assertEquals(NodeKind.ENGINE, scenario.nodes().get(1).kind());
+        assertTrue(scenario.nodes().get(1).has("fencing"));
+        assertEquals(OptionalLong.of(300), scenario.steps().get(0).atMs());
+        assertEquals(
+                new Command.Generate("g1", "r1", "plan", "shop-1", "k-1", "a b", 20, true),
+                scenario.steps().get(0).command());
+        assertEquals(
+                new Command.ExpectOutcome("g1", new Outcome.HasVerdict("ran")),
+                scenario.steps().get(1).command());
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "explode r1",
+                "kill r1 now",
+                "at 5: kill r1",
+                "expect g1 perfect",
+                "expect bills k-1 about 1",
+                "generate g1 via r1 service plan prompt \"a b\"",
+                "sleep 5"
+            })
+    void rejectsLinesOutsideTheLanguage(String line) {
+        ScenarioSyntaxException fault =
+                assertThrows(ScenarioSyntaxException.class, () -> ScenarioParser.parse(HEAD + line));
+        assertTrue(fault.getMessage().startsWith("line 4: "), fault.getMessage());
+    }
+
+    @ParameterizedTest
+    @MethodSource("io.jayhead.scenarios.ScenarioFiles#all")
+    void everyFileIsInTheLanguageAndChecksSomething(Path file) {
+        Scenario scenario = ScenarioFiles.parse(file);
+        assertEquals(scenario.name() + ".scenario", file.getFileName().toString());
+        assertTrue(scenario.steps().stream()
+                .anyMatch(step -> step.command() instanceof Command.ExpectOutcome
+                        || step.command() instanceof Command.ExpectOneAccepted));
+    }
+}
--- /dev/null
+++ b/jayhead-scenarios/src/test/java/io/jayhead/scenarios/package-info.java
@@ -0,0 +1,2 @@
+/** Runs the scenario files and tests their language and process control. */
+package io.jayhead.scenarios;
