Check ledgers, tokens of engine runs and settled budgets

Charges alone do not show a ledger that allocates more than was paid, a top-up counted twice, or runs larger than their charge. The ledger is read as JSON without the daemon's code, so that a fault there is not repeated in the check. Routers get the addresses of earlier routers as seed peers, which a start during a platform outage needs.

--- a/jayhead-scenarios/src/main/java/io/jayhead/scenarios/language/Command.java
+++ b/jayhead-scenarios/src/main/java/io/jayhead/scenarios/language/Command.java
@@ -73,6 +73,9 @@
     /** Checks that no budget is overspent. */
     record ExpectOverspend(long tokens) implements Command {}
 
+    /** Checks that spent tokens in the ledgers equal the charges, until a limit. */
+    record ExpectSettled(long withinMs) implements Command {}
+
     /** Checks that each router uses the version or refuses new work, until a limit. */
     record ExpectVersion(long version, long withinMs) implements Command {}
 
--- a/jayhead-scenarios/src/main/java/io/jayhead/scenarios/language/ExpectationReader.java
+++ b/jayhead-scenarios/src/main/java/io/jayhead/scenarios/language/ExpectationReader.java
@@ -17,6 +17,7 @@
             case "no" ->
                 new Command.ExpectNoNewRuns(
                         words.expect("new").expect("runs").expect("at").word());
+            case "ledgers" -> new Command.ExpectSettled(words.expect("settled").optionalDurationMs("within", 0));
             case "version" -> version(words);
             case "router" -> router(words);
             case "exit" -> exit(words);
--- a/jayhead-scenarios/src/main/java/io/jayhead/scenarios/run/ChargeLogView.java
+++ b/jayhead-scenarios/src/main/java/io/jayhead/scenarios/run/ChargeLogView.java
@@ -10,7 +10,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 import java.util.stream.StreamSupport;
 
 /**
@@ -66,6 +68,13 @@
         return firstCharges.size();
     }
 
+    Set<RequestKey> keysOf(String organisation) {
+        return firstCharges.values().stream()
+                .filter(entry -> entry.budget().organisation().value().equals(organisation))
+                .map(ChargeEntry::key)
+                .collect(Collectors.toSet());
+    }
+
     long tokensOf(String organisation, String budget) {
         return firstCharges.values().stream()
                 .filter(entry -> entry.budget().organisation().value().equals(organisation))
--- a/jayhead-scenarios/src/main/java/io/jayhead/scenarios/run/Deployment.java
+++ b/jayhead-scenarios/src/main/java/io/jayhead/scenarios/run/Deployment.java
@@ -155,6 +155,26 @@
                 .reduce(StandinCounts.NONE, StandinCounts::plus);
     }
 
+    /** Returns the prompt and output tokens of each run at a live engine, by request id and engine. */
+    Map<String, Long> producedTokens() {
+        Map<String, Long> tokens = new HashMap<>();
+        nodes.values().stream()
+                .filter(node ->
+                        node.kind() == NodeKind.ENGINE && process(node.name()).isAlive())
+                .forEach(node -> currentCounts(node.name())
+                        .executions()
+                        .keySet()
+                        .forEach(id -> {
+                            String url = "http://" + standins.get(node.name()) + "/v1/requests/" + id;
+                            JsonNode run =
+                                    HttpSender.send("GET", url, Map.of(), "").json();
+                            long sum = run.path("prompt_tokens").asLong()
+                                    + run.path("output_tokens").asLong();
+                            tokens.put(id + "@" + node.name(), sum);
+                        }));
+        return tokens;
+    }
+
     @Override
     public void close() {
         processes.values().forEach(process -> process.send(ProcessSignal.KILL));
@@ -195,9 +215,14 @@
         routers.put(node.name(), addresses);
         // The entry appears on the VM list with a lag. In an outage of the platform there is none, as on a real VM.
         setVm(node.name(), "live");
+        List<String> seeds = routers.keySet().stream()
+                .filter(name -> !name.equals(node.name()))
+                .map(name -> network.relay(name).address())
+                .toList();
         String text = RouterSettings.render(
                 node,
                 addresses,
+                seeds,
                 network.relay(node.name()).address(),
                 network.relay(NodeKind.PLATFORM.text()).address(),
                 RequestKey.sha256(OPERATOR_CREDENTIAL));
--- a/jayhead-scenarios/src/main/java/io/jayhead/scenarios/run/Expectations.java
+++ b/jayhead-scenarios/src/main/java/io/jayhead/scenarios/run/Expectations.java
@@ -51,8 +51,10 @@
             return equal(before, deployment.counts(expected.engine()).runs());
         }
         if (command instanceof Command.ExpectOverspend expected) {
-            ChargeLogView charges = ChargeLogView.read(deployment.platform());
-            return equal(expected.tokens(), budgets.overspentTokens(callers, charges));
+            return equal(expected.tokens(), budgets.overspentTokens(callers, deployment));
+        }
+        if (command instanceof Command.ExpectSettled expected) {
+            return Poll.until(expected.withinMs(), () -> BudgetChecks.checkSettled(deployment));
         }
         return checkRouters(command);
     }
--- a/jayhead-scenarios/src/main/java/io/jayhead/scenarios/run/RouterSettings.java
+++ b/jayhead-scenarios/src/main/java/io/jayhead/scenarios/run/RouterSettings.java
@@ -11,6 +11,7 @@
     static String render(
             Node node,
             RouterAddresses addresses,
+            List<String> seedPeers,
             String advertisedPeersAddress,
             String platformAddress,
             String credentialSha256) {
@@ -33,6 +34,9 @@
                         advertisedPeersAddress,
                         platformAddress,
                         credentialSha256));
+        if (!seedPeers.isEmpty()) {
+            text.append("seed_peers: [").append(String.join(", ", seedPeers)).append("]\n");
+        }
         List<String> options = node.options();
         for (int i = 0; i + 1 < options.size(); i += 2) {
             text.append(options.get(i)).append(": ").append(options.get(i + 1)).append('\n');
