Load the model of scenarios at the engines

Routers compare the models of a load report with the weights and send the model's name to the engine. A trial against the draft daemon refused all generations as dependency_not_ready, because the engines reported no models. The stand-in has one list for both, so model and weights share a name.

--- a/jayhead-scenarios/src/main/java/io/jayhead/scenarios/run/Deployment.java
+++ b/jayhead-scenarios/src/main/java/io/jayhead/scenarios/run/Deployment.java
@@ -235,7 +235,7 @@
             arguments.addAll(List.of("--name", node.name()));
         }
         if (node.kind() == NodeKind.ENGINE) {
-            arguments.addAll(List.of("--zone", node.zone()));
+            arguments.addAll(List.of("--zone", node.zone(), "--models", FleetText.MODEL));
         }
         List<String> options = node.options();
         for (int i = 0; i < options.size(); i++) {
--- a/jayhead-scenarios/src/main/java/io/jayhead/scenarios/run/FleetText.java
+++ b/jayhead-scenarios/src/main/java/io/jayhead/scenarios/run/FleetText.java
@@ -24,7 +24,9 @@
 
     static final List<String> ORGANISATIONS = List.of("shop-1", "shop-2");
     static final String BUDGET = "main";
+    /** Names the model and its weights alike: the stand-in's list of models holds for requests and load reports. */
     static final String MODEL = "large";
+
     static final String BOOKING_SERVICE = "desk";
     static final String STATUS_SERVICE = "desk-status";
     static final String KEY_HEADER = "Idempotency-Key";
@@ -66,8 +68,12 @@
     }
 
     String render(Function<String, String> addressOf) {
-        StringBuilder text = new StringBuilder("fleet: scenario\nweights:\n  - name: weights-1\nmodels:\n");
-        text.append("  - name: ").append(MODEL).append("\n    weights: weights-1\nupstreams:\n");
+        StringBuilder text = new StringBuilder("fleet: scenario\nweights:\n  - name: " + MODEL + "\nmodels:\n");
+        text.append("  - name: ")
+                .append(MODEL)
+                .append("\n    weights: ")
+                .append(MODEL)
+                .append("\nupstreams:\n");
         upstreams.forEach(node -> text.append(upstream(node, addressOf.apply(node.name()))));
         text.append("services:\n");
         outputCaps.forEach((service, cap) -> text.append(generation(service, cap)));
