--- a/jayhead-scenarios/src/main/java/io/jayhead/scenarios/run/Deployment.java
+++ b/jayhead-scenarios/src/main/java/io/jayhead/scenarios/run/Deployment.java
@@ -31,6 +31,7 @@
     private static final long START_LIMIT_MS = 20_000;
 
     private final ProcessLauncher launcher;
+    private final FreePorts ports;
     private final Network network = new Network();
     private final Map<String, Node> nodes = new LinkedHashMap<>();
     private final Map<String, RunningProcess> processes = new HashMap<>();
@@ -40,8 +41,9 @@
     private final Set<String> paused = new TreeSet<>();
     private int starts;
 
-    Deployment(ProcessLauncher launcher) {
+    Deployment(String scenario, ProcessLauncher launcher) {
         this.launcher = launcher;
+        ports = new FreePorts(scenario);
     }
 
     /** Starts all processes and writes the first fleet text. */
@@ -211,7 +213,7 @@
     }
 
     private String settings(Node node, String outputName) {
-        RouterAddresses addresses = RouterAddresses.free();
+        RouterAddresses addresses = RouterAddresses.of(ports);
         routers.put(node.name(), addresses);
         // The entry appears on the VM list with a lag. In an outage of the platform there is none, as on a real VM.
         setVm(node.name(), "live");
--- a/jayhead-scenarios/src/main/java/io/jayhead/scenarios/run/FreePorts.java
+++ b/jayhead-scenarios/src/main/java/io/jayhead/scenarios/run/FreePorts.java
@@ -1,33 +1,45 @@
 package io.jayhead.scenarios.run;
 
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.util.HashSet;
 import java.util.Set;
 
-/** Finds free ports and never returns one twice, because scenarios run side by side. */
+/**
+ * Finds free ports for the routers of one scenario, from a start that its name determines.
+ *
+ * <p>The ports lie below those that the kernel gives to outgoing connections. A port found free above that bound was
+ * taken by a connection before the router listened.
+ */
 final class FreePorts {
 
+    private static final int FIRST_PORT = 20_000;
+    private static final int END_PORT = 32_000;
+    private static final int PORTS_PER_SCENARIO = 40;
     private static final Set<Integer> TAKEN = new HashSet<>();
 
-    private FreePorts() {}
+    private int next;
 
-    static synchronized String address() {
-        while (true) {
-            int port = free();
-            if (TAKEN.add(port)) {
-                return "127.0.0.1:" + port;
+    FreePorts(String scenario) {
+        int places = (END_PORT - FIRST_PORT) / PORTS_PER_SCENARIO;
+        next = FIRST_PORT + Math.floorMod(scenario.hashCode(), places) * PORTS_PER_SCENARIO;
+    }
+
+    String address() {
+        synchronized (TAKEN) {
+            while (!isFree(next) || !TAKEN.add(next)) {
+                next = next + 1 < END_PORT ? next + 1 : FIRST_PORT;
             }
+            return "127.0.0.1:" + next;
         }
     }
 
-    private static int free() {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return socket.getLocalPort();
+    private static boolean isFree(int port) {
+        try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+            return socket.isBound();
         } catch (IOException e) {
-            throw new UncheckedIOException("no free port", e);
+            return false;
         }
     }
 }
--- a/jayhead-scenarios/src/main/java/io/jayhead/scenarios/run/RouterAddresses.java
+++ b/jayhead-scenarios/src/main/java/io/jayhead/scenarios/run/RouterAddresses.java
@@ -9,7 +9,7 @@
  */
 record RouterAddresses(String callers, String operators, String peers) {
 
-    static RouterAddresses free() {
-        return new RouterAddresses(FreePorts.address(), FreePorts.address(), FreePorts.address());
+    static RouterAddresses of(FreePorts ports) {
+        return new RouterAddresses(ports.address(), ports.address(), ports.address());
     }
 }
--- a/jayhead-scenarios/src/main/java/io/jayhead/scenarios/run/ScenarioRun.java
+++ b/jayhead-scenarios/src/main/java/io/jayhead/scenarios/run/ScenarioRun.java
@@ -33,7 +33,7 @@
     private ScenarioRun(Scenario scenario, Path directory) {
         this.scenario = scenario;
         fleet = FleetText.of(scenario.nodes());
-        deployment = new Deployment(new ProcessLauncher(directory));
+        deployment = new Deployment(scenario.name(), new ProcessLauncher(directory));
         operators = new Operators(deployment, fleet);
         callers = new Callers(deployment);
         expectations = new Expectations(deployment, operators, callers, budgets, notedRuns);
@@ -59,6 +59,9 @@
 
     private void run() {
         deployment.start(scenario, fleet);
+        deployment
+                .servingRouters()
+                .forEach(router -> operators.awaitReady(router).ifPresent(failures::add));
         scenario.steps().forEach(this::execute);
         AnswerChecks.standingFaults(callers.all(), deployment).forEach(failures::add);
         if (!failures.isEmpty()) {
