Tell the version a router used from the length of a probe's answer

Change: the probe asks for more tokens than the cap of the accepted text, and its length shows the text that was used. Adds the expectation that a router is ready.

--- a/jayhead-scenarios/src/main/java/io/jayhead/scenarios/language/Command.java
+++ b/jayhead-scenarios/src/main/java/io/jayhead/scenarios/language/Command.java
@@ -88,6 +88,9 @@
     /** Checks that a router takes new work, until a limit. */
     record ExpectServing(String router, long withinMs) implements Command {}
 
+    /** Checks that a router reports ready, until a limit. */
+    record ExpectReady(String router, long withinMs) implements Command {}
+
     /** Checks that a process ended with a status, until a limit. */
     record ExpectExit(String node, int status, long withinMs) implements Command {}
 }
--- a/jayhead-scenarios/src/main/java/io/jayhead/scenarios/language/ExpectationReader.java
+++ b/jayhead-scenarios/src/main/java/io/jayhead/scenarios/language/ExpectationReader.java
@@ -44,6 +44,9 @@
         if (words.take("serves")) {
             return new Command.ExpectServing(router, words.optionalDurationMs("within", 0));
         }
+        if (words.take("ready")) {
+            return new Command.ExpectReady(router, words.optionalDurationMs("within", 0));
+        }
         String code = words.expect("refuses").word();
         return new Command.ExpectRefusing(router, code, words.optionalDurationMs("within", 0));
     }
--- a/jayhead-scenarios/src/main/java/io/jayhead/scenarios/run/Callers.java
+++ b/jayhead-scenarios/src/main/java/io/jayhead/scenarios/run/Callers.java
@@ -4,6 +4,7 @@
 import io.jayhead.scenarios.client.HttpSender;
 import io.jayhead.scenarios.client.Json;
 import io.jayhead.scenarios.language.Command;
+import io.jayhead.standins.engine.SyntheticText;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -65,12 +66,19 @@
                 background(() -> HttpSender.call(POST, url, headers, body))));
     }
 
-    /** Sends a small generation and waits for its answer. */
-    CallerAnswer probe(String router, int serviceCap) {
+    /** Sends a small generation and waits for its answer, which has exactly the length asked for or the cap. */
+    CallerAnswer probe(String router, int maxTokens, int serviceCap) {
         String id = "probe-" + requests.size();
         return generate(
                         new Command.Generate(
-                                id, router, PROBE_SERVICE, FleetText.ORGANISATIONS.get(1), id, "probe " + id, 1, false),
+                                id,
+                                router,
+                                PROBE_SERVICE,
+                                FleetText.ORGANISATIONS.get(1),
+                                id,
+                                SyntheticText.EXACT_MARK + " " + id,
+                                maxTokens,
+                                false),
                         serviceCap)
                 .answer()
                 .join();
--- a/jayhead-scenarios/src/main/java/io/jayhead/scenarios/run/Expectations.java
+++ b/jayhead-scenarios/src/main/java/io/jayhead/scenarios/run/Expectations.java
@@ -13,7 +13,7 @@
 
     private static final String ALL = "*";
     private static final String PROBE_SERVICE = "label";
-    private static final String STALE = "configuration_stale";
+    private static final int LONG_PROBE_TOKENS = 100;
 
     private final Deployment deployment;
     private final Operators operators;
@@ -76,6 +76,9 @@
                 return answer.complete() ? Optional.empty() : Optional.of(answer.toString());
             });
         }
+        if (command instanceof Command.ExpectReady expected) {
+            return operators.awaitReady(expected.router(), expected.withinMs());
+        }
         if (command instanceof Command.ExpectExit expected) {
             OptionalInt status = deployment.process(expected.node()).awaitExit(expected.withinMs());
             return status.isPresent() ? equal(expected.status(), status.getAsInt()) : Optional.of("still runs");
@@ -120,11 +123,15 @@
                 .sum();
     }
 
+    /** The length of a probe's answer shows which output cap, and so which version, the router used. */
     private Optional<String> checkInForce(long version) {
         for (String router : deployment.servingRouters()) {
+            int cap = operators.outputCap(PROBE_SERVICE);
+            CallerAnswer answer = callers.probe(router, LONG_PROBE_TOKENS, cap);
             long found = operators.version(router);
-            if (found != version && checkRefusing(router, STALE).isPresent()) {
-                return Optional.of(router + " takes new work with version " + found);
+            boolean current = found == version && answer.outputTokens() == cap;
+            if (!answer.isNotRun() && !current) {
+                return Optional.of(router + " took new work with version " + found + " and cap " + cap + ": " + answer);
             }
         }
         return Optional.empty();
@@ -137,7 +144,7 @@
     }
 
     private CallerAnswer probe(String router) {
-        return callers.probe(router, operators.outputCap(PROBE_SERVICE));
+        return callers.probe(router, 1, operators.outputCap(PROBE_SERVICE));
     }
 
     private static Optional<String> equal(long expected, long actual) {
--- a/jayhead-scenarios/src/main/java/io/jayhead/scenarios/run/FleetText.java
+++ b/jayhead-scenarios/src/main/java/io/jayhead/scenarios/run/FleetText.java
@@ -30,7 +30,7 @@
     static final String BOOKING_SERVICE = "desk";
     static final String STATUS_SERVICE = "desk-status";
     static final String KEY_HEADER = "Idempotency-Key";
-    private static final Map<String, Integer> DEFAULT_CAPS = Map.of("plan", 2000, "chat", 500, "label", 100);
+    private static final Map<String, Integer> DEFAULT_CAPS = Map.of("plan", 2000, "chat", 500, "label", 40);
     private static final Map<String, String> KINDS =
             Map.of("plan", "long_generation", "chat", "interactive", "label", "summary");
 
--- a/jayhead-scenarios/src/main/java/io/jayhead/scenarios/run/Operators.java
+++ b/jayhead-scenarios/src/main/java/io/jayhead/scenarios/run/Operators.java
@@ -16,7 +16,7 @@
 final class Operators {
 
     private static final String FLEET_PATH = "/operator/v1/fleet";
-    private static final long WAIT_MS = 10_000;
+    static final long WAIT_MS = 10_000;
 
     private final Deployment deployment;
     private final Map<String, CompletableFuture<HttpReply>> changes = new HashMap<>();
@@ -78,8 +78,8 @@
         return reply.json().path("version").asLong(-1);
     }
 
-    Optional<String> awaitReady(String router) {
-        return Poll.until(WAIT_MS, () -> {
+    Optional<String> awaitReady(String router, long limitMs) {
+        return Poll.until(limitMs, () -> {
             HttpReply reply = deployment.operate("GET", router, "/ready", "");
             return reply.isSuccess() ? Optional.empty() : Optional.of(router + " is not ready: " + reply);
         });
--- a/jayhead-scenarios/src/main/java/io/jayhead/scenarios/run/Poll.java
+++ b/jayhead-scenarios/src/main/java/io/jayhead/scenarios/run/Poll.java
@@ -15,7 +15,7 @@
     static Optional<String> until(long limitMs, Supplier<Optional<String>> check) {
         long startNanos = System.nanoTime();
         while (true) {
-            Optional<String> fault = check.get();
+            Optional<String> fault = faultOf(check);
             if (fault.isEmpty() || System.nanoTime() - startNanos >= TimeUnit.MILLISECONDS.toNanos(limitMs)) {
                 return fault;
             }
@@ -23,6 +23,15 @@
         }
     }
 
+    /** A stand-in that does not answer is a fault that may pass. */
+    private static Optional<String> faultOf(Supplier<Optional<String>> check) {
+        try {
+            return check.get();
+        } catch (IllegalStateException e) {
+            return Optional.of(e.getMessage());
+        }
+    }
+
     static void sleep(long durationMs) {
         try {
             Thread.sleep(Math.max(0, durationMs));
--- a/jayhead-scenarios/src/main/java/io/jayhead/scenarios/run/ScenarioRun.java
+++ b/jayhead-scenarios/src/main/java/io/jayhead/scenarios/run/ScenarioRun.java
@@ -61,7 +61,8 @@
         deployment.start(scenario, fleet);
         deployment
                 .servingRouters()
-                .forEach(router -> operators.awaitReady(router).ifPresent(failures::add));
+                .forEach(router ->
+                        operators.awaitReady(router, Operators.WAIT_MS).ifPresent(failures::add));
         scenario.steps().forEach(this::execute);
         AnswerChecks.standingFaults(callers.all(), deployment).forEach(failures::add);
         if (!failures.isEmpty()) {
