Read a request again that waited across a change of the configuration

Ruled out: refusing such requests, which would be false refusals. Change: at its start a request of an older version is read again; a new run is not sent while the router is not fresh; ready also waits for a first load report; first_byte_timeout_ms and between_tokens_timeout_ms now bound the waits of dispatch (a silent stream was retried after 23.7 s at the defaults). Conclusion: the version in force at the start decides.

--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/Daemon.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/Daemon.java
@@ -249,7 +249,7 @@
     }
 
     private boolean isReady() {
-        return !draining && configuration.isFresh();
+        return !draining && configuration.isFresh() && routing.hasReports();
     }
 
     private CompletableFuture<ObjectNode> status() {
@@ -275,7 +275,9 @@
                 monitor,
                 decisions,
                 metrics,
-                ticker);
+                ticker,
+                settings.firstByteTimeoutMs(),
+                settings.betweenTokensTimeoutMs());
     }
 
     private void registerGauges() {
--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/request/AdmittedRequest.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/request/AdmittedRequest.java
@@ -17,6 +17,7 @@
  * @param budget the budget that pays
  * @param priority the priority
  * @param routing what routing needs to know
+ * @param fleetVersion the configuration version that it was read under
  * @param bodyDigest the digest of the body
  * @param arrivedAtMs when it arrived
  */
@@ -29,6 +30,7 @@
         BudgetId budget,
         int priority,
         RoutingRequest routing,
+        long fleetVersion,
         String bodyDigest,
         long arrivedAtMs) {
 
--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/request/RequestPipeline.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/request/RequestPipeline.java
@@ -63,17 +63,19 @@
             return;
         }
         RequestReader.Reading reading = result.get();
+        Runnable restart = () -> handle(request, response);
         services.retries().countRequest();
         if (reading.generation().isPresent()) {
-            generate(reading.request(), reading.generation().get(), reading.model(), response);
+            generate(reading.request(), reading.generation().get(), reading.model(), response, restart);
         } else if (reading.request().service().kind() == RequestKind.BOOKING) {
-            book(reading.request(), request.body(), response);
+            book(reading.request(), request.body(), response, restart);
         } else {
-            readStatus(reading.request(), request.subPath(), response);
+            readStatus(reading.request(), request.subPath(), response, restart);
         }
     }
 
-    private void generate(AdmittedRequest request, GenerationBody body, String model, CallerResponse response) {
+    private void generate(
+            AdmittedRequest request, GenerationBody body, String model, CallerResponse response, Runnable restart) {
         int cap = request.service().maxOutputTokens();
         int maxTokens = body.maxTokens() == 0 ? cap : Math.min(cap, body.maxTokens());
         long promptTokens = body.promptTokensBound();
@@ -81,9 +83,9 @@
                 request,
                 promptTokens + maxTokens,
                 response,
+                restart,
                 () -> route(request, request.routing().retry(Set.of(), preferred), response, upstream -> {
-                    DispatchLimits limits = DispatchLimits.of(
-                            request.service().kind(), services.clock().nowMs(), promptTokens, maxTokens);
+                    DispatchLimits limits = limits(request, promptTokens, maxTokens);
                     CallerAnswer answer = new CallerAnswer(response, body.stream(), request.key());
                     GenerationRun run = new GenerationRun(request, services, limits, body, model, answer);
                     response.onClose(run::callerGone);
@@ -107,7 +109,7 @@
                 }));
     }
 
-    private void book(AdmittedRequest request, byte[] body, CallerResponse response) {
+    private void book(AdmittedRequest request, byte[] body, CallerResponse response, Runnable restart) {
         if (services.platform().isDown()) {
             refuse(
                     response,
@@ -123,6 +125,7 @@
                         request,
                         priceTokens,
                         response,
+                        restart,
                         () -> services.traffic().execute(() -> startBooking(request, body, answer))));
     }
 
@@ -155,7 +158,7 @@
         new CallRun(
                         request,
                         services,
-                        limits(request),
+                        limits(request, 0, request.service().priceTokens()),
                         "POST",
                         request.service().path(),
                         body,
@@ -163,7 +166,7 @@
                 .begin(routed.get().upstream());
     }
 
-    private void readStatus(AdmittedRequest request, String subPath, CallerResponse response) {
+    private void readStatus(AdmittedRequest request, String subPath, CallerResponse response, Runnable restart) {
         String path = request.service().path() + (subPath.isEmpty() ? "" : "/" + subPath);
         if (subPath.contains("..")) {
             refuse(response, Optional.of(request), ErrorCode.INVALID_REQUEST, "the path must not contain ..");
@@ -175,25 +178,40 @@
                         request,
                         request.service().priceTokens(),
                         response,
+                        restart,
                         () -> route(
                                 request,
                                 request.routing(),
                                 response,
                                 upstream -> new CallRun(
-                                                request, services, limits(request), "GET", path, new byte[0], answer)
+                                                request,
+                                                services,
+                                                limits(
+                                                        request,
+                                                        0,
+                                                        request.service().priceTokens()),
+                                                "GET",
+                                                path,
+                                                new byte[0],
+                                                answer)
                                         .begin(upstream))));
     }
 
-    private DispatchLimits limits(AdmittedRequest request) {
-        return DispatchLimits.of(
-                request.service().kind(),
-                services.clock().nowMs(),
-                0,
-                request.service().priceTokens());
+    private DispatchLimits limits(AdmittedRequest request, long promptTokens, long maxOutputTokens) {
+        return DispatchLimits.of(request.service().kind(), services.clock().nowMs(), promptTokens, maxOutputTokens)
+                .within(services.firstByteTimeoutMs(), services.betweenTokensTimeoutMs());
     }
 
-    /** Asks for admission; belongs to the control thread. */
-    private void admit(AdmittedRequest request, long worstCaseTokens, CallerResponse response, Runnable onStart) {
+    /**
+     * Asks for admission; belongs to the control thread. A request that was read under an older configuration than the
+     * one in force when it may start is read again: its caps, upstreams and rights may have changed while it waited.
+     */
+    private void admit(
+            AdmittedRequest request,
+            long worstCaseTokens,
+            CallerResponse response,
+            Runnable restart,
+            Runnable onStart) {
         RequestKind kind = request.service().kind();
         AdmissionRequest asked = new AdmissionRequest(
                 request.id(),
@@ -208,6 +226,11 @@
         services.admission().arrive(asked, new AdmissionCallback() {
             @Override
             public void started() {
+                if (services.configuration().view().version() != request.fleetVersion()) {
+                    release(request);
+                    restart.run();
+                    return;
+                }
                 long queuedMs = services.clock().nowMs() - request.arrivedAtMs();
                 services.metrics().queued(kind, queuedMs);
                 services.decisions()
--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/request/RequestReader.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/request/RequestReader.java
@@ -78,12 +78,12 @@
         if (read != "GET".equals(request.method())) {
             return Refusal.of(ErrorCode.INVALID_REQUEST, "expected method " + (read ? "GET" : "POST"));
         }
-        return read(request, fleet, organisation, service, budget.get(), nowMs);
+        return read(request, view, organisation, service, budget.get(), nowMs);
     }
 
     private Either<Refusal, Reading> read(
             CallerRequest request,
-            FleetSpec fleet,
+            FleetView view,
             OrganisationSpec organisation,
             ServiceSpec service,
             BudgetSpec budget,
@@ -95,17 +95,18 @@
         }
         if (!service.kind().isGeneration()) {
             return Either.right(new Reading(
-                    admitted(request, organisation, service, budget, idempotencyKey, "", 0, nowMs),
+                    admitted(request, view.version(), organisation, service, budget, idempotencyKey, "", 0, nowMs),
                     Optional.empty(),
                     ""));
         }
-        String model = model(fleet, service);
+        String model = model(view.spec(), service);
         return GenerationBody.parse(request.body())
                 .<Either<Refusal, Reading>>fold(
                         problem -> Refusal.of(ErrorCode.INVALID_REQUEST, problem),
                         body -> Either.right(new Reading(
                                 admitted(
                                         request,
+                                        view.version(),
                                         organisation,
                                         service,
                                         budget,
@@ -119,6 +120,7 @@
 
     private AdmittedRequest admitted(
             CallerRequest request,
+            long fleetVersion,
             OrganisationSpec organisation,
             ServiceSpec service,
             BudgetSpec budget,
@@ -138,6 +140,7 @@
                 budget.id(),
                 priority,
                 RoutingRequest.of(service.name(), priority, prefix, promptTokens, zone),
+                fleetVersion,
                 RequestKey.sha256(new String(request.body(), StandardCharsets.UTF_8)),
                 nowMs);
     }
--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/request/Run.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/request/Run.java
@@ -137,7 +137,9 @@
                         send.upstream(),
                         send.resumeFromIndex(),
                         send.freshConnection());
-        if (order.isEmpty()) {
+        // A router that was suspended since routing must not send new work under an old configuration.
+        boolean newRun = send.resumeFromIndex() == 0;
+        if (order.isEmpty() || newRun && !services.configuration().isFresh()) {
             post(new DispatchEvent.ConnectFailed(send.attempt()));
             return;
         }
--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/request/Services.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/request/Services.java
@@ -35,6 +35,8 @@
  * @param decisions the decision log
  * @param metrics the metrics
  * @param ticker lets time pass in the runs
+ * @param firstByteTimeoutMs the longest wait for the first byte of an upstream
+ * @param betweenTokensTimeoutMs the longest wait between two tokens
  */
 public record Services(
         Member self,
@@ -53,4 +55,6 @@
         PlatformMonitor platform,
         DecisionLog decisions,
         RouterMetrics metrics,
-        RunTicker ticker) {}
+        RunTicker ticker,
+        long firstByteTimeoutMs,
+        long betweenTokensTimeoutMs) {}
--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/upstream/RoutingService.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/upstream/RoutingService.java
@@ -34,7 +34,7 @@
     private final HybridClock clock;
     private final UpstreamHttp http;
     private final DecisionLog decisions;
-    private RoutingState state;
+    private volatile RoutingState state;
     private ConnectionHealth health = ConnectionHealth.empty();
 
     /**
@@ -168,6 +168,18 @@
         state = state.withLeaving(source, leaving);
     }
 
+    /**
+     * Tells whether an upstream has reported its load, so that requests can be routed; may be called from any thread.
+     *
+     * @return true if one has, or if the configuration has no upstream
+     */
+    public boolean hasReports() {
+        RoutingState current = state;
+        return current.fleet().upstreams().isEmpty()
+                || current.fleet().upstreams().keySet().stream()
+                        .anyMatch(name -> current.upstream(name).report().isPresent());
+    }
+
     /**
      * Returns the state, for operators.
      *
--- a/jayhead-dispatch/src/main/java/io/jayhead/dispatch/DispatchLimits.java
+++ b/jayhead-dispatch/src/main/java/io/jayhead/dispatch/DispatchLimits.java
@@ -74,4 +74,22 @@
                 reservedPromptTokens,
                 maxOutputTokens);
     }
+
+    /**
+     * Returns these limits with upper bounds on the waits.
+     *
+     * @param maxFirstByteMs the bound on the wait for the first byte
+     * @param maxBetweenTokensMs the bound on the wait between two tokens
+     * @return the bounded limits
+     */
+    public DispatchLimits within(long maxFirstByteMs, long maxBetweenTokensMs) {
+        return new DispatchLimits(
+                Math.min(firstByteMs, maxFirstByteMs),
+                Math.min(betweenTokensMs, maxBetweenTokensMs),
+                cancelWaitMs,
+                maxAttempts,
+                deadlineMs,
+                reservedPromptTokens,
+                maxOutputTokens);
+    }
 }
