Start the ports of scenarios at a place that the process determines

Ruled out: repeating a start, which would hide real faults of a start. Change: the first port depends on the process id too.

--- a/jayhead-scenarios/src/main/java/io/jayhead/scenarios/run/FreePorts.java
+++ b/jayhead-scenarios/src/main/java/io/jayhead/scenarios/run/FreePorts.java
@@ -7,7 +7,9 @@
 import java.util.Set;
 
 /**
- * Finds free ports for the routers of one scenario, from a start that its name determines.
+ * Finds free ports for the routers of one scenario, from a start that its name and this process determine.
+ *
+ * <p>The process counts because two test runs on one machine would otherwise race for the same ports.
  *
  * <p>The ports lie below those that the kernel gives to outgoing connections. A port found free above that bound was
  * taken by a connection before the router listened.
@@ -17,13 +19,14 @@
     private static final int FIRST_PORT = 20_000;
     private static final int END_PORT = 32_000;
     private static final int PORTS_PER_SCENARIO = 40;
+    private static final int PROCESS = Long.hashCode(ProcessHandle.current().pid());
     private static final Set<Integer> TAKEN = new HashSet<>();
 
     private int next;
 
     FreePorts(String scenario) {
         int places = (END_PORT - FIRST_PORT) / PORTS_PER_SCENARIO;
-        next = FIRST_PORT + Math.floorMod(scenario.hashCode(), places) * PORTS_PER_SCENARIO;
+        next = FIRST_PORT + Math.floorMod(scenario.hashCode() + PROCESS, places) * PORTS_PER_SCENARIO;
     }
 
     String address() {
