Pass the path of a status read on as it was sent

Cause: the edge decoded the path below a service and the upstream client parsed the result again. %252e%252e became %2e%2e, passed the check for "..", and OkHttp resolved it to the parent path; %2F became a plain slash and %3f started a query. Seen before: GET /v1/services/desk-status/%252e%252e/executions answered 200 {"executions":{}}, a path outside that of the service; an order "a b/ü" was answered 404. Change: the path stays encoded, and a path is refused if its decoded form has a segment "." or "..".

--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/request/RequestPipeline.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/request/RequestPipeline.java
@@ -165,7 +165,7 @@
 
     private void readStatus(AdmittedRequest request, String subPath, CallerResponse response) {
         String path = request.service().path() + (subPath.isEmpty() ? "" : "/" + subPath);
-        if (subPath.contains("..")) {
+        if (!SubPaths.isBelow(subPath)) {
             refuse(response, Optional.of(request), ErrorCode.INVALID_REQUEST, "the path must not contain ..");
             return;
         }
--- a/jayhead-edge/src/main/java/io/jayhead/edge/CallerRequest.java
+++ b/jayhead-edge/src/main/java/io/jayhead/edge/CallerRequest.java
@@ -10,7 +10,8 @@
  *
  * @param method the HTTP method
  * @param service the name of the service in the path
- * @param subPath the part of the path after the service, without a leading slash; may be empty
+ * @param subPath the part of the path after the service as it was sent, still percent-encoded, without a leading slash;
+ *     may be empty
  * @param headers the headers, with names in lower case
  * @param body the body; empty for a GET
  */
--- a/jayhead-edge/src/main/java/io/jayhead/edge/CallerServer.java
+++ b/jayhead-edge/src/main/java/io/jayhead/edge/CallerServer.java
@@ -20,6 +20,9 @@
 
     private static final int MAX_REQUEST_BYTES = 4 * 1024 * 1024;
 
+    /** The part of {@code /v1/services/SERVICE/...} that follows the service, counted from 0. */
+    private static final int SUB_PATH_PART = 4;
+
     private final Server server;
 
     private CallerServer(Server server) {
@@ -71,13 +74,19 @@
         CallerRequest request = new CallerRequest(
                 context.getMethod(),
                 context.path("service").value(),
-                hasBody ? "" : context.path("path").value(""),
+                hasBody ? "" : subPath(context.getRequestPath()),
                 context.headerMap(),
                 hasBody ? context.body().bytes() : new byte[0]);
         handler.handle(request, JoobyResponse.of(context));
         return context;
     }
 
+    /** Returns what follows the service in a path, as it was sent: decoding it would make an encoded slash a plain one. */
+    private static String subPath(String path) {
+        String[] parts = path.split("/", SUB_PATH_PART + 1);
+        return parts.length > SUB_PATH_PART ? parts[SUB_PATH_PART] : "";
+    }
+
     private static void fail(Context context, Throwable cause, StatusCode status) {
         ErrorCode code = errorCode(status);
         String body =
