Name the place of a missing idempotency key in words

Cause: the message printed a record of the program. Callers keep what they shipped with, so the text becomes part of the golden files. Before: "this service needs an idempotency key: Pointer[pointer=/order]". After: "this service needs an idempotency key in the body at /order".

--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/request/RequestReader.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/request/RequestReader.java
@@ -13,6 +13,7 @@
 import io.jayhead.model.fleet.BudgetSpec;
 import io.jayhead.model.fleet.Dependency;
 import io.jayhead.model.fleet.FleetSpec;
+import io.jayhead.model.fleet.KeySource;
 import io.jayhead.model.fleet.ModelSpec;
 import io.jayhead.model.fleet.OrganisationSpec;
 import io.jayhead.model.fleet.ServiceSpec;
@@ -91,7 +92,8 @@
         Optional<String> idempotencyKey = IdempotencyKeys.find(service.keySource(), request);
         if (service.kind() == RequestKind.BOOKING && idempotencyKey.isEmpty()) {
             return Refusal.of(
-                    ErrorCode.IDEMPOTENCY_KEY_MISSING, "this service needs an idempotency key: " + service.keySource());
+                    ErrorCode.IDEMPOTENCY_KEY_MISSING,
+                    "this service needs an idempotency key in " + place(service.keySource()));
         }
         if (!service.kind().isGeneration()) {
             return Either.right(new Reading(
@@ -117,6 +119,13 @@
                                 model)));
     }
 
+    private static String place(KeySource source) {
+        if (source instanceof KeySource.Header header) {
+            return "the header " + header.name();
+        }
+        return source instanceof KeySource.Pointer pointer ? "the body at " + pointer.pointer() : "no field";
+    }
+
     private AdmittedRequest admitted(
             CallerRequest request,
             OrganisationSpec organisation,
