Send streams to HTTP/1.0 callers without the chunked encoding

Cause: Jooby sets Transfer-Encoding: chunked on every streamed answer, and HTTP/1.0 has no such encoding, so the caller reads chunk sizes as text. Before: OddInputTest.aStreamToAnHttp10ClientIsNotChunked saw the header. After: the answer has neither header nor chunk sizes and ends with the connection; an HTTP/1.0 caller tells a whole stream by its done event.

--- a/jayhead-edge/src/main/java/io/jayhead/edge/JoobyResponse.java
+++ b/jayhead-edge/src/main/java/io/jayhead/edge/JoobyResponse.java
@@ -14,6 +14,8 @@
 /** Sends answers through Jooby on Netty. */
 final class JoobyResponse implements CallerResponse {
 
+    private static final String HTTP_1_0 = "HTTP/1.0";
+
     private final Context context;
     private final Channel channel;
     private final List<ChannelFutureListener> closeListeners = new ArrayList<>();
@@ -46,6 +48,9 @@
         context.setResponseCode(200);
         context.setResponseHeader("Content-Type", "text/event-stream");
         context.setResponseHeader("Cache-Control", "no-cache");
+        if (HTTP_1_0.equals(context.getProtocol())) {
+            UnchunkedStream.install(channel);
+        }
         sender = context.responseSender();
     }
 
