--- /dev/null
+++ b/jayhead-daemon/src/test/java/io/jayhead/daemon/contract/Rig.java
@@ -0,0 +1,281 @@
+package io.jayhead.daemon.contract;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import io.jayhead.config.settings.SettingsParser;
+import io.jayhead.daemon.Daemon;
+import io.jayhead.model.RequestKey;
+import io.jayhead.standins.StandinsMain;
+import io.jayhead.standins.http.StandinServer;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import java.util.function.UnaryOperator;
+
+/** Runs one router in this process with a platform, two engines and a booking service. */
+final class Rig implements AutoCloseable {
+
+    static final String OPERATOR = "operator-credential";
+    static final String SHOP_KEY = "shop-key";
+    static final String OTHER_KEY = "other-key";
+    static final String POOR_KEY = "poor-key";
+
+    private static final long WAIT_LIMIT_MS = 10_000;
+    private static final long POLL_MS = 20;
+
+    final StandinServer platform;
+    final StandinServer engineA;
+    final StandinServer engineB;
+    final StandinServer desk;
+    private final int callersPort = freePort();
+    private final int operatorsPort = freePort();
+    private final Daemon daemon;
+    private final List<AutoCloseable> parts = new ArrayList<>();
+
+    private Rig(RigOptions options) {
+        platform = standin("platform", "--vm-lag-ms", "0", "--writes-per-second", options.platformWritesPerSecond());
+        engineA = standin(
+                "engine",
+                "--name",
+                "engine-a",
+                "--models",
+                "large-v3",
+                "--check-fencing",
+                "--token-ms",
+                "10",
+                "--first-token-ms",
+                "20",
+                "--max-batch",
+                "2",
+                "--max-queue",
+                "0",
+                "--load-lag-ms",
+                "500");
+        engineB = standin(
+                "engine",
+                "--name",
+                "engine-b",
+                "--zone",
+                "az-2",
+                "--models",
+                "large-v3",
+                "--check-fencing",
+                "--token-ms",
+                "10",
+                "--first-token-ms",
+                "20");
+        desk = standin("booking", "--name", "desk-a", "--delay-ms", options.deskDelayMs());
+        daemon = new Daemon(SettingsParser.parse(settings()).get());
+    }
+
+    static Rig start() {
+        return start(RigOptions.standard());
+    }
+
+    static Rig start(UnaryOperator<String> fleetText) {
+        return start(RigOptions.standard(), fleetText);
+    }
+
+    static Rig start(RigOptions options) {
+        return start(options, UnaryOperator.identity());
+    }
+
+    private static Rig start(RigOptions options, UnaryOperator<String> fleetText) {
+        Rig rig = new Rig(options);
+        rig.daemon.start();
+        rig.await(rig::isRegistered);
+        rig.applied(0, "first", fleetText.apply(fleetText(rig)));
+        rig.await(() -> rig.call("/ready").status() == 200 && rig.isServing());
+        rig.topUp("shop-1", "first", 1_000_000);
+        rig.topUp("shop-2", "first", 1_000_000);
+        return rig;
+    }
+
+    static String fleetText(Rig rig) {
+        return resource("fleet.yaml")
+                .replace("@ENGINE_A@", rig.engineA.address())
+                .replace("@ENGINE_B@", rig.engineB.address())
+                .replace("@DESK_A@", rig.desk.address())
+                .replace("@CLOSED@", "http://127.0.0.1:" + freePort())
+                .replace("@SHOP_1@", RequestKey.sha256(SHOP_KEY))
+                .replace("@SHOP_2@", RequestKey.sha256(OTHER_KEY))
+                .replace("@SHOP_3@", RequestKey.sha256(POOR_KEY));
+    }
+
+    RawAnswer post(String service, String body) {
+        return RawHttp.call(callersPort, "POST", "/v1/services/" + service, SHOP_KEY, body);
+    }
+
+    RawAnswer get(String path) {
+        return RawHttp.call(callersPort, "GET", "/v1/services/" + path, SHOP_KEY, "");
+    }
+
+    int callersPort() {
+        return callersPort;
+    }
+
+    /** Calls the operators' interface without a credential. */
+    RawAnswer call(String path) {
+        return RawHttp.call(operatorsPort, "GET", path, "", "");
+    }
+
+    RawAnswer operator(String method, String path, String credential, String body) {
+        return RawHttp.call(operatorsPort, method, "/operator/v1/" + path, credential, body);
+    }
+
+    RawAnswer operator(String path) {
+        return operator("GET", path, OPERATOR, "");
+    }
+
+    RawAnswer apply(long expectedVersion, String changeId, String text) {
+        String body = JsonNodeFactory.instance
+                .objectNode()
+                .put("expected_version", expectedVersion)
+                .put("change_id", changeId)
+                .put("text", text)
+                .toString();
+        return operator("PUT", "fleet", OPERATOR, body);
+    }
+
+    RawAnswer topUp(String organisation, String id, long tokens) {
+        String body = "{\"id\":\"" + id + "\",\"tokens\":" + tokens + "}";
+        return operator("POST", "budgets/" + organisation + "/main/topups", OPERATOR, body);
+    }
+
+    /** Orders a fault; the fields follow the name of the fault. */
+    void fault(StandinServer standin, String fields) {
+        RawAnswer answer = standinCall(standin, "POST", "/faults", "{\"fault\":" + fields + "}");
+        if (answer.status() != 200) {
+            throw new IllegalStateException(answer.body());
+        }
+    }
+
+    RawAnswer standinCall(StandinServer standin, String method, String path, String body) {
+        return RawHttp.call(URI.create(standin.address()).getPort(), method, path, "", body);
+    }
+
+    /** Counts the executions of all engines and of the booking service. */
+    long executions() {
+        long sum = 0;
+        for (StandinServer standin : List.of(engineA, engineB, desk)) {
+            sum += isOpen(standin) ? executions(standin) : 0;
+        }
+        return sum;
+    }
+
+    long executions(StandinServer standin) {
+        JsonNode counts = standinCall(standin, "GET", "/executions", "").json().path("executions");
+        long sum = 0;
+        for (JsonNode count : counts) {
+            sum += count.asLong();
+        }
+        return sum;
+    }
+
+    JsonNode budget() {
+        return operator("budgets/shop-1/main").json();
+    }
+
+    String incarnation() {
+        return operator("status").json().path("incarnation").asText();
+    }
+
+    void await(BooleanSupplier condition) {
+        long limitMs = System.currentTimeMillis() + WAIT_LIMIT_MS;
+        while (!condition.getAsBoolean()) {
+            if (System.currentTimeMillis() > limitMs) {
+                throw new AssertionError(
+                        "condition not met; status: " + operator("status").body());
+            }
+            pause(POLL_MS);
+        }
+    }
+
+    static void pause(long durationMs) {
+        try {
+            Thread.sleep(durationMs);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    @Override
+    public void close() throws Exception {
+        daemon.close();
+        for (AutoCloseable part : parts) {
+            part.close();
+        }
+    }
+
+    static int freePort() {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return socket.getLocalPort();
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    static String resource(String name) {
+        try (InputStream in = Rig.class.getResourceAsStream(name)) {
+            return new String(in.readAllBytes(), StandardCharsets.UTF_8);
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private String settings() {
+        return """
+                vm: vm-1
+                availability_zone: az-1
+                region: test
+                callers_address: 127.0.0.1:%d
+                operators_address: 127.0.0.1:%d
+                peers_address: 127.0.0.1:%d
+                platform_address: %s
+                operator_credential_sha256: %s
+                upstream_poll_ms: 100
+                """.formatted(callersPort, operatorsPort, freePort(), platform.address(), RequestKey.sha256(OPERATOR));
+    }
+
+    private StandinServer standin(String... arguments) {
+        StandinServer[] server = new StandinServer[1];
+        server[0] = StandinsMain.start(status -> new Thread(server[0]::close).start(), arguments);
+        parts.add(server[0]);
+        return server[0];
+    }
+
+    private static boolean isOpen(StandinServer standin) {
+        try (var socket = new java.net.Socket(
+                InetAddress.getLoopbackAddress(), URI.create(standin.address()).getPort())) {
+            return socket.isConnected();
+        } catch (IOException | RuntimeException e) {
+            return false;
+        }
+    }
+
+    private void applied(long expectedVersion, String changeId, String text) {
+        RawAnswer answer = apply(expectedVersion, changeId, text);
+        if (answer.status() != 200) {
+            throw new IllegalStateException(answer.body());
+        }
+    }
+
+    private boolean isRegistered() {
+        return !operator("status").json().path("live_routers").isEmpty();
+    }
+
+    private boolean isServing() {
+        for (JsonNode service : operator("status").json().path("services")) {
+            if (service.path("name").asText().equals("ask")) {
+                return service.path("ready").asBoolean();
+            }
+        }
+        return false;
+    }
+}
