Refuse amounts of tokens that are not whole numbers

Cause: the amount of a top-up was read with a conversion that cuts 1.5 to 1 and reads the text "70" as 70, and both were credited. Before: {"id":"x","tokens":1.5} was answered 200. After: 400, and paid_tokens stays as it was (OperatorsContractTest.anAmountThatIsNotAWholeNumberOfTokensIsRefused).

--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/operator/OperatorServer.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/operator/OperatorServer.java
@@ -237,14 +237,15 @@
         BudgetId id = budgetId(context);
         JsonNode body = body(context);
         String topUpId = body.path("id").asText();
-        long tokens = body.path("tokens").asLong();
+        JsonNode tokens = body.path("tokens");
+        boolean validTokens = tokens.isIntegralNumber() && tokens.canConvertToLong() && tokens.longValue() > 0;
         if (!isKnown(id)) {
             return done(Answer.failed(ErrorCode.NOT_FOUND, "there is no budget " + id));
         }
-        if (topUpId.isBlank() || tokens <= 0) {
-            return done(Answer.failed(ErrorCode.INVALID_REQUEST, "expected id (text) and tokens (number above 0)"));
+        if (topUpId.isBlank() || !validTokens) {
+            return done(Answer.failed(ErrorCode.INVALID_REQUEST, "expected id (text) and tokens (whole number above 0)"));
         }
-        return parts.ledgers().topUp(id, topUpId, tokens).thenApply(OperatorServer::toppedUp);
+        return parts.ledgers().topUp(id, topUpId, tokens.longValue()).thenApply(OperatorServer::toppedUp);
     }
 
     private static Answer toppedUp(EditResult<LedgerRefusal> result) {
