--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/Daemon.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/Daemon.java
@@ -47,6 +47,7 @@
 import io.jayhead.platform.ObjectEditor;
 import io.jayhead.platform.PlatformTimeouts;
 import io.jayhead.platform.RetryPolicy;
+import io.jayhead.routing.ConcurrencyLimit;
 import io.jayhead.routing.LeavingSource;
 import io.jayhead.routing.RoutingParameters;
 import io.jayhead.settlement.charge.ChargeLogSettings;
@@ -124,12 +125,13 @@
                         EDIT_ATTEMPTS,
                         EDIT_BACKOFF,
                         () -> ThreadLocalRandom.current().nextDouble()));
-        configuration = new Configuration(settings.vm(), clock, settings.freshnessLimitMs());
+        layout = new ChargeLayout(settings.chargePartitions(), store, control, monitor);
+        configuration =
+                new Configuration(settings.vm(), clock, settings.freshnessLimitMs(), () -> layout.partitions() > 0);
         peers = PeerClient.of(peerIo, metrics);
         PeerLinks links = new PeerLinks(peers, control);
         membership = new Membership(self, control, clock, store, editor, monitor, configuration);
         routing = new RoutingService(RoutingParameters.defaults(), clock, http, decisions);
-        layout = new ChargeLayout(settings.chargePartitions(), store, control, monitor);
         heartbeats = new Heartbeats(
                 membership,
                 configuration,
@@ -181,6 +183,7 @@
         control.every(MEMBERS_MS, membership::refresh);
         control.every(VM_LIST_MS, new VmListPoller(store, routing, control, monitor)::poll);
         control.every(REPORT_MS, admission::reportConsumption);
+        control.every(settings.upstreamPollMs(), this::adaptConcurrency);
         control.execute(membership::refresh);
         operatorServer = OperatorServer.start(
                 settings.operatorsAddress(),
@@ -237,8 +240,16 @@
         admission.tick();
     }
 
+    private void adaptConcurrency() {
+        int limit = ConcurrencyLimit.of(routing.state(), membership.live().size(), MAX_IN_FLIGHT, clock.nowMs());
+        if (limit != admission.state().settings().maxInFlight()) {
+            LOGGER.atInfo().log("concurrency limit=%d", limit);
+            admission.handle(new AdmissionEvent.CapacityChanged(limit, clock.nowMs()));
+        }
+    }
+
     private boolean isReady() {
-        return !draining && configuration.isFresh() && layout.partitions() > 0;
+        return !draining && configuration.isFresh();
     }
 
     private CompletableFuture<ObjectNode> status() {
