--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/operator/OperatorServer.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/operator/OperatorServer.java
@@ -243,7 +243,8 @@
             return done(Answer.failed(ErrorCode.NOT_FOUND, "there is no budget " + id));
         }
         if (topUpId.isBlank() || !validTokens) {
-            return done(Answer.failed(ErrorCode.INVALID_REQUEST, "expected id (text) and tokens (whole number above 0)"));
+            return done(
+                    Answer.failed(ErrorCode.INVALID_REQUEST, "expected id (text) and tokens (whole number above 0)"));
         }
         return parts.ledgers().topUp(id, topUpId, tokens.longValue()).thenApply(OperatorServer::toppedUp);
     }
--- a/jayhead-edge/src/main/java/io/jayhead/edge/CallerServer.java
+++ b/jayhead-edge/src/main/java/io/jayhead/edge/CallerServer.java
@@ -81,7 +81,7 @@
         return context;
     }
 
-    /** Returns what follows the service in a path, as it was sent: decoding it would make an encoded slash a plain one. */
+    /** Returns what follows the service in a path, undecoded: decoding would make an encoded slash a plain one. */
     private static String subPath(String path) {
         String[] parts = path.split("/", SUB_PATH_PART + 1);
         return parts.length > SUB_PATH_PART ? parts[SUB_PATH_PART] : "";
