Drop control tasks that arrive while the router closes

Cause: Daemon.close ends the control thread before the HTTP clients, whose callbacks then hand their results to an executor that rejects them. Before: several uncaught RejectedExecutionException traces of the thread "OkHttp Dispatcher" at every close. After: none in the run of the module's tests.

--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/control/ControlThread.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/control/ControlThread.java
@@ -4,6 +4,7 @@
 import java.lang.management.ManagementFactory;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
@@ -21,6 +22,8 @@
             thread.setDaemon(true);
             return thread;
         });
+        // Replies that arrive while the router closes have nobody left to act on them.
+        executor.setRejectedExecutionHandler(new ThreadPoolExecutor.DiscardPolicy());
         executor.setExecuteExistingDelayedTasksAfterShutdownPolicy(false);
     }
 
