--- a/jayhead-daemon/src/test/java/io/jayhead/daemon/contract/CallersContractTest.java
+++ b/jayhead-daemon/src/test/java/io/jayhead/daemon/contract/CallersContractTest.java
@@ -1,6 +1,7 @@
 package io.jayhead.daemon.contract;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -23,7 +24,7 @@
     }
 
     @AfterAll
-    static void stop() throws Exception {
+    static void stop() {
         rig.close();
     }
 
@@ -58,6 +59,17 @@
                 + rig.get("desk-status/nowhere").exact());
     }
 
+    // Guards against a broken answer that looks whole: it needs the error event and a connection cut in mid-chunk.
+    @Test
+    void aBrokenStreamEndsWithAnErrorEventAndAnAbortedConnection() throws Exception {
+        try (TextEngine engine = TextEngine.startBroken("first ");
+                Rig own = Rig.start(engine::replaceEngineA)) {
+            RawAnswer answer = own.post("ask", STREAMED);
+            assertFalse(answer.whole());
+            Approvals.verify(answer.golden());
+        }
+    }
+
     // Guards against a refusal with another code, status or verdict, and against refusals that ran.
     @Test
     void eachRefusalHasItsCodeStatusAndVerdict() {
--- a/jayhead-daemon/src/test/java/io/jayhead/daemon/contract/OddInputTest.java
+++ b/jayhead-daemon/src/test/java/io/jayhead/daemon/contract/OddInputTest.java
@@ -28,7 +28,7 @@
     }
 
     @AfterAll
-    static void stop() throws Exception {
+    static void stop() {
         rig.close();
     }
 
--- a/jayhead-daemon/src/test/java/io/jayhead/daemon/contract/Rig.java
+++ b/jayhead-daemon/src/test/java/io/jayhead/daemon/contract/Rig.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.google.common.flogger.FluentLogger;
 import io.jayhead.config.settings.SettingsParser;
 import io.jayhead.daemon.Daemon;
 import io.jayhead.model.RequestKey;
@@ -15,8 +16,13 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import java.util.function.UnaryOperator;
+import java.util.stream.Stream;
 
 /** Runs one router in this process with a platform, two engines and a booking service. */
 final class Rig implements AutoCloseable {
@@ -28,6 +34,14 @@
 
     private static final long WAIT_LIMIT_MS = 10_000;
     private static final long POLL_MS = 20;
+    private static final int FIRST_PORT = 20_000;
+    private static final int PORTS = 12_000;
+
+    /** Starts at a place of this process, so that builds side by side seldom try the same ports. */
+    private static final AtomicInteger NEXT_PORT =
+            new AtomicInteger((int) (ProcessHandle.current().pid() * 137 % PORTS));
+
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
     final StandinServer platform;
     final StandinServer engineA;
@@ -36,7 +50,9 @@
     private final int callersPort = freePort();
     private final int operatorsPort = freePort();
     private final Daemon daemon;
-    private final List<AutoCloseable> parts = new ArrayList<>();
+    private final Map<StandinServer, Long> stoppedExecutions = new ConcurrentHashMap<>();
+    private int occupied;
+    private final List<StandinServer> parts = new ArrayList<>();
 
     private Rig(RigOptions options) {
         platform = standin("platform", "--vm-lag-ms", "0", "--writes-per-second", options.platformWritesPerSecond());
@@ -160,16 +176,22 @@
         return RawHttp.call(URI.create(standin.address()).getPort(), method, path, "", body);
     }
 
+    /** Ends a stand-in and its connections, and keeps the count of its executions. */
+    void stop(StandinServer standin) {
+        stoppedExecutions.put(standin, executions(standin));
+        standin.close();
+    }
+
     /** Counts the executions of all engines and of the booking service. */
     long executions() {
-        long sum = 0;
-        for (StandinServer standin : List.of(engineA, engineB, desk)) {
-            sum += isOpen(standin) ? executions(standin) : 0;
-        }
-        return sum;
+        return Stream.of(engineA, engineB, desk).mapToLong(this::executions).sum() - occupied;
     }
 
     long executions(StandinServer standin) {
+        Long stopped = stoppedExecutions.get(standin);
+        if (stopped != null) {
+            return stopped;
+        }
         JsonNode counts = standinCall(standin, "GET", "/executions", "").json().path("executions");
         long sum = 0;
         for (JsonNode count : counts) {
@@ -178,6 +200,37 @@
         return sum;
     }
 
+    /** Starts a long request of somebody else at an engine. It must not count as an execution of this router. */
+    void occupy(StandinServer engine, String id) {
+        String body = "{\"model\":\"large-v3\",\"prompt\":\"[exact]\",\"max_tokens\":2000}";
+        String request = "POST /v1/generate HTTP/1.1\r\nHost: engine\r\nX-Request-Id: " + id + "\r\nContent-Length: "
+                + body.length() + "\r\n\r\n" + body;
+        CountDownLatch started = new CountDownLatch(1);
+        Thread reader = new Thread(
+                () -> RawHttp.send(URI.create(engine.address()).getPort(), request, chunk -> started.countDown()));
+        reader.setDaemon(true);
+        reader.start();
+        await(() -> started.getCount() == 0);
+        occupied++;
+    }
+
+    /** Runs an action once an object of a kind was written to the platform. */
+    void whenWritten(String kind, Runnable action) {
+        Thread watcher = new Thread(() -> {
+            standinCall(platform, "GET", "/v1/watch/" + kind + "?since=" + revision() + "&wait_ms=9000", "");
+            action.run();
+        });
+        watcher.setDaemon(true);
+        watcher.start();
+    }
+
+    private long revision() {
+        return standinCall(platform, "GET", "/counters", "")
+                .json()
+                .path("revision")
+                .asLong();
+    }
+
     JsonNode budget() {
         return operator("budgets/shop-1/main").json();
     }
@@ -206,18 +259,24 @@
     }
 
     @Override
-    public void close() throws Exception {
+    public void close() {
         daemon.close();
-        for (AutoCloseable part : parts) {
-            part.close();
+        for (StandinServer part : parts) {
+            if (!stoppedExecutions.containsKey(part)) {
+                part.close();
+            }
         }
     }
 
+    /** Returns a port below those that the system gives to outgoing connections, which could take it in between. */
     static int freePort() {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
-        } catch (IOException e) {
-            throw new IllegalStateException(e);
+        while (true) {
+            int port = FIRST_PORT + NEXT_PORT.getAndIncrement() % PORTS;
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                return socket.getLocalPort();
+            } catch (IOException e) {
+                LOGGER.atFine().withCause(e).log("port %d is taken", port);
+            }
         }
     }
 
@@ -244,19 +303,13 @@
     }
 
     private StandinServer standin(String... arguments) {
-        StandinServer[] server = new StandinServer[1];
-        server[0] = StandinsMain.start(status -> new Thread(server[0]::close).start(), arguments);
-        parts.add(server[0]);
-        return server[0];
-    }
-
-    private static boolean isOpen(StandinServer standin) {
-        try (var socket = new java.net.Socket(
-                InetAddress.getLoopbackAddress(), URI.create(standin.address()).getPort())) {
-            return socket.isConnected();
-        } catch (IOException | RuntimeException e) {
-            return false;
-        }
+        StandinServer server = StandinsMain.start(
+                status -> {
+                    throw new IllegalStateException("a stand-in must not exit");
+                },
+                arguments);
+        parts.add(server);
+        return server;
     }
 
     private void applied(long expectedVersion, String changeId, String text) {
--- a/jayhead-daemon/src/test/java/io/jayhead/daemon/contract/TextEngine.java
+++ b/jayhead-daemon/src/test/java/io/jayhead/daemon/contract/TextEngine.java
@@ -20,16 +20,27 @@
     private final HttpServer server;
     private final ExecutorService threads = Executors.newCachedThreadPool();
     private final String text;
+    private final boolean broken;
     private volatile String lastPrompt = "";
 
-    private TextEngine(HttpServer server, String text) {
+    private TextEngine(HttpServer server, String text, boolean broken) {
+        this.broken = broken;
         this.server = server;
         this.text = text;
     }
 
     static TextEngine start(String text) throws IOException {
+        return start(text, false);
+    }
+
+    /** Starts an engine that closes the connection after its token and does not know the request afterwards. */
+    static TextEngine startBroken(String text) throws IOException {
+        return start(text, true);
+    }
+
+    private static TextEngine start(String text, boolean broken) throws IOException {
         InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
-        TextEngine engine = new TextEngine(HttpServer.create(address, 0), text);
+        TextEngine engine = new TextEngine(HttpServer.create(address, 0), text, broken);
         engine.server.setExecutor(engine.threads);
         engine.server.createContext("/v1/load", exchange -> send(exchange, "application/json", LOAD));
         engine.server.createContext("/v1/generate", engine::generate);
@@ -41,6 +52,11 @@
         return "http://127.0.0.1:" + server.getAddress().getPort();
     }
 
+    /** Puts this engine in the place of engine-a of a fleet text. */
+    String replaceEngineA(String fleetText) {
+        return fleetText.replaceFirst("(?s)(name: engine-a.*?address: )\\S+", "$1" + address());
+    }
+
     String lastPrompt() {
         return lastPrompt;
     }
@@ -56,8 +72,8 @@
         send(
                 exchange,
                 "text/event-stream",
-                "data: {\"start\":true,\"prompt_tokens\":3}\n\ndata: {\"index\":0,\"text\":\"" + text
-                        + "\"}\n\ndata: {\"done\":true,\"prompt_tokens\":3,\"output_tokens\":1}\n\n");
+                "data: {\"start\":true,\"prompt_tokens\":3}\n\ndata: {\"index\":0,\"text\":\"" + text + "\"}\n\n"
+                        + (broken ? "" : "data: {\"done\":true,\"prompt_tokens\":3,\"output_tokens\":1}\n\n"));
     }
 
     private static void send(HttpExchange exchange, String type, String body) throws IOException {
