--- a/jayhead-daemon/src/test/java/io/jayhead/daemon/contract/RawAnswer.java
+++ b/jayhead-daemon/src/test/java/io/jayhead/daemon/contract/RawAnswer.java
@@ -58,6 +58,11 @@
                 + usage.path("output_tokens").asLong();
     }
 
+    /** Counts the tokens that arrived; 0 unless the answer is a stream. */
+    long deliveredTokens() {
+        return body.lines().filter("event: token"::equals).count();
+    }
+
     /** Returns a header, empty if it is absent. */
     String header(String name) {
         return head.lines()
--- a/jayhead-daemon/src/test/java/io/jayhead/daemon/contract/Rig.java
+++ b/jayhead-daemon/src/test/java/io/jayhead/daemon/contract/Rig.java
@@ -216,8 +216,9 @@
 
     /** Runs an action once an object of a kind was written to the platform. */
     void whenWritten(String kind, Runnable action) {
+        String watch = "/v1/watch/" + kind + "?since=" + revision() + "&wait_ms=9000";
         Thread watcher = new Thread(() -> {
-            standinCall(platform, "GET", "/v1/watch/" + kind + "?since=" + revision() + "&wait_ms=9000", "");
+            standinCall(platform, "GET", watch, "");
             action.run();
         });
         watcher.setDaemon(true);
