--- a/jayhead-daemon/src/test/java/io/jayhead/daemon/contract/FaultCasesTest.java
+++ b/jayhead-daemon/src/test/java/io/jayhead/daemon/contract/FaultCasesTest.java
@@ -101,6 +101,25 @@
         }
     }
 
+    // Guards against an outage that stops generations, and against charges that are lost or written twice after it.
+    @Test
+    void generationsGoOnInAnOutageAndAreBilledOnceAfterIt() {
+        try (Rig rig = Rig.start(RigOptions.standard().withRouters(3))) {
+            long usedTokens = rig.post("ask", FaultCase.Call.ASK.body).usedTokens();
+            rig.fault(rig.platform, "\"outage\"");
+            rig.await(() -> rig.operator("status").json().path("platform_down").asBoolean());
+            RawAnswer answer = rig.post("ask", FaultCase.Call.ASK.body);
+            assertEquals("ran", answer.verdict(), answer.exact());
+            assertEquals("ok", answer.code(), answer.exact());
+            long expectedTokens = usedTokens + answer.usedTokens();
+            rig.fault(rig.platform, "\"clear\"");
+            rig.await(() -> rig.budget().path("billed_tokens").asLong() == expectedTokens);
+            Rig.pause(SETTLE_MS);
+            assertEquals(expectedTokens, rig.budget().path("billed_tokens").asLong());
+            assertEquals(2, rig.executions());
+        }
+    }
+
     private static RawAnswer run(Rig rig, FaultCase fault) {
         AtomicBoolean ordered = new AtomicBoolean();
         if (fault.moment == FaultCase.Moment.BEFORE) {
--- a/jayhead-daemon/src/test/java/io/jayhead/daemon/contract/Rig.java
+++ b/jayhead-daemon/src/test/java/io/jayhead/daemon/contract/Rig.java
@@ -24,7 +24,7 @@
 import java.util.function.UnaryOperator;
 import java.util.stream.Stream;
 
-/** Runs one router in this process with a platform, two engines and a booking service. */
+/** Runs one or more routers in this process with a platform, two engines and a booking service. */
 final class Rig implements AutoCloseable {
 
     static final String OPERATOR = "operator-credential";
@@ -48,8 +48,9 @@
     final StandinServer engineB;
     final StandinServer desk;
     private final int callersPort = freePort();
+    private final int otherCallersPort = freePort();
     private final int operatorsPort = freePort();
-    private final Daemon daemon;
+    private final List<Daemon> daemons = new ArrayList<>();
     private final Map<StandinServer, Long> stoppedExecutions = new ConcurrentHashMap<>();
     private int occupied;
     private final List<StandinServer> parts = new ArrayList<>();
@@ -87,7 +88,10 @@
                 "--first-token-ms",
                 "20");
         desk = standin("booking", "--name", "desk-a", "--delay-ms", options.deskDelayMs());
-        daemon = new Daemon(SettingsParser.parse(settings()).get());
+        daemons.add(daemon("1", callersPort, operatorsPort));
+        for (int router = 2; router <= options.routers(); router++) {
+            daemons.add(daemon(Integer.toString(router), router == 2 ? otherCallersPort : freePort(), freePort()));
+        }
     }
 
     static Rig start() {
@@ -103,9 +107,7 @@
     }
 
     private static Rig start(RigOptions options, UnaryOperator<String> fleetText) {
-        Rig rig = new Rig(options);
-        rig.daemon.start();
-        rig.await(rig::isRegistered);
+        Rig rig = startWithoutFleet(options);
         rig.applied(0, "first", fleetText.apply(fleetText(rig)));
         rig.await(() -> rig.call("/ready").status() == 200 && rig.isServing());
         rig.topUp("shop-1", "first", 1_000_000);
@@ -113,6 +115,18 @@
         return rig;
     }
 
+    /** Starts a router that has no configuration. */
+    static Rig startWithoutFleet() {
+        return startWithoutFleet(RigOptions.standard());
+    }
+
+    private static Rig startWithoutFleet(RigOptions options) {
+        Rig rig = new Rig(options);
+        rig.daemons.forEach(Daemon::start);
+        rig.await(() -> rig.liveRouters() == options.routers());
+        return rig;
+    }
+
     static String fleetText(Rig rig) {
         return resource("fleet.yaml")
                 .replace("@ENGINE_A@", rig.engineA.address())
@@ -136,6 +150,15 @@
         return callersPort;
     }
 
+    int otherCallersPort() {
+        return otherCallersPort;
+    }
+
+    /** Stops the first router gracefully. */
+    void drain() {
+        daemons.get(0).drain();
+    }
+
     /** Calls the operators' interface without a credential. */
     RawAnswer call(String path) {
         return RawHttp.call(operatorsPort, "GET", path, "", "");
@@ -261,7 +284,7 @@
 
     @Override
     public void close() {
-        daemon.close();
+        daemons.forEach(Daemon::close);
         for (StandinServer part : parts) {
             if (!stoppedExecutions.containsKey(part)) {
                 part.close();
@@ -289,10 +312,11 @@
         }
     }
 
-    private String settings() {
-        return """
-                vm: vm-1
-                availability_zone: az-1
+    /** Creates a router; each one is in an availability zone of its own. */
+    private Daemon daemon(String number, int callers, int operators) {
+        String settings = """
+                vm: vm-%s
+                availability_zone: az-%s
                 region: test
                 callers_address: 127.0.0.1:%d
                 operators_address: 127.0.0.1:%d
@@ -300,7 +324,9 @@
                 platform_address: %s
                 operator_credential_sha256: %s
                 upstream_poll_ms: 100
-                """.formatted(callersPort, operatorsPort, freePort(), platform.address(), RequestKey.sha256(OPERATOR));
+                """.formatted(
+                number, number, callers, operators, freePort(), platform.address(), RequestKey.sha256(OPERATOR));
+        return new Daemon(SettingsParser.parse(settings).get());
     }
 
     private StandinServer standin(String... arguments) {
@@ -320,8 +346,8 @@
         }
     }
 
-    private boolean isRegistered() {
-        return !operator("status").json().path("live_routers").isEmpty();
+    private int liveRouters() {
+        return operator("status").json().path("live_routers").size();
     }
 
     private boolean isServing() {
