Answer a repeated booking in an outage from the registrations

Before: a booking that ran once and was repeated in an outage was answered platform_unavailable with verdict not_run, both before and after the platform counted as down, with one execution at the stand-in (FaultCasesTest.aBookingThatRanIsNotCalledNotRunWhenItIsRepeatedInAnOutage). Change: a booking is registered at the owner of its partition when it is dispatched; a refusal for an outage looks it up first. After: outcome_unknown with verdict may_have_run and the status path, both times; a new booking is refused as not run as before. Not covered: registrations are soft state; if their owner died or cannot be reached within 300 ms, the answer is still not_run.

--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/request/BookingAnswer.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/request/BookingAnswer.java
@@ -3,6 +3,7 @@
 import io.jayhead.edge.CallerResponse;
 import io.jayhead.edge.ErrorBody;
 import io.jayhead.model.ErrorCode;
+import io.jayhead.model.NotRunProof;
 import io.jayhead.model.Verdict;
 import io.jayhead.settlement.claim.ClaimCommand;
 import java.nio.charset.StandardCharsets;
@@ -41,18 +42,49 @@
                     ErrorCode.OUTCOME_UNKNOWN,
                     Verdict.mayHaveRun(),
                     "an earlier request with the same idempotency key may have run; read its status");
+        } else if (command instanceof ClaimCommand.Refuse refuse && isOutage(refuse)) {
+            refuseInOutage(refuse.message());
         } else if (command instanceof ClaimCommand.Refuse refuse) {
             refuse(refuse.code(), refuse.verdict(), refuse.message());
         }
     }
 
+    /**
+     * Refuses a booking whose claim cannot be read. An earlier call with the same key may have run, which the owner of
+     * its partition remembers.
+     */
+    void refuseInOutage(String message) {
+        services.control()
+                .execute(() -> services.registry()
+                        .find(
+                                request.key(),
+                                request.bodyDigest(),
+                                lookup -> services.traffic().execute(() -> refuseInOutage(message, lookup.known()))));
+    }
+
+    private void refuseInOutage(String message, boolean known) {
+        if (known) {
+            refuse(
+                    ErrorCode.OUTCOME_UNKNOWN,
+                    Verdict.mayHaveRun(),
+                    "an earlier request with the same idempotency key may have run; read its status");
+            return;
+        }
+        refuse(ErrorCode.PLATFORM_UNAVAILABLE, Verdict.notRun(NotRunProof.BEFORE_DISPATCH), message);
+    }
+
+    private static boolean isOutage(ClaimCommand.Refuse refuse) {
+        return refuse.code() == ErrorCode.PLATFORM_UNAVAILABLE
+                && refuse.verdict().isNotRun();
+    }
+
     private void refuse(ErrorCode code, Verdict verdict, String message) {
         String path = verdict.isNotRun() ? "" : statusPath;
         String body = ErrorBody.of(code, verdict, message, request.key().value(), path);
         send(code.httpStatus(), body, code.code(), verdict);
     }
 
-    private void send(int status, String body, String code, Verdict verdict) {
+    private synchronized void send(int status, String body, String code, Verdict verdict) {
         if (sent) {
             return;
         }
--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/request/RequestPipeline.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/request/RequestPipeline.java
@@ -108,16 +108,12 @@
     }
 
     private void book(AdmittedRequest request, byte[] body, CallerResponse response) {
+        BookingAnswer answer = new BookingAnswer(request, services, response);
         if (services.platform().isDown()) {
-            refuse(
-                    response,
-                    Optional.of(request),
-                    ErrorCode.PLATFORM_UNAVAILABLE,
-                    "bookings need the platform, which does not answer");
+            answer.refuseInOutage("bookings need the platform, which does not answer");
             return;
         }
         long priceTokens = request.service().priceTokens();
-        BookingAnswer answer = new BookingAnswer(request, services, response);
         services.control()
                 .execute(() -> admit(
                         request,
@@ -152,6 +148,8 @@
             services.traffic().execute(() -> outcome.failed(routed.getLeft().code(), NOT_DISPATCHED));
             return;
         }
+        UpstreamName upstream = routed.get().upstream();
+        services.registry().update(request.key(), request.bodyDigest(), upstream, false);
         new CallRun(
                         request,
                         services,
@@ -160,7 +158,7 @@
                         request.service().path(),
                         body,
                         outcome)
-                .begin(routed.get().upstream());
+                .begin(upstream);
     }
 
     private void readStatus(AdmittedRequest request, String subPath, CallerResponse response) {
--- a/jayhead-daemon/src/test/java/io/jayhead/daemon/contract/FaultCasesTest.java
+++ b/jayhead-daemon/src/test/java/io/jayhead/daemon/contract/FaultCasesTest.java
@@ -74,6 +74,22 @@
         }
     }
 
+    // Guards against "not run" for a booking whose earlier call ran (P4): the claim cannot be read in an outage.
+    @Test
+    void aBookingThatRanIsNotCalledNotRunWhenItIsRepeatedInAnOutage() {
+        try (Rig rig = Rig.start()) {
+            rig.fault(rig.desk, "\"drop_reply\"");
+            rig.post("desk", FaultCase.Call.BOOK.body);
+            rig.fault(rig.platform, "\"outage\"");
+            RawAnswer early = rig.post("desk", FaultCase.Call.BOOK.body);
+            rig.await(() -> rig.operator("status").json().path("platform_down").asBoolean());
+            RawAnswer late = rig.post("desk", FaultCase.Call.BOOK.body);
+            assertEquals(1, rig.executions(rig.desk));
+            assertEquals(
+                    "may_have_run may_have_run", early.verdict() + " " + late.verdict(), early.body() + late.body());
+        }
+    }
+
     // Guards against a claim that stays taken although its booking was refused.
     @Test
     void aRefusedBookingRunsWhenItIsRepeatedLater() {
