Check that bookings with an unknown outcome are billed (fails)

The cases DESK_DROPS_THE_REPLY and DESK_SLOWER_THAN_THE_DEADLINE of FaultCasesTest fail: the booking service executed the booking once, the caller was told may_have_run, and billed_tokens is 0 instead of 5. Cause: CallAttempts.fail in jayhead-dispatch closes the call without CommitCharge when the verdict is may_have_run, so that the reservation is released. A generation in the same position is charged. Decision log: admission admitted; dispatch attempt=1; answer code=outcome_unknown verdict=may_have_run; no line of stage settlement.

--- a/jayhead-daemon/src/test/java/io/jayhead/daemon/contract/FaultCase.java
+++ b/jayhead-daemon/src/test/java/io/jayhead/daemon/contract/FaultCase.java
@@ -71,7 +71,16 @@
     GRANT_REPLY_LOST(Call.STREAM, rig -> dropWrite(rig, "budget"), "ok", "ran", 1, Bill.USAGE),
     PLATFORM_LIMITS_WRITES(Call.STREAM, FaultCase::useUpWrites, "ok", "ran", 1, Bill.USAGE),
     PLATFORM_LIMITS_WRITES_FOR_A_BOOKING(
-            Call.BOOK, FaultCase::useUpWrites, "ok|platform_unavailable", "ran|not_run", -1, Bill.BY_VERDICT);
+            Call.BOOK, FaultCase::useUpWrites, "ok|platform_unavailable", "ran|not_run", -1, Bill.BY_VERDICT),
+    DESK_DROPS_THE_REPLY(
+            Call.BOOK,
+            rig -> rig.fault(rig.desk, "\"drop_reply\""),
+            "outcome_unknown|upstream_failed",
+            "may_have_run",
+            1,
+            Bill.PRICE),
+    DESK_SLOWER_THAN_THE_DEADLINE(
+            Call.BOOK, rig -> {}, "outcome_unknown|upstream_failed|deadline_exceeded", "may_have_run", 1, Bill.PRICE);
 
     /** The request of the caller. */
     enum Call {
@@ -135,6 +144,9 @@
         if (name().startsWith("PLATFORM_LIMITS")) {
             return RigOptions.standard().withPlatformWritesPerSecond(PLATFORM_WRITES);
         }
+        if (this == DESK_SLOWER_THAN_THE_DEADLINE) {
+            return RigOptions.standard().withDeskDelayMs(12_000);
+        }
         return this == OUTCOME_REPLY_LOST ? RigOptions.standard().withDeskDelayMs(300) : RigOptions.standard();
     }
 
