Check the code of a generation whose engine refuses connections (fails)

The case ENGINE_DOWN of FaultCasesTest fails: 502 upstream_failed with verdict not_run. ErrorCode documents upstream_failed as a failure after the request was sent, and a booking in the same position is answered 503 upstream_refused. The verdict, the bill and the ledger are right. Cause: GenerationAttempts of jayhead-dispatch maps ConnectFailed to UPSTREAM_FAILED.

--- a/jayhead-daemon/src/test/java/io/jayhead/daemon/contract/FaultCase.java
+++ b/jayhead-daemon/src/test/java/io/jayhead/daemon/contract/FaultCase.java
@@ -72,6 +72,13 @@
     PLATFORM_LIMITS_WRITES(Call.STREAM, FaultCase::useUpWrites, "ok", "ran", 1, Bill.USAGE),
     PLATFORM_LIMITS_WRITES_FOR_A_BOOKING(
             Call.BOOK, FaultCase::useUpWrites, "ok|platform_unavailable", "ran|not_run", -1, Bill.BY_VERDICT),
+    ENGINE_DOWN(
+            Call.ASK,
+            rig -> rig.stop(rig.engineA),
+            "upstream_refused|no_upstream|dependency_not_ready",
+            "not_run",
+            0,
+            Bill.NOTHING),
     DESK_DROPS_THE_REPLY(
             Call.BOOK,
             rig -> rig.fault(rig.desk, "\"drop_reply\""),
