--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/request/RequestPipeline.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/request/RequestPipeline.java
@@ -110,16 +110,12 @@
     }
 
     private void book(AdmittedRequest request, byte[] body, CallerResponse response, Runnable restart) {
+        BookingAnswer answer = new BookingAnswer(request, services, response);
         if (services.platform().isDown()) {
-            refuse(
-                    response,
-                    Optional.of(request),
-                    ErrorCode.PLATFORM_UNAVAILABLE,
-                    "bookings need the platform, which does not answer");
+            answer.refuseInOutage("bookings need the platform, which does not answer");
             return;
         }
         long priceTokens = request.service().priceTokens();
-        BookingAnswer answer = new BookingAnswer(request, services, response);
         services.control()
                 .execute(() -> admit(
                         request,
@@ -155,6 +151,8 @@
             services.traffic().execute(() -> outcome.failed(routed.getLeft().code(), NOT_DISPATCHED));
             return;
         }
+        UpstreamName upstream = routed.get().upstream();
+        services.registry().update(request.key(), request.bodyDigest(), upstream, false);
         new CallRun(
                         request,
                         services,
@@ -163,12 +161,12 @@
                         request.service().path(),
                         body,
                         outcome)
-                .begin(routed.get().upstream());
+                .begin(upstream);
     }
 
     private void readStatus(AdmittedRequest request, String subPath, CallerResponse response, Runnable restart) {
         String path = request.service().path() + (subPath.isEmpty() ? "" : "/" + subPath);
-        if (subPath.contains("..")) {
+        if (!SubPaths.isBelow(subPath)) {
             refuse(response, Optional.of(request), ErrorCode.INVALID_REQUEST, "the path must not contain ..");
             return;
         }
--- /dev/null
+++ b/jayhead-daemon/src/test/java/io/jayhead/daemon/contract/Rig.java
@@ -0,0 +1,361 @@
+package io.jayhead.daemon.contract;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.google.common.flogger.FluentLogger;
+import io.jayhead.config.settings.SettingsParser;
+import io.jayhead.daemon.Daemon;
+import io.jayhead.model.RequestKey;
+import io.jayhead.standins.StandinsMain;
+import io.jayhead.standins.http.StandinServer;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
+import java.util.function.UnaryOperator;
+import java.util.stream.Stream;
+
+/** Runs one or more routers in this process with a platform, two engines and a booking service. */
+final class Rig implements AutoCloseable {
+
+    static final String OPERATOR = "operator-credential";
+    static final String SHOP_KEY = "shop-key";
+    static final String OTHER_KEY = "other-key";
+    static final String POOR_KEY = "poor-key";
+
+    private static final long WAIT_LIMIT_MS = 10_000;
+    private static final long POLL_MS = 20;
+    private static final int FIRST_PORT = 20_000;
+    private static final int PORTS = 12_000;
+
+    /** Starts at a place of this process, so that builds side by side seldom try the same ports. */
+    private static final AtomicInteger NEXT_PORT =
+            new AtomicInteger((int) (ProcessHandle.current().pid() * 137 % PORTS));
+
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    final StandinServer platform;
+    final StandinServer engineA;
+    final StandinServer engineB;
+    final StandinServer desk;
+    private final int callersPort = freePort();
+    private final int otherCallersPort = freePort();
+    private final int operatorsPort = freePort();
+    private final List<Daemon> daemons = new ArrayList<>();
+    private final Map<StandinServer, Long> stoppedExecutions = new ConcurrentHashMap<>();
+    private int occupied;
+    private final List<StandinServer> parts = new ArrayList<>();
+
+    private Rig(RigOptions options) {
+        platform = standin("platform", "--vm-lag-ms", "0", "--writes-per-second", options.platformWritesPerSecond());
+        engineA = standin(
+                "engine",
+                "--name",
+                "engine-a",
+                "--models",
+                "large-v3",
+                "--check-fencing",
+                "--token-ms",
+                "10",
+                "--first-token-ms",
+                "20",
+                "--max-batch",
+                "2",
+                "--max-queue",
+                "0",
+                "--load-lag-ms",
+                "500");
+        engineB = standin(
+                "engine",
+                "--name",
+                "engine-b",
+                "--zone",
+                "az-2",
+                "--models",
+                "large-v3",
+                "--check-fencing",
+                "--token-ms",
+                "10",
+                "--first-token-ms",
+                "20");
+        desk = standin("booking", "--name", "desk-a", "--delay-ms", options.deskDelayMs());
+        daemons.add(daemon("1", callersPort, operatorsPort));
+        for (int router = 2; router <= options.routers(); router++) {
+            daemons.add(daemon(Integer.toString(router), router == 2 ? otherCallersPort : freePort(), freePort()));
+        }
+    }
+
+    static Rig start() {
+        return start(RigOptions.standard());
+    }
+
+    static Rig start(UnaryOperator<String> fleetText) {
+        return start(RigOptions.standard(), fleetText);
+    }
+
+    static Rig start(RigOptions options) {
+        return start(options, UnaryOperator.identity());
+    }
+
+    private static Rig start(RigOptions options, UnaryOperator<String> fleetText) {
+        Rig rig = startWithoutFleet(options);
+        rig.applied(0, "first", fleetText.apply(fleetText(rig)));
+        rig.await(() -> rig.call("/ready").status() == 200 && rig.isServing());
+        rig.topUp("shop-1", "first", 1_000_000);
+        rig.topUp("shop-2", "first", 1_000_000);
+        return rig;
+    }
+
+    /** Starts a router that has no configuration. */
+    static Rig startWithoutFleet() {
+        return startWithoutFleet(RigOptions.standard());
+    }
+
+    private static Rig startWithoutFleet(RigOptions options) {
+        Rig rig = new Rig(options);
+        rig.daemons.forEach(Daemon::start);
+        rig.await(() -> rig.liveRouters() == options.routers());
+        return rig;
+    }
+
+    static String fleetText(Rig rig) {
+        return resource("fleet.yaml")
+                .replace("@ENGINE_A@", rig.engineA.address())
+                .replace("@ENGINE_B@", rig.engineB.address())
+                .replace("@DESK_A@", rig.desk.address())
+                .replace("@CLOSED@", "http://127.0.0.1:" + freePort())
+                .replace("@SHOP_1@", RequestKey.sha256(SHOP_KEY))
+                .replace("@SHOP_2@", RequestKey.sha256(OTHER_KEY))
+                .replace("@SHOP_3@", RequestKey.sha256(POOR_KEY));
+    }
+
+    RawAnswer post(String service, String body) {
+        return RawHttp.call(callersPort, "POST", "/v1/services/" + service, SHOP_KEY, body);
+    }
+
+    RawAnswer get(String path) {
+        return RawHttp.call(callersPort, "GET", "/v1/services/" + path, SHOP_KEY, "");
+    }
+
+    int callersPort() {
+        return callersPort;
+    }
+
+    int otherCallersPort() {
+        return otherCallersPort;
+    }
+
+    /** Stops the first router gracefully. */
+    void drain() {
+        daemons.get(0).drain();
+    }
+
+    /** Calls the operators' interface without a credential. */
+    RawAnswer call(String path) {
+        return RawHttp.call(operatorsPort, "GET", path, "", "");
+    }
+
+    RawAnswer operator(String method, String path, String credential, String body) {
+        return RawHttp.call(operatorsPort, method, "/operator/v1/" + path, credential, body);
+    }
+
+    RawAnswer operator(String path) {
+        return operator("GET", path, OPERATOR, "");
+    }
+
+    RawAnswer apply(long expectedVersion, String changeId, String text) {
+        String body = JsonNodeFactory.instance
+                .objectNode()
+                .put("expected_version", expectedVersion)
+                .put("change_id", changeId)
+                .put("text", text)
+                .toString();
+        return operator("PUT", "fleet", OPERATOR, body);
+    }
+
+    RawAnswer topUp(String organisation, String id, long tokens) {
+        String body = "{\"id\":\"" + id + "\",\"tokens\":" + tokens + "}";
+        return operator("POST", "budgets/" + organisation + "/main/topups", OPERATOR, body);
+    }
+
+    /** Orders a fault; the fields follow the name of the fault. */
+    void fault(StandinServer standin, String fields) {
+        RawAnswer answer = standinCall(standin, "POST", "/faults", "{\"fault\":" + fields + "}");
+        if (answer.status() != 200) {
+            throw new IllegalStateException(answer.body());
+        }
+    }
+
+    RawAnswer standinCall(StandinServer standin, String method, String path, String body) {
+        return RawHttp.call(URI.create(standin.address()).getPort(), method, path, "", body);
+    }
+
+    /** Ends a stand-in and its connections, and keeps the count of its executions. */
+    void stop(StandinServer standin) {
+        stoppedExecutions.put(standin, executions(standin));
+        standin.close();
+    }
+
+    /** Counts the executions of all engines and of the booking service. */
+    long executions() {
+        return Stream.of(engineA, engineB, desk).mapToLong(this::executions).sum() - occupied;
+    }
+
+    long executions(StandinServer standin) {
+        Long stopped = stoppedExecutions.get(standin);
+        if (stopped != null) {
+            return stopped;
+        }
+        JsonNode counts = standinCall(standin, "GET", "/executions", "").json().path("executions");
+        long sum = 0;
+        for (JsonNode count : counts) {
+            sum += count.asLong();
+        }
+        return sum;
+    }
+
+    /** Starts a long request of somebody else at an engine. It must not count as an execution of this router. */
+    void occupy(StandinServer engine, String id) {
+        String body = "{\"model\":\"large-v3\",\"prompt\":\"[exact]\",\"max_tokens\":2000}";
+        String request = "POST /v1/generate HTTP/1.1\r\nHost: engine\r\nX-Request-Id: " + id + "\r\nContent-Length: "
+                + body.length() + "\r\n\r\n" + body;
+        CountDownLatch started = new CountDownLatch(1);
+        Thread reader = new Thread(
+                () -> RawHttp.send(URI.create(engine.address()).getPort(), request, chunk -> started.countDown()));
+        reader.setDaemon(true);
+        reader.start();
+        await(() -> started.getCount() == 0);
+        occupied++;
+    }
+
+    /** Runs an action once an object of a kind was written to the platform. */
+    void whenWritten(String kind, Runnable action) {
+        String watch = "/v1/watch/" + kind + "?since=" + revision() + "&wait_ms=9000";
+        Thread watcher = new Thread(() -> {
+            standinCall(platform, "GET", watch, "");
+            action.run();
+        });
+        watcher.setDaemon(true);
+        watcher.start();
+    }
+
+    private long revision() {
+        return standinCall(platform, "GET", "/counters", "")
+                .json()
+                .path("revision")
+                .asLong();
+    }
+
+    JsonNode budget() {
+        return operator("budgets/shop-1/main").json();
+    }
+
+    String incarnation() {
+        return operator("status").json().path("incarnation").asText();
+    }
+
+    void await(BooleanSupplier condition) {
+        long limitMs = System.currentTimeMillis() + WAIT_LIMIT_MS;
+        while (!condition.getAsBoolean()) {
+            if (System.currentTimeMillis() > limitMs) {
+                throw new AssertionError(
+                        "condition not met; status: " + operator("status").body());
+            }
+            pause(POLL_MS);
+        }
+    }
+
+    static void pause(long durationMs) {
+        try {
+            Thread.sleep(durationMs);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    @Override
+    public void close() {
+        daemons.forEach(Daemon::close);
+        for (StandinServer part : parts) {
+            if (!stoppedExecutions.containsKey(part)) {
+                part.close();
+            }
+        }
+    }
+
+    /** Returns a port below those that the system gives to outgoing connections, which could take it in between. */
+    static int freePort() {
+        while (true) {
+            int port = FIRST_PORT + NEXT_PORT.getAndIncrement() % PORTS;
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                return socket.getLocalPort();
+            } catch (IOException e) {
+                LOGGER.atFine().withCause(e).log("port %d is taken", port);
+            }
+        }
+    }
+
+    static String resource(String name) {
+        try (InputStream in = Rig.class.getResourceAsStream(name)) {
+            return new String(in.readAllBytes(), StandardCharsets.UTF_8);
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** Creates a router; each one is in an availability zone of its own. */
+    private Daemon daemon(String number, int callers, int operators) {
+        String settings = """
+                vm: vm-%s
+                availability_zone: az-%s
+                region: test
+                callers_address: 127.0.0.1:%d
+                operators_address: 127.0.0.1:%d
+                peers_address: 127.0.0.1:%d
+                platform_address: %s
+                operator_credential_sha256: %s
+                upstream_poll_ms: 100
+                """.formatted(
+                number, number, callers, operators, freePort(), platform.address(), RequestKey.sha256(OPERATOR));
+        return new Daemon(SettingsParser.parse(settings).get());
+    }
+
+    private StandinServer standin(String... arguments) {
+        StandinServer server = StandinsMain.start(
+                status -> {
+                    throw new IllegalStateException("a stand-in must not exit");
+                },
+                arguments);
+        parts.add(server);
+        return server;
+    }
+
+    private void applied(long expectedVersion, String changeId, String text) {
+        RawAnswer answer = apply(expectedVersion, changeId, text);
+        if (answer.status() != 200) {
+            throw new IllegalStateException(answer.body());
+        }
+    }
+
+    private int liveRouters() {
+        return operator("status").json().path("live_routers").size();
+    }
+
+    private boolean isServing() {
+        for (JsonNode service : operator("status").json().path("services")) {
+            if (service.path("name").asText().equals("ask")) {
+                return service.path("ready").asBoolean();
+            }
+        }
+        return false;
+    }
+}
