Charge a booking that may have run, and name a refused connection no_upstream

Cause: two faults that the contract tests found: a booking that ran without an answer was not billed, and a generation whose engine refused the connection got upstream_failed, which is documented as 'after the request was sent'. Ruled out: charging such a booking only once its status was read, since nobody may ever read it; the budget would pay less than what ran. Change: CallAttempts charges the price when the verdict is may have run; a failed connection is no_upstream in both machines. Measured: FaultCasesTest 3 of 31 red before, all green after; the property tests of both machines pass (20,000 and 10,000 tries).

--- a/jayhead-dispatch/src/main/java/io/jayhead/dispatch/CallAttempts.java
+++ b/jayhead-dispatch/src/main/java/io/jayhead/dispatch/CallAttempts.java
@@ -59,7 +59,7 @@
             return answered(state, answered);
         }
         if (event instanceof DispatchEvent.ConnectFailed) {
-            return notRun(state, NotRunProof.CONNECT_FAILED, ErrorCode.UPSTREAM_FAILED, false);
+            return notRun(state, NotRunProof.CONNECT_FAILED, ErrorCode.NO_UPSTREAM, false);
         }
         if (event instanceof DispatchEvent.Refused refused) {
             return refused.definite()
@@ -166,10 +166,18 @@
         return Transition.of(state.withCallerGone(), failure);
     }
 
+    /** Fails a call. One that may have run is charged: the upstream may have done what was paid for. */
     private static Transition<CallState, DispatchCommand> fail(CallState state, ErrorCode code) {
-        DispatchCommand failure =
-                new DispatchCommand.FailCaller(code, state.evidence().verdict(), false);
-        return close(state, state.isCallerGone() ? List.of() : List.of(failure));
+        Verdict verdict = state.evidence().verdict();
+        List<DispatchCommand> commands = new ArrayList<>();
+        if (!state.isCallerGone()) {
+            commands.add(new DispatchCommand.FailCaller(code, verdict, false));
+        }
+        if (verdict instanceof Verdict.NotRun || state.priceTokens() == 0) {
+            return close(state, commands);
+        }
+        commands.add(new DispatchCommand.CommitCharge(0, state.priceTokens()));
+        return new Transition<>(state.withCallerGone().in(Phase.CHARGING), commands);
     }
 
     private static Transition<CallState, DispatchCommand> close(CallState state, List<DispatchCommand> before) {
--- a/jayhead-dispatch/src/main/java/io/jayhead/dispatch/GenerationAttempts.java
+++ b/jayhead-dispatch/src/main/java/io/jayhead/dispatch/GenerationAttempts.java
@@ -71,7 +71,7 @@
             return done(state, done);
         }
         if (event instanceof DispatchEvent.ConnectFailed) {
-            return notRun(state, NotRunProof.CONNECT_FAILED, ErrorCode.UPSTREAM_FAILED);
+            return notRun(state, NotRunProof.CONNECT_FAILED, ErrorCode.NO_UPSTREAM);
         }
         if (event instanceof DispatchEvent.Refused refused) {
             return refused(state, refused);
