Add the setting reclaim_after_ms

Cause: the time after which a lost router is reclaimed has to be configurable. Change: a number setting, default 60000, accepted from 100 ms so that tests can use short times. Checked: mvn -B -o -pl jayhead-config -am verify passes.

--- a/jayhead-config/src/main/java/io/jayhead/config/settings/DaemonSettings.java
+++ b/jayhead-config/src/main/java/io/jayhead/config/settings/DaemonSettings.java
@@ -21,6 +21,7 @@
  * @param chargePartitions the number of partitions of the charge log; the same on every router of a fleet
  * @param freshnessLimitMs the longest time since the last confirmation of the configuration
  * @param grantInitialTokens the size of the first grant of a budget
+ * @param reclaimAfterMs how long a router is gone before its grants are reclaimed and its registration removed
  * @param shutdownLimitMs the longest time of a graceful shutdown
  * @param peerHeartbeatMs the time between heartbeats to a peer
  * @param upstreamPollMs the time between load reports of an upstream
@@ -45,6 +46,7 @@
         int chargePartitions,
         long freshnessLimitMs,
         long grantInitialTokens,
+        long reclaimAfterMs,
         long shutdownLimitMs,
         long peerHeartbeatMs,
         long upstreamPollMs,
--- a/jayhead-config/src/main/java/io/jayhead/config/settings/NumberSetting.java
+++ b/jayhead-config/src/main/java/io/jayhead/config/settings/NumberSetting.java
@@ -9,6 +9,7 @@
     /** An accepted configuration is in force within 3 s, so a router cannot trust its own for longer. */
     FRESHNESS_LIMIT_MS(2000, 100, 3000),
     GRANT_INITIAL_TOKENS(2000, 1, 1_000_000_000),
+    RECLAIM_AFTER_MS(60_000, 100, 86_400_000),
     SHUTDOWN_LIMIT_MS(300_000, 0, 3_600_000),
     PEER_HEARTBEAT_MS(500, 10, 10_000),
     UPSTREAM_POLL_MS(500, 10, 10_000),
--- a/jayhead-config/src/main/java/io/jayhead/config/settings/SettingsReader.java
+++ b/jayhead-config/src/main/java/io/jayhead/config/settings/SettingsReader.java
@@ -84,6 +84,7 @@
                         numbers.get(NumberSetting.CHARGE_PARTITIONS).intValue(),
                         numbers.get(NumberSetting.FRESHNESS_LIMIT_MS),
                         numbers.get(NumberSetting.GRANT_INITIAL_TOKENS),
+                        numbers.get(NumberSetting.RECLAIM_AFTER_MS),
                         numbers.get(NumberSetting.SHUTDOWN_LIMIT_MS),
                         numbers.get(NumberSetting.PEER_HEARTBEAT_MS),
                         numbers.get(NumberSetting.UPSTREAM_POLL_MS),
