List finished requests in the answer to a fence

Cause: the answer listed only cancelled requests. Ruled out: listing from the records alone; they forget, so a repeated call would list less. Change: the answer lists all ended requests of the holder that the engine remembers, as cancelled or finished, and keeps what it listed. Checked: mvn -B -o -pl jayhead-standins -am verify passes; with finished requests left out, the new contract test fails (finished is empty instead of r1).

--- a/jayhead-standins/src/main/java/io/jayhead/standins/engine/Batch.java
+++ b/jayhead-standins/src/main/java/io/jayhead/standins/engine/Batch.java
@@ -70,13 +70,13 @@
         fill();
     }
 
-    /** Cancels the requests with an older token and returns what each of them has used. */
-    List<RunUsage> cancelOlderThan(Fence fence) {
+    /** Cancels the requests with an older token and returns their number. */
+    int cancelOlderThan(Fence fence) {
         List<Run> affected = Stream.concat(queue.stream(), running.stream())
                 .filter(run -> run.fence().isOlderThan(fence))
                 .toList();
         affected.forEach(this::cancel);
-        return affected.stream().map(Run::usage).toList();
+        return affected.size();
     }
 
     private void fill() {
--- a/jayhead-standins/src/main/java/io/jayhead/standins/engine/EngineStandin.java
+++ b/jayhead-standins/src/main/java/io/jayhead/standins/engine/EngineStandin.java
@@ -168,13 +168,13 @@
                 return;
             }
             // Compares tokens run by run: a newer request of the holder may have raised the highest token before.
-            List<RunUsage> cancelled = batch.cancelOlderThan(fence);
-            fences.addCancelled(fence.holder(), cancelled);
+            int cancelled = batch.cancelOlderThan(fence);
+            fences.addEnded(fence.holder(), records.ended(fence.holder()));
             LOG.atInfo().log(
-                    "%s fences %s at %d, cancelled %d",
-                    options.name(), fence.holder(), fence.number(), cancelled.size());
+                    "%s fences %s at %d, cancelled %d", options.name(), fence.holder(), fence.number(), cancelled);
         }
-        exchange.respond(Response.json(200, new Fenced(fences.cancelled(fence.holder()))));
+        exchange.respond(
+                Response.json(200, new Fenced(fences.cancelled(fence.holder()), fences.finished(fence.holder()))));
     }
 
     private LoadReport load() {
@@ -214,7 +214,7 @@
 
     private record Status(String state, int promptTokens, int outputTokens) {}
 
-    private record Fenced(List<RunUsage> cancelled) {}
+    private record Fenced(List<RunUsage> cancelled, List<RunUsage> finished) {}
 
     private record Executions(Map<String, Integer> executions) {}
 }
--- a/jayhead-standins/src/main/java/io/jayhead/standins/engine/FenceRegister.java
+++ b/jayhead-standins/src/main/java/io/jayhead/standins/engine/FenceRegister.java
@@ -1,15 +1,16 @@
 package io.jayhead.standins.engine;
 
-import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
-/** Keeps the highest fencing token of each holder and the requests that fencing has cancelled. */
+/** Keeps the highest fencing token of each holder and the ended requests that fence answers have listed. */
 final class FenceRegister {
 
     private final Map<String, Fence> highest = new HashMap<>();
-    private final Map<String, List<RunUsage>> cancelled = new HashMap<>();
+    private final Map<String, Map<String, RunUsage>> cancelled = new HashMap<>();
+    private final Map<String, Map<String, RunUsage>> finished = new HashMap<>();
 
     /** Records a token as the highest of its holder, or returns false if it is older than that. */
     boolean accept(Fence fence) {
@@ -21,12 +22,18 @@
         return true;
     }
 
-    void addCancelled(String holder, List<RunUsage> usages) {
-        cancelled.computeIfAbsent(holder, ignored -> new ArrayList<>()).addAll(usages);
+    /** Adds the ended requests of a holder; kept apart from the records, which forget, so that no repeat loses one. */
+    void addEnded(String holder, List<Run> ended) {
+        ended.forEach(run -> (run.state() == RunState.DONE ? finished : cancelled)
+                .computeIfAbsent(holder, ignored -> new LinkedHashMap<>())
+                .put(run.id(), run.usage()));
     }
 
-    /** Returns all requests of the holder that fencing cancelled, so that a repeated order loses none. */
     List<RunUsage> cancelled(String holder) {
-        return List.copyOf(cancelled.getOrDefault(holder, List.of()));
+        return List.copyOf(cancelled.getOrDefault(holder, Map.of()).values());
+    }
+
+    List<RunUsage> finished(String holder) {
+        return List.copyOf(finished.getOrDefault(holder, Map.of()).values());
     }
 }
--- a/jayhead-standins/src/main/java/io/jayhead/standins/engine/RunRecords.java
+++ b/jayhead-standins/src/main/java/io/jayhead/standins/engine/RunRecords.java
@@ -2,6 +2,7 @@
 
 import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
@@ -19,6 +20,14 @@
         return Optional.ofNullable(oldestFirst.get(id));
     }
 
+    /** Returns the ended requests of a holder that are remembered, oldest first. */
+    List<Run> ended(String holder) {
+        return oldestFirst.values().stream()
+                .filter(run ->
+                        run.fence().holder().equals(holder) && run.state().isEnded())
+                .toList();
+    }
+
     void add(Run run) {
         oldestFirst.put(run.id(), run);
         Iterator<Run> oldest = oldestFirst.values().iterator();
--- a/jayhead-standins/src/test/java/io/jayhead/standins/EngineContractTest.java
+++ b/jayhead-standins/src/test/java/io/jayhead/standins/EngineContractTest.java
@@ -157,7 +157,8 @@
                 engine.post("/v1/fence", "{\"holder\":\"h\",\"number\":2}").body();
 
         assertEquals(
-                "{\"cancelled\":[{\"id\":\"r1\",\"prompt_tokens\":3,\"output_tokens\":" + outputTokens("r1") + "}]}",
+                "{\"cancelled\":[{\"id\":\"r1\",\"prompt_tokens\":3,\"output_tokens\":" + outputTokens("r1")
+                        + "}],\"finished\":[]}",
                 fenced);
         assertEquals(
                 fenced,
@@ -189,6 +190,31 @@
         assertEquals("r1", fenced.path("cancelled").path(0).path("id").asText());
     }
 
+    /** Guards against finished or cancelled work that a reclaim cannot charge because no fence answer lists it. */
+    @Test
+    void aFenceListsFinishedAndEarlierCancelledRequestsOfTheHolderEachTime() throws IOException {
+        start("--check-fencing", "--max-records", "2");
+        generate("r1", PROMPT, 2, "X-Fence-Holder", "h", "X-Fence-Number", "1");
+        call("r2", PROMPT, 1000, "X-Fence-Holder", "h", "X-Fence-Number", "1")
+                .execute()
+                .close();
+        engine.call("DELETE", "/v1/requests/r2", null);
+
+        String fenced =
+                engine.post("/v1/fence", "{\"holder\":\"h\",\"number\":2}").body();
+
+        assertEquals(
+                "{\"cancelled\":[{\"id\":\"r2\",\"prompt_tokens\":3,\"output_tokens\":" + outputTokens("r2")
+                        + "}],\"finished\":[{\"id\":\"r1\",\"prompt_tokens\":3,\"output_tokens\":2}]}",
+                fenced);
+        for (String id : List.of("r3", "r4", "r5")) {
+            generate(id, PROMPT, 1, "X-Fence-Holder", "other", "X-Fence-Number", "1");
+        }
+        assertEquals(
+                fenced,
+                engine.post("/v1/fence", "{\"holder\":\"h\",\"number\":2}").body());
+    }
+
     /** Guards against an engine without fencing that behaves as if it had it. */
     @Test
     void anEngineThatIgnoresFencingRefusesAndCancelsNothing() {
