Let a router ask others to commit the charges of a lost one

Cause: a reclaim counts the charges of a lost router, so those that other routers have pending or hold must be in the log first. Change: message CommitCharges; the reply is sent once the charges are in the log, and an unresolved charge gives no reply, so the grant then stays written off. Registrations of other routers can be removed, and the VM list has a listener.

--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/PeerRequests.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/PeerRequests.java
@@ -5,7 +5,9 @@
 import io.jayhead.daemon.control.ControlThread;
 import io.jayhead.daemon.fleet.Heartbeats;
 import io.jayhead.daemon.request.RequestRegistry;
+import io.jayhead.model.IncarnationId;
 import io.jayhead.peer.PeerRequestHandler;
+import io.jayhead.peer.pb.CommitChargesReply;
 import io.jayhead.peer.pb.Failure;
 import io.jayhead.peer.pb.Frame;
 import java.util.concurrent.CompletableFuture;
@@ -45,6 +47,12 @@
             case RELEASE_CHARGES -> CompletableFuture.completedFuture(charges.answer(request.getReleaseCharges()));
             case BEGIN -> CompletableFuture.completedFuture(registry.answer(request.getBegin()));
             case APPEND -> charges.answer(request.getAppend());
+            case COMMIT_CHARGES ->
+                charges.commitPending(
+                                IncarnationId.of(request.getCommitCharges().getIncarnation()))
+                        .thenApply(done -> Frame.newBuilder()
+                                .setCommitChargesReply(CommitChargesReply.getDefaultInstance())
+                                .build());
             case BORROW -> admission.lend(request.getBorrow());
             default -> CompletableFuture.completedFuture(unknown(request));
         };
--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/VmListPoller.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/VmListPoller.java
@@ -8,22 +8,31 @@
 import io.jayhead.platform.VmListResult;
 import io.jayhead.platform.VmRecord;
 import io.jayhead.routing.LeavingSource;
+import java.util.List;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
 
-/** Reads from the VM list which upstreams are leaving; an upstream has the name of its VM. */
+/** Reads the VM list, which tells the upstreams that are leaving; an upstream has the name of its VM. */
 final class VmListPoller {
 
     private final ObjectStore store;
     private final RoutingService routing;
     private final ControlThread control;
     private final PlatformMonitor monitor;
+    private final Consumer<List<VmRecord>> onListed;
 
-    VmListPoller(ObjectStore store, RoutingService routing, ControlThread control, PlatformMonitor monitor) {
+    VmListPoller(
+            ObjectStore store,
+            RoutingService routing,
+            ControlThread control,
+            PlatformMonitor monitor,
+            Consumer<List<VmRecord>> onListed) {
         this.store = store;
         this.routing = routing;
         this.control = control;
         this.monitor = monitor;
+        this.onListed = onListed;
     }
 
     void poll() {
@@ -36,7 +45,10 @@
                         .filter(VmRecord::leaving)
                         .map(vm -> UpstreamName.of(vm.name().value()))
                         .collect(Collectors.toSet());
-                control.execute(() -> routing.leaving(LeavingSource.VM_LIST, leaving));
+                control.execute(() -> {
+                    routing.leaving(LeavingSource.VM_LIST, leaving);
+                    onListed.accept(listed.vms());
+                });
             }
         });
     }
--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/charge/ChargeService.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/charge/ChargeService.java
@@ -8,6 +8,7 @@
 import io.jayhead.daemon.fleet.PeerLinks;
 import io.jayhead.daemon.fleet.PlatformMonitor;
 import io.jayhead.daemon.observe.DecisionLog;
+import io.jayhead.model.IncarnationId;
 import io.jayhead.model.RequestKey;
 import io.jayhead.peer.pb.Append;
 import io.jayhead.peer.pb.AppendOutcome;
@@ -62,6 +63,7 @@
     private final Map<Integer, PartitionWriter> writers = new HashMap<>();
     private final Map<RequestKey, List<Member>> holders = new HashMap<>();
     private final HeldCharges held = new HeldCharges();
+    private final OpenAppends appends = new OpenAppends();
 
     /**
      * Creates the service.
@@ -182,6 +184,17 @@
                 .build();
     }
 
+    /**
+     * Commits the charges of a lost router that this one has pending or holds.
+     *
+     * @param holder the lost router
+     * @return done when all of them are in the log
+     */
+    public CompletableFuture<Void> commitPending(IncarnationId holder) {
+        held.of(holder).forEach(this::writeHeld);
+        return CompletableFuture.allOf(appends.of(holder).toArray(CompletableFuture[]::new));
+    }
+
     /** Lets time pass: writes batches whose linger is over and charges that are held too long. */
     public void tick() {
         writers.values().stream()
@@ -330,20 +343,32 @@
     }
 
     private void writeHeld(ChargeEntry entry) {
+        CompletableFuture<Void> committed = appends.add(entry);
         writer(entry.key()).append(entry, outcome -> {
             if (!(outcome instanceof ChargeOutcome.Held)) {
                 LOGGER.atInfo().log("held charge written request=%s outcome=%s", entry.key(), outcome);
                 held.release(List.of(entry.key()));
+                settle(committed, outcome);
             }
         });
     }
 
     private CompletableFuture<AppendOutcome> appendForPeer(ChargeEntry entry) {
         CompletableFuture<AppendOutcome> reply = new CompletableFuture<>();
-        writer(entry.key()).append(entry, outcome -> reply.complete(message(outcome)));
+        CompletableFuture<Void> committed = appends.add(entry);
+        writer(entry.key()).append(entry, outcome -> {
+            reply.complete(message(outcome));
+            settle(committed, outcome);
+        });
         return reply;
     }
 
+    private static void settle(CompletableFuture<Void> committed, ChargeOutcome outcome) {
+        if (outcome instanceof ChargeOutcome.Committed || outcome instanceof ChargeOutcome.Duplicate) {
+            committed.complete(null);
+        }
+    }
+
     private static AppendOutcome message(ChargeOutcome outcome) {
         if (outcome instanceof ChargeOutcome.Committed) {
             return AppendOutcome.newBuilder()
--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/charge/HeldCharges.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/charge/HeldCharges.java
@@ -1,5 +1,6 @@
 package io.jayhead.daemon.charge;
 
+import io.jayhead.model.IncarnationId;
 import io.jayhead.model.RequestKey;
 import io.jayhead.settlement.charge.ChargeEntry;
 import java.util.Collection;
@@ -35,6 +36,13 @@
         return due;
     }
 
+    List<ChargeEntry> of(IncarnationId holder) {
+        return charges.values().stream()
+                .map(Held::entry)
+                .filter(entry -> entry.incarnation().equals(holder))
+                .toList();
+    }
+
     int size() {
         return charges.size();
     }
--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/fleet/Membership.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/fleet/Membership.java
@@ -192,12 +192,22 @@
     /** Stops to count as live and removes the registration. */
     public void leave() {
         leaving = true;
-        store.read(KIND, self.vm().value()).thenAccept(read -> {
-            boolean own = read.body()
-                    .map(body -> Member.decode(self.vm().value(), body).equals(self))
+        remove(self);
+    }
+
+    /**
+     * Removes a registration, unless its VM was registered anew.
+     *
+     * @param member the registration
+     */
+    public void remove(Member member) {
+        String name = member.vm().value();
+        store.read(KIND, name).thenAccept(read -> {
+            boolean same = read.body()
+                    .map(body -> Member.decode(name, body).equals(member))
                     .orElse(false);
-            if (own && read instanceof ReadResult.Found found) {
-                store.delete(KIND, self.vm().value(), found.object().version());
+            if (same && read instanceof ReadResult.Found found) {
+                store.delete(KIND, name, found.object().version());
             }
         });
     }
--- a/jayhead-peer/src/main/java/io/jayhead/peer/pb/Frame.java
+++ b/jayhead-peer/src/main/java/io/jayhead/peer/pb/Frame.java
@@ -68,6 +68,8 @@
     RELEASE_CHARGES(22),
     FAILURE(23),
     RELEASE_CHARGES_REPLY(24),
+    COMMIT_CHARGES(25),
+    COMMIT_CHARGES_REPLY(26),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -100,6 +102,8 @@
         case 22: return RELEASE_CHARGES;
         case 23: return FAILURE;
         case 24: return RELEASE_CHARGES_REPLY;
+        case 25: return COMMIT_CHARGES;
+        case 26: return COMMIT_CHARGES_REPLY;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -602,6 +606,68 @@
     return io.jayhead.peer.pb.ReleaseChargesReply.getDefaultInstance();
   }
 
+  public static final int COMMIT_CHARGES_FIELD_NUMBER = 25;
+  /**
+   * <code>.io.jayhead.peer.CommitCharges commit_charges = 25;</code>
+   * @return Whether the commitCharges field is set.
+   */
+  @java.lang.Override
+  public boolean hasCommitCharges() {
+    return bodyCase_ == 25;
+  }
+  /**
+   * <code>.io.jayhead.peer.CommitCharges commit_charges = 25;</code>
+   * @return The commitCharges.
+   */
+  @java.lang.Override
+  public io.jayhead.peer.pb.CommitCharges getCommitCharges() {
+    if (bodyCase_ == 25) {
+       return (io.jayhead.peer.pb.CommitCharges) body_;
+    }
+    return io.jayhead.peer.pb.CommitCharges.getDefaultInstance();
+  }
+  /**
+   * <code>.io.jayhead.peer.CommitCharges commit_charges = 25;</code>
+   */
+  @java.lang.Override
+  public io.jayhead.peer.pb.CommitChargesOrBuilder getCommitChargesOrBuilder() {
+    if (bodyCase_ == 25) {
+       return (io.jayhead.peer.pb.CommitCharges) body_;
+    }
+    return io.jayhead.peer.pb.CommitCharges.getDefaultInstance();
+  }
+
+  public static final int COMMIT_CHARGES_REPLY_FIELD_NUMBER = 26;
+  /**
+   * <code>.io.jayhead.peer.CommitChargesReply commit_charges_reply = 26;</code>
+   * @return Whether the commitChargesReply field is set.
+   */
+  @java.lang.Override
+  public boolean hasCommitChargesReply() {
+    return bodyCase_ == 26;
+  }
+  /**
+   * <code>.io.jayhead.peer.CommitChargesReply commit_charges_reply = 26;</code>
+   * @return The commitChargesReply.
+   */
+  @java.lang.Override
+  public io.jayhead.peer.pb.CommitChargesReply getCommitChargesReply() {
+    if (bodyCase_ == 26) {
+       return (io.jayhead.peer.pb.CommitChargesReply) body_;
+    }
+    return io.jayhead.peer.pb.CommitChargesReply.getDefaultInstance();
+  }
+  /**
+   * <code>.io.jayhead.peer.CommitChargesReply commit_charges_reply = 26;</code>
+   */
+  @java.lang.Override
+  public io.jayhead.peer.pb.CommitChargesReplyOrBuilder getCommitChargesReplyOrBuilder() {
+    if (bodyCase_ == 26) {
+       return (io.jayhead.peer.pb.CommitChargesReply) body_;
+    }
+    return io.jayhead.peer.pb.CommitChargesReply.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -667,6 +733,12 @@
     if (bodyCase_ == 24) {
       output.writeMessage(24, (io.jayhead.peer.pb.ReleaseChargesReply) body_);
     }
+    if (bodyCase_ == 25) {
+      output.writeMessage(25, (io.jayhead.peer.pb.CommitCharges) body_);
+    }
+    if (bodyCase_ == 26) {
+      output.writeMessage(26, (io.jayhead.peer.pb.CommitChargesReply) body_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -744,6 +816,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(24, (io.jayhead.peer.pb.ReleaseChargesReply) body_);
     }
+    if (bodyCase_ == 25) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(25, (io.jayhead.peer.pb.CommitCharges) body_);
+    }
+    if (bodyCase_ == 26) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(26, (io.jayhead.peer.pb.CommitChargesReply) body_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -825,6 +905,14 @@
         if (!getReleaseChargesReply()
             .equals(other.getReleaseChargesReply())) return false;
         break;
+      case 25:
+        if (!getCommitCharges()
+            .equals(other.getCommitCharges())) return false;
+        break;
+      case 26:
+        if (!getCommitChargesReply()
+            .equals(other.getCommitChargesReply())) return false;
+        break;
       case 0:
       default:
     }
@@ -906,6 +994,14 @@
         hash = (37 * hash) + RELEASE_CHARGES_REPLY_FIELD_NUMBER;
         hash = (53 * hash) + getReleaseChargesReply().hashCode();
         break;
+      case 25:
+        hash = (37 * hash) + COMMIT_CHARGES_FIELD_NUMBER;
+        hash = (53 * hash) + getCommitCharges().hashCode();
+        break;
+      case 26:
+        hash = (37 * hash) + COMMIT_CHARGES_REPLY_FIELD_NUMBER;
+        hash = (53 * hash) + getCommitChargesReply().hashCode();
+        break;
       case 0:
       default:
     }
@@ -1091,6 +1187,12 @@
       if (releaseChargesReplyBuilder_ != null) {
         releaseChargesReplyBuilder_.clear();
       }
+      if (commitChargesBuilder_ != null) {
+        commitChargesBuilder_.clear();
+      }
+      if (commitChargesReplyBuilder_ != null) {
+        commitChargesReplyBuilder_.clear();
+      }
       bodyCase_ = 0;
       body_ = null;
       return this;
@@ -1198,6 +1300,14 @@
           releaseChargesReplyBuilder_ != null) {
         result.body_ = releaseChargesReplyBuilder_.build();
       }
+      if (bodyCase_ == 25 &&
+          commitChargesBuilder_ != null) {
+        result.body_ = commitChargesBuilder_.build();
+      }
+      if (bodyCase_ == 26 &&
+          commitChargesReplyBuilder_ != null) {
+        result.body_ = commitChargesReplyBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -1279,6 +1389,14 @@
           mergeReleaseChargesReply(other.getReleaseChargesReply());
           break;
         }
+        case COMMIT_CHARGES: {
+          mergeCommitCharges(other.getCommitCharges());
+          break;
+        }
+        case COMMIT_CHARGES_REPLY: {
+          mergeCommitChargesReply(other.getCommitChargesReply());
+          break;
+        }
         case BODY_NOT_SET: {
           break;
         }
@@ -1424,6 +1542,20 @@
               bodyCase_ = 24;
               break;
             } // case 194
+            case 202: {
+              input.readMessage(
+                  internalGetCommitChargesFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 25;
+              break;
+            } // case 202
+            case 210: {
+              input.readMessage(
+                  internalGetCommitChargesReplyFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 26;
+              break;
+            } // case 210
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -3650,6 +3782,290 @@
       return releaseChargesReplyBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        io.jayhead.peer.pb.CommitCharges, io.jayhead.peer.pb.CommitCharges.Builder, io.jayhead.peer.pb.CommitChargesOrBuilder> commitChargesBuilder_;
+    /**
+     * <code>.io.jayhead.peer.CommitCharges commit_charges = 25;</code>
+     * @return Whether the commitCharges field is set.
+     */
+    @java.lang.Override
+    public boolean hasCommitCharges() {
+      return bodyCase_ == 25;
+    }
+    /**
+     * <code>.io.jayhead.peer.CommitCharges commit_charges = 25;</code>
+     * @return The commitCharges.
+     */
+    @java.lang.Override
+    public io.jayhead.peer.pb.CommitCharges getCommitCharges() {
+      if (commitChargesBuilder_ == null) {
+        if (bodyCase_ == 25) {
+          return (io.jayhead.peer.pb.CommitCharges) body_;
+        }
+        return io.jayhead.peer.pb.CommitCharges.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 25) {
+          return commitChargesBuilder_.getMessage();
+        }
+        return io.jayhead.peer.pb.CommitCharges.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.io.jayhead.peer.CommitCharges commit_charges = 25;</code>
+     */
+    public Builder setCommitCharges(io.jayhead.peer.pb.CommitCharges value) {
+      if (commitChargesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        body_ = value;
+        onChanged();
+      } else {
+        commitChargesBuilder_.setMessage(value);
+      }
+      bodyCase_ = 25;
+      return this;
+    }
+    /**
+     * <code>.io.jayhead.peer.CommitCharges commit_charges = 25;</code>
+     */
+    public Builder setCommitCharges(
+        io.jayhead.peer.pb.CommitCharges.Builder builderForValue) {
+      if (commitChargesBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        commitChargesBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 25;
+      return this;
+    }
+    /**
+     * <code>.io.jayhead.peer.CommitCharges commit_charges = 25;</code>
+     */
+    public Builder mergeCommitCharges(io.jayhead.peer.pb.CommitCharges value) {
+      if (commitChargesBuilder_ == null) {
+        if (bodyCase_ == 25 &&
+            body_ != io.jayhead.peer.pb.CommitCharges.getDefaultInstance()) {
+          body_ = io.jayhead.peer.pb.CommitCharges.newBuilder((io.jayhead.peer.pb.CommitCharges) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 25) {
+          commitChargesBuilder_.mergeFrom(value);
+        } else {
+          commitChargesBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 25;
+      return this;
+    }
+    /**
+     * <code>.io.jayhead.peer.CommitCharges commit_charges = 25;</code>
+     */
+    public Builder clearCommitCharges() {
+      if (commitChargesBuilder_ == null) {
+        if (bodyCase_ == 25) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 25) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        commitChargesBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.io.jayhead.peer.CommitCharges commit_charges = 25;</code>
+     */
+    public io.jayhead.peer.pb.CommitCharges.Builder getCommitChargesBuilder() {
+      return internalGetCommitChargesFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.io.jayhead.peer.CommitCharges commit_charges = 25;</code>
+     */
+    @java.lang.Override
+    public io.jayhead.peer.pb.CommitChargesOrBuilder getCommitChargesOrBuilder() {
+      if ((bodyCase_ == 25) && (commitChargesBuilder_ != null)) {
+        return commitChargesBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 25) {
+          return (io.jayhead.peer.pb.CommitCharges) body_;
+        }
+        return io.jayhead.peer.pb.CommitCharges.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.io.jayhead.peer.CommitCharges commit_charges = 25;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        io.jayhead.peer.pb.CommitCharges, io.jayhead.peer.pb.CommitCharges.Builder, io.jayhead.peer.pb.CommitChargesOrBuilder> 
+        internalGetCommitChargesFieldBuilder() {
+      if (commitChargesBuilder_ == null) {
+        if (!(bodyCase_ == 25)) {
+          body_ = io.jayhead.peer.pb.CommitCharges.getDefaultInstance();
+        }
+        commitChargesBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            io.jayhead.peer.pb.CommitCharges, io.jayhead.peer.pb.CommitCharges.Builder, io.jayhead.peer.pb.CommitChargesOrBuilder>(
+                (io.jayhead.peer.pb.CommitCharges) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 25;
+      onChanged();
+      return commitChargesBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        io.jayhead.peer.pb.CommitChargesReply, io.jayhead.peer.pb.CommitChargesReply.Builder, io.jayhead.peer.pb.CommitChargesReplyOrBuilder> commitChargesReplyBuilder_;
+    /**
+     * <code>.io.jayhead.peer.CommitChargesReply commit_charges_reply = 26;</code>
+     * @return Whether the commitChargesReply field is set.
+     */
+    @java.lang.Override
+    public boolean hasCommitChargesReply() {
+      return bodyCase_ == 26;
+    }
+    /**
+     * <code>.io.jayhead.peer.CommitChargesReply commit_charges_reply = 26;</code>
+     * @return The commitChargesReply.
+     */
+    @java.lang.Override
+    public io.jayhead.peer.pb.CommitChargesReply getCommitChargesReply() {
+      if (commitChargesReplyBuilder_ == null) {
+        if (bodyCase_ == 26) {
+          return (io.jayhead.peer.pb.CommitChargesReply) body_;
+        }
+        return io.jayhead.peer.pb.CommitChargesReply.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 26) {
+          return commitChargesReplyBuilder_.getMessage();
+        }
+        return io.jayhead.peer.pb.CommitChargesReply.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.io.jayhead.peer.CommitChargesReply commit_charges_reply = 26;</code>
+     */
+    public Builder setCommitChargesReply(io.jayhead.peer.pb.CommitChargesReply value) {
+      if (commitChargesReplyBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        body_ = value;
+        onChanged();
+      } else {
+        commitChargesReplyBuilder_.setMessage(value);
+      }
+      bodyCase_ = 26;
+      return this;
+    }
+    /**
+     * <code>.io.jayhead.peer.CommitChargesReply commit_charges_reply = 26;</code>
+     */
+    public Builder setCommitChargesReply(
+        io.jayhead.peer.pb.CommitChargesReply.Builder builderForValue) {
+      if (commitChargesReplyBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        commitChargesReplyBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 26;
+      return this;
+    }
+    /**
+     * <code>.io.jayhead.peer.CommitChargesReply commit_charges_reply = 26;</code>
+     */
+    public Builder mergeCommitChargesReply(io.jayhead.peer.pb.CommitChargesReply value) {
+      if (commitChargesReplyBuilder_ == null) {
+        if (bodyCase_ == 26 &&
+            body_ != io.jayhead.peer.pb.CommitChargesReply.getDefaultInstance()) {
+          body_ = io.jayhead.peer.pb.CommitChargesReply.newBuilder((io.jayhead.peer.pb.CommitChargesReply) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 26) {
+          commitChargesReplyBuilder_.mergeFrom(value);
+        } else {
+          commitChargesReplyBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 26;
+      return this;
+    }
+    /**
+     * <code>.io.jayhead.peer.CommitChargesReply commit_charges_reply = 26;</code>
+     */
+    public Builder clearCommitChargesReply() {
+      if (commitChargesReplyBuilder_ == null) {
+        if (bodyCase_ == 26) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 26) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        commitChargesReplyBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.io.jayhead.peer.CommitChargesReply commit_charges_reply = 26;</code>
+     */
+    public io.jayhead.peer.pb.CommitChargesReply.Builder getCommitChargesReplyBuilder() {
+      return internalGetCommitChargesReplyFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.io.jayhead.peer.CommitChargesReply commit_charges_reply = 26;</code>
+     */
+    @java.lang.Override
+    public io.jayhead.peer.pb.CommitChargesReplyOrBuilder getCommitChargesReplyOrBuilder() {
+      if ((bodyCase_ == 26) && (commitChargesReplyBuilder_ != null)) {
+        return commitChargesReplyBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 26) {
+          return (io.jayhead.peer.pb.CommitChargesReply) body_;
+        }
+        return io.jayhead.peer.pb.CommitChargesReply.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.io.jayhead.peer.CommitChargesReply commit_charges_reply = 26;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        io.jayhead.peer.pb.CommitChargesReply, io.jayhead.peer.pb.CommitChargesReply.Builder, io.jayhead.peer.pb.CommitChargesReplyOrBuilder> 
+        internalGetCommitChargesReplyFieldBuilder() {
+      if (commitChargesReplyBuilder_ == null) {
+        if (!(bodyCase_ == 26)) {
+          body_ = io.jayhead.peer.pb.CommitChargesReply.getDefaultInstance();
+        }
+        commitChargesReplyBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            io.jayhead.peer.pb.CommitChargesReply, io.jayhead.peer.pb.CommitChargesReply.Builder, io.jayhead.peer.pb.CommitChargesReplyOrBuilder>(
+                (io.jayhead.peer.pb.CommitChargesReply) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 26;
+      onChanged();
+      return commitChargesReplyBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:io.jayhead.peer.Frame)
   }
 
--- a/jayhead-peer/src/main/java/io/jayhead/peer/pb/FrameOrBuilder.java
+++ b/jayhead-peer/src/main/java/io/jayhead/peer/pb/FrameOrBuilder.java
@@ -247,5 +247,35 @@
    */
   io.jayhead.peer.pb.ReleaseChargesReplyOrBuilder getReleaseChargesReplyOrBuilder();
 
+  /**
+   * <code>.io.jayhead.peer.CommitCharges commit_charges = 25;</code>
+   * @return Whether the commitCharges field is set.
+   */
+  boolean hasCommitCharges();
+  /**
+   * <code>.io.jayhead.peer.CommitCharges commit_charges = 25;</code>
+   * @return The commitCharges.
+   */
+  io.jayhead.peer.pb.CommitCharges getCommitCharges();
+  /**
+   * <code>.io.jayhead.peer.CommitCharges commit_charges = 25;</code>
+   */
+  io.jayhead.peer.pb.CommitChargesOrBuilder getCommitChargesOrBuilder();
+
+  /**
+   * <code>.io.jayhead.peer.CommitChargesReply commit_charges_reply = 26;</code>
+   * @return Whether the commitChargesReply field is set.
+   */
+  boolean hasCommitChargesReply();
+  /**
+   * <code>.io.jayhead.peer.CommitChargesReply commit_charges_reply = 26;</code>
+   * @return The commitChargesReply.
+   */
+  io.jayhead.peer.pb.CommitChargesReply getCommitChargesReply();
+  /**
+   * <code>.io.jayhead.peer.CommitChargesReply commit_charges_reply = 26;</code>
+   */
+  io.jayhead.peer.pb.CommitChargesReplyOrBuilder getCommitChargesReplyOrBuilder();
+
   io.jayhead.peer.pb.Frame.BodyCase getBodyCase();
 }
--- a/jayhead-peer/src/main/java/io/jayhead/peer/pb/Peer.java
+++ b/jayhead-peer/src/main/java/io/jayhead/peer/pb/Peer.java
@@ -91,6 +91,16 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_io_jayhead_peer_ReleaseChargesReply_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_io_jayhead_peer_CommitCharges_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_io_jayhead_peer_CommitCharges_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_io_jayhead_peer_CommitChargesReply_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_io_jayhead_peer_CommitChargesReply_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_io_jayhead_peer_Begin_descriptor;
   static final 
@@ -125,7 +135,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\npeer.proto\022\017io.jayhead.peer\"\325\006\n\005Frame\022" +
+      "\n\npeer.proto\022\017io.jayhead.peer\"\324\007\n\005Frame\022" +
       "\023\n\013correlation\030\001 \001(\004\022\r\n\005reply\030\002 \001(\010\022/\n\th" +
       "eartbeat\030\n \001(\0132\032.io.jayhead.peer.Heartbe" +
       "atH\000\022:\n\017heartbeat_reply\030\013 \001(\0132\037.io.jayhe" +
@@ -146,52 +156,57 @@
       "\030\026 \001(\0132\037.io.jayhead.peer.ReleaseChargesH" +
       "\000\022+\n\007failure\030\027 \001(\0132\030.io.jayhead.peer.Fai" +
       "lureH\000\022E\n\025release_charges_reply\030\030 \001(\0132$." +
-      "io.jayhead.peer.ReleaseChargesReplyH\000B\006\n" +
-      "\004body\"\274\001\n\tHeartbeat\022\n\n\002vm\030\001 \001(\t\022\023\n\013incar" +
-      "nation\030\002 \001(\t\022\031\n\021availability_zone\030\003 \001(\t\022" +
-      "\025\n\rfleet_version\030\004 \001(\004\022\031\n\021leaving_upstre" +
-      "ams\030\005 \003(\t\022\025\n\rshutting_down\030\006 \001(\010\022\024\n\014want" +
-      "_members\030\007 \001(\010\022\024\n\014peer_address\030\010 \001(\t\"\267\002\n" +
-      "\016HeartbeatReply\022\n\n\002vm\030\001 \001(\t\022\023\n\013incarnati" +
-      "on\030\002 \001(\t\022\025\n\rfleet_version\030\003 \001(\004\022&\n\031platf" +
-      "orm_confirmed_age_ms\030\004 \001(\004H\000\210\001\001\022\031\n\021leavi" +
-      "ng_upstreams\030\005 \003(\t\022\025\n\rshutting_down\030\006 \001(" +
-      "\010\022(\n\007members\030\007 \003(\0132\027.io.jayhead.peer.Mem" +
-      "ber\022\031\n\021availability_zone\030\010 \001(\t\022\025\n\rlist_r" +
-      "evision\030\t \001(\004\022\031\n\021charge_partitions\030\n \001(\r" +
-      "B\034\n\032_platform_confirmed_age_ms\"Z\n\006Member" +
-      "\022\n\n\002vm\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\t\022\031\n\021ava" +
-      "ilability_zone\030\003 \001(\t\022\024\n\014peer_address\030\004 \001" +
-      "(\t\"=\n\tFleetPush\022\017\n\007version\030\001 \001(\004\022\021\n\tchan" +
-      "ge_id\030\002 \001(\t\022\014\n\004text\030\003 \001(\t\"N\n\016FleetPushRe" +
-      "ply\022\n\n\002vm\030\001 \001(\t\022\017\n\007version\030\002 \001(\004\022\021\n\tchan" +
-      "ge_id\030\003 \001(\t\022\014\n\004text\030\004 \001(\t\",\n\006Append\022\021\n\tp" +
-      "artition\030\001 \001(\r\022\017\n\007entries\030\002 \003(\t\"?\n\013Appen" +
-      "dReply\0220\n\010outcomes\030\001 \003(\0132\036.io.jayhead.pe" +
-      "er.AppendOutcome\"\232\001\n\rAppendOutcome\0225\n\006st" +
-      "atus\030\001 \001(\0162%.io.jayhead.peer.AppendOutco" +
-      "me.Status\022\023\n\013first_entry\030\002 \001(\t\"=\n\006Status" +
-      "\022\013\n\007UNKNOWN\020\000\022\r\n\tCOMMITTED\020\001\022\r\n\tDUPLICAT" +
-      "E\020\002\022\010\n\004HELD\020\003\"?\n\013HoldCharges\022\n\n\002vm\030\001 \001(\t" +
-      "\022\023\n\013incarnation\030\002 \001(\t\022\017\n\007entries\030\003 \003(\t\" " +
-      "\n\020HoldChargesReply\022\014\n\004held\030\001 \001(\010\";\n\016Rele" +
-      "aseCharges\022\023\n\013incarnation\030\001 \001(\t\022\024\n\014reque" +
-      "st_keys\030\002 \003(\t\"\025\n\023ReleaseChargesReply\"\223\001\n" +
-      "\005Begin\022\023\n\013request_key\030\001 \001(\t\022\n\n\002vm\030\002 \001(\t\022" +
-      "\023\n\013incarnation\030\003 \001(\t\022\023\n\013body_digest\030\004 \001(" +
-      "\t\022\020\n\010upstream\030\005 \001(\t\022\033\n\023upstream_request_" +
-      "id\030\006 \001(\t\022\020\n\010finished\030\007 \001(\010\"\321\001\n\nBeginRepl" +
-      "y\0222\n\006status\030\001 \001(\0162\".io.jayhead.peer.Begi" +
-      "nReply.Status\022\n\n\002vm\030\002 \001(\t\022\020\n\010upstream\030\003 " +
-      "\001(\t\022\033\n\023upstream_request_id\030\004 \001(\t\"T\n\006Stat" +
-      "us\022\013\n\007UNKNOWN\020\000\022\016\n\nREGISTERED\020\001\022\013\n\007RUNNI" +
-      "NG\020\002\022\014\n\010FINISHED\020\003\022\022\n\016DIFFERENT_BODY\020\004\"_" +
-      "\n\006Borrow\022\n\n\002vm\030\001 \001(\t\022\024\n\014organisation\030\002 \001" +
-      "(\t\022\016\n\006budget\030\003 \001(\t\022\023\n\013transfer_id\030\004 \001(\t\022" +
-      "\016\n\006tokens\030\005 \001(\004\"2\n\013BorrowReply\022\023\n\013transf" +
-      "er_id\030\001 \001(\t\022\016\n\006tokens\030\002 \001(\004\"(\n\007Failure\022\014" +
-      "\n\004code\030\001 \001(\t\022\017\n\007message\030\002 \001(\tB\026\n\022io.jayh" +
-      "ead.peer.pbP\001b\006proto3"
+      "io.jayhead.peer.ReleaseChargesReplyH\000\0228\n" +
+      "\016commit_charges\030\031 \001(\0132\036.io.jayhead.peer." +
+      "CommitChargesH\000\022C\n\024commit_charges_reply\030" +
+      "\032 \001(\0132#.io.jayhead.peer.CommitChargesRep" +
+      "lyH\000B\006\n\004body\"\274\001\n\tHeartbeat\022\n\n\002vm\030\001 \001(\t\022\023" +
+      "\n\013incarnation\030\002 \001(\t\022\031\n\021availability_zone" +
+      "\030\003 \001(\t\022\025\n\rfleet_version\030\004 \001(\004\022\031\n\021leaving" +
+      "_upstreams\030\005 \003(\t\022\025\n\rshutting_down\030\006 \001(\010\022" +
+      "\024\n\014want_members\030\007 \001(\010\022\024\n\014peer_address\030\010 " +
+      "\001(\t\"\267\002\n\016HeartbeatReply\022\n\n\002vm\030\001 \001(\t\022\023\n\013in" +
+      "carnation\030\002 \001(\t\022\025\n\rfleet_version\030\003 \001(\004\022&" +
+      "\n\031platform_confirmed_age_ms\030\004 \001(\004H\000\210\001\001\022\031" +
+      "\n\021leaving_upstreams\030\005 \003(\t\022\025\n\rshutting_do" +
+      "wn\030\006 \001(\010\022(\n\007members\030\007 \003(\0132\027.io.jayhead.p" +
+      "eer.Member\022\031\n\021availability_zone\030\010 \001(\t\022\025\n" +
+      "\rlist_revision\030\t \001(\004\022\031\n\021charge_partition" +
+      "s\030\n \001(\rB\034\n\032_platform_confirmed_age_ms\"Z\n" +
+      "\006Member\022\n\n\002vm\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\t" +
+      "\022\031\n\021availability_zone\030\003 \001(\t\022\024\n\014peer_addr" +
+      "ess\030\004 \001(\t\"=\n\tFleetPush\022\017\n\007version\030\001 \001(\004\022" +
+      "\021\n\tchange_id\030\002 \001(\t\022\014\n\004text\030\003 \001(\t\"N\n\016Flee" +
+      "tPushReply\022\n\n\002vm\030\001 \001(\t\022\017\n\007version\030\002 \001(\004\022" +
+      "\021\n\tchange_id\030\003 \001(\t\022\014\n\004text\030\004 \001(\t\",\n\006Appe" +
+      "nd\022\021\n\tpartition\030\001 \001(\r\022\017\n\007entries\030\002 \003(\t\"?" +
+      "\n\013AppendReply\0220\n\010outcomes\030\001 \003(\0132\036.io.jay" +
+      "head.peer.AppendOutcome\"\232\001\n\rAppendOutcom" +
+      "e\0225\n\006status\030\001 \001(\0162%.io.jayhead.peer.Appe" +
+      "ndOutcome.Status\022\023\n\013first_entry\030\002 \001(\t\"=\n" +
+      "\006Status\022\013\n\007UNKNOWN\020\000\022\r\n\tCOMMITTED\020\001\022\r\n\tD" +
+      "UPLICATE\020\002\022\010\n\004HELD\020\003\"?\n\013HoldCharges\022\n\n\002v" +
+      "m\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\t\022\017\n\007entries\030" +
+      "\003 \003(\t\" \n\020HoldChargesReply\022\014\n\004held\030\001 \001(\010\"" +
+      ";\n\016ReleaseCharges\022\023\n\013incarnation\030\001 \001(\t\022\024" +
+      "\n\014request_keys\030\002 \003(\t\"\025\n\023ReleaseChargesRe" +
+      "ply\"$\n\rCommitCharges\022\023\n\013incarnation\030\001 \001(" +
+      "\t\"\024\n\022CommitChargesReply\"\223\001\n\005Begin\022\023\n\013req" +
+      "uest_key\030\001 \001(\t\022\n\n\002vm\030\002 \001(\t\022\023\n\013incarnatio" +
+      "n\030\003 \001(\t\022\023\n\013body_digest\030\004 \001(\t\022\020\n\010upstream" +
+      "\030\005 \001(\t\022\033\n\023upstream_request_id\030\006 \001(\t\022\020\n\010f" +
+      "inished\030\007 \001(\010\"\321\001\n\nBeginReply\0222\n\006status\030\001" +
+      " \001(\0162\".io.jayhead.peer.BeginReply.Status" +
+      "\022\n\n\002vm\030\002 \001(\t\022\020\n\010upstream\030\003 \001(\t\022\033\n\023upstre" +
+      "am_request_id\030\004 \001(\t\"T\n\006Status\022\013\n\007UNKNOWN" +
+      "\020\000\022\016\n\nREGISTERED\020\001\022\013\n\007RUNNING\020\002\022\014\n\010FINIS" +
+      "HED\020\003\022\022\n\016DIFFERENT_BODY\020\004\"_\n\006Borrow\022\n\n\002v" +
+      "m\030\001 \001(\t\022\024\n\014organisation\030\002 \001(\t\022\016\n\006budget\030" +
+      "\003 \001(\t\022\023\n\013transfer_id\030\004 \001(\t\022\016\n\006tokens\030\005 \001" +
+      "(\004\"2\n\013BorrowReply\022\023\n\013transfer_id\030\001 \001(\t\022\016" +
+      "\n\006tokens\030\002 \001(\004\"(\n\007Failure\022\014\n\004code\030\001 \001(\t\022" +
+      "\017\n\007message\030\002 \001(\tB\026\n\022io.jayhead.peer.pbP\001" +
+      "b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -202,7 +217,7 @@
     internal_static_io_jayhead_peer_Frame_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_io_jayhead_peer_Frame_descriptor,
-        new java.lang.String[] { "Correlation", "Reply", "Heartbeat", "HeartbeatReply", "FleetPush", "FleetPushReply", "Append", "AppendReply", "HoldCharges", "HoldChargesReply", "Begin", "BeginReply", "Borrow", "BorrowReply", "ReleaseCharges", "Failure", "ReleaseChargesReply", "Body", });
+        new java.lang.String[] { "Correlation", "Reply", "Heartbeat", "HeartbeatReply", "FleetPush", "FleetPushReply", "Append", "AppendReply", "HoldCharges", "HoldChargesReply", "Begin", "BeginReply", "Borrow", "BorrowReply", "ReleaseCharges", "Failure", "ReleaseChargesReply", "CommitCharges", "CommitChargesReply", "Body", });
     internal_static_io_jayhead_peer_Heartbeat_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_io_jayhead_peer_Heartbeat_fieldAccessorTable = new
@@ -275,32 +290,44 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_io_jayhead_peer_ReleaseChargesReply_descriptor,
         new java.lang.String[] { });
-    internal_static_io_jayhead_peer_Begin_descriptor =
+    internal_static_io_jayhead_peer_CommitCharges_descriptor =
       getDescriptor().getMessageType(13);
+    internal_static_io_jayhead_peer_CommitCharges_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_io_jayhead_peer_CommitCharges_descriptor,
+        new java.lang.String[] { "Incarnation", });
+    internal_static_io_jayhead_peer_CommitChargesReply_descriptor =
+      getDescriptor().getMessageType(14);
+    internal_static_io_jayhead_peer_CommitChargesReply_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_io_jayhead_peer_CommitChargesReply_descriptor,
+        new java.lang.String[] { });
+    internal_static_io_jayhead_peer_Begin_descriptor =
+      getDescriptor().getMessageType(15);
     internal_static_io_jayhead_peer_Begin_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_io_jayhead_peer_Begin_descriptor,
         new java.lang.String[] { "RequestKey", "Vm", "Incarnation", "BodyDigest", "Upstream", "UpstreamRequestId", "Finished", });
     internal_static_io_jayhead_peer_BeginReply_descriptor =
-      getDescriptor().getMessageType(14);
+      getDescriptor().getMessageType(16);
     internal_static_io_jayhead_peer_BeginReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_io_jayhead_peer_BeginReply_descriptor,
         new java.lang.String[] { "Status", "Vm", "Upstream", "UpstreamRequestId", });
     internal_static_io_jayhead_peer_Borrow_descriptor =
-      getDescriptor().getMessageType(15);
+      getDescriptor().getMessageType(17);
     internal_static_io_jayhead_peer_Borrow_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_io_jayhead_peer_Borrow_descriptor,
         new java.lang.String[] { "Vm", "Organisation", "Budget", "TransferId", "Tokens", });
     internal_static_io_jayhead_peer_BorrowReply_descriptor =
-      getDescriptor().getMessageType(16);
+      getDescriptor().getMessageType(18);
     internal_static_io_jayhead_peer_BorrowReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_io_jayhead_peer_BorrowReply_descriptor,
         new java.lang.String[] { "TransferId", "Tokens", });
     internal_static_io_jayhead_peer_Failure_descriptor =
-      getDescriptor().getMessageType(17);
+      getDescriptor().getMessageType(19);
     internal_static_io_jayhead_peer_Failure_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_io_jayhead_peer_Failure_descriptor,
