Reclaim the grants of lost routers

Cause: nothing used the reclaim logic, so the grant of a killed router stayed written off and its registration counted towards the majority for ever. Ruled out: reclaim without knowing all upstreams that the holder could use; a router that has not seen all of its configurations leaves the grant written off. Change: package recovery finds lost routers, removes their registrations and runs GrantReclaim for each of their open ledger entries, one at a time. Status lists the reclaims, a gauge shows stranded tokens.

--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/Daemon.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/Daemon.java
@@ -9,6 +9,7 @@
 import io.jayhead.config.settings.DaemonSettings;
 import io.jayhead.daemon.budget.AdmissionService;
 import io.jayhead.daemon.budget.Ledgers;
+import io.jayhead.daemon.budget.ReclaimLedgers;
 import io.jayhead.daemon.charge.BillReader;
 import io.jayhead.daemon.charge.ChargeLayout;
 import io.jayhead.daemon.charge.ChargeService;
@@ -26,6 +27,9 @@
 import io.jayhead.daemon.observe.RouterMetrics;
 import io.jayhead.daemon.operator.OperatorServer;
 import io.jayhead.daemon.operator.StatusDocument;
+import io.jayhead.daemon.recovery.FenceClient;
+import io.jayhead.daemon.recovery.ReclaimParts;
+import io.jayhead.daemon.recovery.RecoveryService;
 import io.jayhead.daemon.request.RequestPipeline;
 import io.jayhead.daemon.request.RequestRegistry;
 import io.jayhead.daemon.request.RetryCounter;
@@ -97,6 +101,7 @@
     private final AdmissionService admission;
     private final ChargeLayout layout;
     private final ChargeService charges;
+    private final RecoveryService recovery;
     private final RequestRegistry registry;
     private final RoutingService routing;
     private final UpstreamPoller upstreamPoller;
@@ -161,6 +166,19 @@
                 decisions);
         charges = new ChargeService(
                 chargeSettings(settings), layout, control, clock, membership, links, store, editor, monitor, decisions);
+        recovery = new RecoveryService(
+                new ReclaimParts(
+                        control,
+                        membership,
+                        links,
+                        new ReclaimLedgers(store, editor),
+                        new FenceClient(http),
+                        charges,
+                        new BillReader(store, layout),
+                        decisions),
+                configuration,
+                clock,
+                settings.reclaimAfterMs());
         registry = new RequestRegistry(self, charges, links, clock);
         upstreamPoller = new UpstreamPoller(routing, control, clock, settings.upstreamFreshnessMs());
     }
@@ -169,6 +187,7 @@
     public void start() {
         registerGauges();
         configuration.onAdopted(routing::adopted);
+        configuration.onAdopted(recovery::adopted);
         peerServer = PeerServer.start(
                 peerIo,
                 settings.peersAddress(),
@@ -179,7 +198,7 @@
         control.every(settings.peerHeartbeatMs(), heartbeats::sendAll);
         control.every(settings.upstreamPollMs(), upstreamPoller::poll);
         control.every(MEMBERS_MS, membership::refresh);
-        control.every(VM_LIST_MS, new VmListPoller(store, routing, control, monitor)::poll);
+        control.every(VM_LIST_MS, new VmListPoller(store, routing, control, monitor, recovery::listed)::poll);
         control.every(REPORT_MS, admission::reportConsumption);
         control.execute(membership::refresh);
         operatorServer = OperatorServer.start(
@@ -242,8 +261,8 @@
     }
 
     private CompletableFuture<ObjectNode> status() {
-        return control.submit(() ->
-                StatusDocument.of(configuration, membership, monitor, routing, admission.state(), charges, clock));
+        return control.submit(() -> StatusDocument.of(
+                configuration, membership, monitor, routing, admission.state(), charges, recovery, clock));
     }
 
     private Services services() {
@@ -292,6 +311,10 @@
                 "jayhead_fleet_version",
                 "Configuration version in force",
                 () -> configuration.view().version());
+        metrics.gauge(
+                "jayhead_stranded_tokens",
+                "Tokens of lost routers' grants that are written off or being reclaimed here",
+                recovery::strandedTokens);
         for (CallKind kind : CallKind.values()) {
             metrics.gauge(
                     "jayhead_platform_calls_" + kind.label(),
--- /dev/null
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/budget/ReclaimLedgers.java
@@ -0,0 +1,122 @@
+package io.jayhead.daemon.budget;
+
+import io.jayhead.admission.budget.BudgetLedger;
+import io.jayhead.admission.budget.EntryState;
+import io.jayhead.admission.budget.GrantEntry;
+import io.jayhead.admission.budget.LedgerRefusal;
+import io.jayhead.model.BudgetId;
+import io.jayhead.model.Either;
+import io.jayhead.model.IncarnationId;
+import io.jayhead.platform.EditResult;
+import io.jayhead.platform.ListResult;
+import io.jayhead.platform.ObjectEditor;
+import io.jayhead.platform.ObjectStore;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Predicate;
+
+/** Finds and changes the ledger entries of lost routers in the platform. */
+public final class ReclaimLedgers {
+
+    private static final String KIND = "budget";
+
+    private final ObjectStore store;
+    private final ObjectEditor editor;
+
+    /**
+     * Creates the editor.
+     *
+     * @param store the platform
+     * @param editor edits objects of the platform
+     */
+    public ReclaimLedgers(ObjectStore store, ObjectEditor editor) {
+        this.store = store;
+        this.editor = editor;
+    }
+
+    /**
+     * An open ledger entry.
+     *
+     * @param budget the budget
+     * @param holder the router incarnation
+     * @param strandedTokens the tokens granted and not known to be consumed
+     */
+    public record OpenEntry(BudgetId budget, IncarnationId holder, long strandedTokens) {}
+
+    /**
+     * Lists the open entries of some holders; the ledgers are read on a thread of the client.
+     *
+     * @param wanted selects the holders; called on any thread
+     * @return the entries, or empty if the platform does not answer
+     */
+    public CompletableFuture<Optional<List<OpenEntry>>> openEntries(Predicate<IncarnationId> wanted) {
+        return store.list(KIND, "")
+                .thenApply(result -> result instanceof ListResult.Listed listed
+                        ? Optional.of(listed.objects().stream()
+                                .map(object -> LedgerCodec.decode(object.body()))
+                                .flatMap(ledger -> ledger.entries().entrySet().stream()
+                                        .map(entry -> openEntry(ledger.id(), entry.getKey(), entry.getValue())))
+                                .filter(entry -> wanted.test(entry.holder()))
+                                .toList())
+                        : Optional.empty());
+    }
+
+    /**
+     * Marks an entry as being reclaimed, and takes over from an earlier reclaim.
+     *
+     * @param budget the budget
+     * @param holder the lost holder
+     * @param nonce identifies the reclaim
+     * @return the outcome
+     */
+    public CompletableFuture<EditResult<LedgerRefusal>> mark(BudgetId budget, IncarnationId holder, String nonce) {
+        return editor.edit(
+                KIND,
+                budget.objectName(),
+                body -> decode(budget, body)
+                        .flatMap(ledger -> marked(ledger, holder, nonce))
+                        .map(LedgerCodec::encode),
+                (sent, current) -> LedgerCodec.decode(current)
+                        .entry(holder)
+                        .filter(entry -> entry.reclaimNonce().equals(nonce))
+                        .isPresent());
+    }
+
+    /**
+     * Closes an entry that is marked with the nonce.
+     *
+     * @param budget the budget
+     * @param holder the lost holder
+     * @param nonce identifies the reclaim
+     * @param chargedTokens the sum of the charges of the holder to the budget
+     * @return the outcome
+     */
+    public CompletableFuture<EditResult<LedgerRefusal>> close(
+            BudgetId budget, IncarnationId holder, String nonce, long chargedTokens) {
+        return editor.edit(
+                KIND,
+                budget.objectName(),
+                body -> decode(budget, body)
+                        .flatMap(ledger -> ledger.completeReclaim(holder, nonce, chargedTokens))
+                        .map(LedgerCodec::encode),
+                (sent, current) -> LedgerCodec.decode(current).entry(holder).isEmpty());
+    }
+
+    private static Either<LedgerRefusal, BudgetLedger> marked(BudgetLedger ledger, IncarnationId holder, String nonce) {
+        Optional<GrantEntry> taken = ledger.entry(holder).filter(entry -> entry.state() == EntryState.RECLAIMING);
+        return taken.isPresent()
+                ? ledger.takeOverReclaim(holder, taken.get().reclaimNonce(), nonce)
+                : ledger.beginReclaim(holder, nonce);
+    }
+
+    private static OpenEntry openEntry(BudgetId budget, String holder, GrantEntry entry) {
+        return new OpenEntry(
+                budget, IncarnationId.of(holder), Math.max(0, entry.grantedTokens() - entry.consumedTokens()));
+    }
+
+    private static Either<LedgerRefusal, BudgetLedger> decode(BudgetId budget, Optional<String> body) {
+        return body.<Either<LedgerRefusal, BudgetLedger>>map(text -> Either.right(LedgerCodec.decode(text)))
+                .orElseGet(() -> Either.left(LedgerRefusal.NO_ENTRY));
+    }
+}
--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/charge/ChargeService.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/charge/ChargeService.java
@@ -357,7 +357,7 @@
         CompletableFuture<AppendOutcome> reply = new CompletableFuture<>();
         CompletableFuture<Void> committed = appends.add(entry);
         writer(entry.key()).append(entry, outcome -> {
-            reply.complete(message(outcome));
+            reply.complete(AppendOutcomes.message(outcome));
             settle(committed, outcome);
         });
         return reply;
@@ -369,21 +369,6 @@
         }
     }
 
-    private static AppendOutcome message(ChargeOutcome outcome) {
-        if (outcome instanceof ChargeOutcome.Committed) {
-            return AppendOutcome.newBuilder()
-                    .setStatus(AppendOutcome.Status.COMMITTED)
-                    .build();
-        }
-        if (outcome instanceof ChargeOutcome.Duplicate duplicate) {
-            return AppendOutcome.newBuilder()
-                    .setStatus(AppendOutcome.Status.DUPLICATE)
-                    .setFirstEntry(ChargeBatchCodec.encodeEntry(duplicate.first()))
-                    .build();
-        }
-        return AppendOutcome.newBuilder().setStatus(AppendOutcome.Status.HELD).build();
-    }
-
     private static final class PendingCommit {
         private final ChargeEntry entry;
         private final Consumer<ChargeResult> callback;
--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/operator/StatusDocument.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/operator/StatusDocument.java
@@ -10,12 +10,15 @@
 import io.jayhead.daemon.fleet.Member;
 import io.jayhead.daemon.fleet.Membership;
 import io.jayhead.daemon.fleet.PlatformMonitor;
+import io.jayhead.daemon.recovery.ReclaimView;
+import io.jayhead.daemon.recovery.RecoveryService;
 import io.jayhead.daemon.upstream.RoutingService;
 import io.jayhead.model.ServiceName;
 import io.jayhead.model.UpstreamName;
 import io.jayhead.routing.Readiness;
 import io.jayhead.routing.UpstreamState;
 import java.util.List;
+import java.util.Locale;
 
 /** Describes a router to operators; belongs to the control thread. */
 public final class StatusDocument {
@@ -31,6 +34,7 @@
      * @param routing the routing state
      * @param admission the admission state
      * @param charges the charges
+     * @param recovery the reclaims
      * @param clock the clock
      * @return JSON
      */
@@ -41,6 +45,7 @@
             RoutingService routing,
             AdmissionState admission,
             ChargeService charges,
+            RecoveryService recovery,
             HybridClock clock) {
         ObjectNode root = JsonNodeFactory.instance.objectNode();
         root.put("vm", membership.self().vm().value());
@@ -56,6 +61,8 @@
         root.put("held_charges", charges.heldCharges());
         ArrayNode live = root.putArray("live_routers");
         membership.live().stream().map(Member::vm).forEach(vm -> live.add(vm.value()));
+        ArrayNode reclaims = root.putArray("reclaims");
+        recovery.views().forEach(view -> reclaims.add(reclaim(view)));
         ArrayNode services = root.putArray("services");
         List<ServiceName> names = configuration.view().spec().services().keySet().stream()
                 .sorted()
@@ -70,6 +77,16 @@
         return root;
     }
 
+    private static ObjectNode reclaim(ReclaimView view) {
+        ObjectNode reclaim = JsonNodeFactory.instance.objectNode();
+        reclaim.put("budget", view.budget().objectName());
+        reclaim.put("holder", view.holder().value());
+        reclaim.put("step", view.step().name().toLowerCase(Locale.ROOT));
+        reclaim.put("written_off_because", view.reason());
+        reclaim.put("stranded_tokens", view.strandedTokens());
+        return reclaim;
+    }
+
     private static ObjectNode service(ServiceName name, Readiness readiness) {
         ObjectNode service = JsonNodeFactory.instance.objectNode();
         service.put("name", name.value());
--- /dev/null
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/recovery/FenceClient.java
@@ -0,0 +1,80 @@
+package io.jayhead.daemon.recovery;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.jayhead.daemon.upstream.UpstreamHttp;
+import io.jayhead.model.IncarnationId;
+import io.jayhead.settlement.charge.ChargeEntry;
+import java.io.IOException;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import okhttp3.Call;
+import okhttp3.Callback;
+import okhttp3.MediaType;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+
+/** Raises fencing tokens at upstreams. */
+public final class FenceClient {
+
+    private static final MediaType JSON = MediaType.get("application/json");
+    private static final long TIMEOUT_MS = 3_000;
+
+    private final UpstreamHttp http;
+
+    /**
+     * Creates the client.
+     *
+     * @param http the HTTP clients
+     */
+    public FenceClient(UpstreamHttp http) {
+        this.http = http;
+    }
+
+    /**
+     * Raises the fencing token of a holder.
+     *
+     * @param address the base URL of the upstream
+     * @param holder the holder
+     * @param number the fencing token
+     * @return the charges of the holder's requests there, or empty if the upstream did not acknowledge
+     */
+    public CompletableFuture<Optional<List<ChargeEntry>>> raise(String address, IncarnationId holder, long number) {
+        ObjectNode body = JsonNodeFactory.instance.objectNode();
+        body.put("holder", holder.value());
+        body.put("number", number);
+        Request request = new Request.Builder()
+                .url(address + "/v1/fence")
+                .post(RequestBody.create(body.toString(), JSON))
+                .build();
+        OkHttpClient client = http.fresh()
+                .newBuilder()
+                .callTimeout(TIMEOUT_MS, TimeUnit.MILLISECONDS)
+                .build();
+        CompletableFuture<Optional<List<ChargeEntry>>> charges = new CompletableFuture<>();
+        client.newCall(request).enqueue(new Callback() {
+            @Override
+            public void onFailure(Call call, IOException e) {
+                charges.complete(Optional.empty());
+            }
+
+            @Override
+            public void onResponse(Call call, Response response) {
+                try (response) {
+                    charges.complete(
+                            response.isSuccessful()
+                                    ? RecoveredCharges.parse(
+                                            holder, response.body().string())
+                                    : Optional.empty());
+                } catch (IOException e) {
+                    charges.complete(Optional.empty());
+                }
+            }
+        });
+        return charges;
+    }
+}
--- /dev/null
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/recovery/ReclaimView.java
@@ -0,0 +1,17 @@
+package io.jayhead.daemon.recovery;
+
+import io.jayhead.model.BudgetId;
+import io.jayhead.model.IncarnationId;
+import io.jayhead.settlement.reclaim.ReclaimStep;
+
+/**
+ * Shows a reclaim to operators.
+ *
+ * @param budget the budget
+ * @param holder the lost router incarnation
+ * @param step the step that it waits for
+ * @param reason why the grant is written off; empty if it is not
+ * @param strandedTokens the tokens granted and not known to be consumed; 0 once the entry is closed
+ */
+public record ReclaimView(
+        BudgetId budget, IncarnationId holder, ReclaimStep step, String reason, long strandedTokens) {}
--- /dev/null
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/recovery/RecoveryService.java
@@ -0,0 +1,261 @@
+package io.jayhead.daemon.recovery;
+
+import io.jayhead.daemon.budget.ReclaimLedgers.OpenEntry;
+import io.jayhead.daemon.control.HybridClock;
+import io.jayhead.daemon.fleet.Configuration;
+import io.jayhead.daemon.fleet.FleetView;
+import io.jayhead.daemon.fleet.Member;
+import io.jayhead.model.BudgetId;
+import io.jayhead.model.IncarnationId;
+import io.jayhead.model.RequestKey;
+import io.jayhead.model.UpstreamName;
+import io.jayhead.model.VmName;
+import io.jayhead.model.fleet.UpstreamSpec;
+import io.jayhead.platform.VmRecord;
+import io.jayhead.settlement.reclaim.FenceTarget;
+import io.jayhead.settlement.reclaim.ReclaimPlan;
+import io.jayhead.settlement.reclaim.ReclaimStep;
+import java.util.ArrayDeque;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.UUID;
+import java.util.stream.Collectors;
+
+/**
+ * Removes lost routers and reclaims their grants; belongs to the control thread.
+ *
+ * <p>Time and the VM list only decide which router tries and when. What makes a reclaim safe is the mark in the ledger,
+ * the fences at the upstreams and the conditional updates.
+ */
+public final class RecoveryService {
+
+    /** An incarnation dispatches with token 1. */
+    private static final long FENCING_NUMBER = 2;
+
+    /** Each further router that tries lists all budgets, so only some do. */
+    private static final int ROUTERS_MAX = 3;
+
+    private static final int BACKOFF_MAX = 64;
+
+    /** Finds entries of incarnations that no running router has seen, such as after a restart of all routers. */
+    private static final int SWEEP_PERIODS = 10;
+
+    private static final int CLOSED_VIEWS_MAX = 64;
+
+    private final ReclaimParts parts;
+    private final Configuration configuration;
+    private final HybridClock clock;
+    private final long reclaimAfterMs;
+    private final LostRouters routers = new LostRouters();
+    private final TargetHistory history = new TargetHistory();
+    private final Deque<OpenEntry> queue = new ArrayDeque<>();
+    private final Map<Grant, ReclaimView> views = new LinkedHashMap<>();
+    private boolean busy;
+    private long nextSweepMs;
+    private volatile long strandedTokens;
+
+    private record Grant(BudgetId budget, IncarnationId holder) {}
+
+    /**
+     * Creates the service.
+     *
+     * @param parts what the steps of a reclaim need
+     * @param configuration the configuration in force
+     * @param clock the clock
+     * @param reclaimAfterMs how long a router is gone before its grants are reclaimed
+     */
+    public RecoveryService(ReclaimParts parts, Configuration configuration, HybridClock clock, long reclaimAfterMs) {
+        this.parts = parts;
+        this.configuration = configuration;
+        this.clock = clock;
+        this.reclaimAfterMs = reclaimAfterMs;
+        this.nextSweepMs = clock.nowMs() + reclaimAfterMs;
+    }
+
+    /**
+     * Takes in a configuration.
+     *
+     * @param view the configuration adopted
+     */
+    public void adopted(FleetView view) {
+        history.adopted(view, clock.nowMs());
+    }
+
+    /**
+     * Takes in the VM list and starts what is due.
+     *
+     * @param vms the VMs
+     */
+    public void listed(List<VmRecord> vms) {
+        if (parts.membership().listReadAtMs() == 0) {
+            return;
+        }
+        Set<VmName> names = vms.stream().map(VmRecord::name).collect(Collectors.toSet());
+        routers.observe(names, parts.membership().peers(), clock.nowMs());
+        // A router that cannot confirm its configuration may be the one that is cut off.
+        if (!busy && configuration.isFresh()) {
+            startDue();
+        }
+    }
+
+    /**
+     * Returns the reclaims of this router.
+     *
+     * @return the reclaims, oldest first
+     */
+    public List<ReclaimView> views() {
+        return List.copyOf(views.values());
+    }
+
+    /**
+     * Returns the tokens of grants that are written off or being reclaimed here; may be called from any thread.
+     *
+     * @return the sum of granted minus consumed tokens
+     */
+    public long strandedTokens() {
+        return strandedTokens;
+    }
+
+    private void startDue() {
+        long nowMs = clock.nowMs();
+        List<IncarnationId> due = routers.gone().stream().filter(this::isDue).toList();
+        due.forEach(this::unregister);
+        boolean sweepDue = nowMs >= nextSweepMs;
+        if (sweepDue) {
+            nextSweepMs = nowMs + reclaimAfterMs * SWEEP_PERIODS;
+        }
+        if (due.isEmpty() && !(sweepDue && rank("budgets") == 0)) {
+            return;
+        }
+        due.forEach(incarnation -> routers.attempted(incarnation, nowMs + backoffMs(incarnation)));
+        busy = true;
+        Set<IncarnationId> present = presentIncarnations();
+        parts.ledgers()
+                .openEntries(holder -> !present.contains(holder))
+                .whenComplete((entries, failure) ->
+                        parts.control().execute(() -> swept(due, failure == null ? entries : Optional.empty())));
+    }
+
+    private boolean isDue(IncarnationId incarnation) {
+        LostRouters.Tracked tracked = routers.find(incarnation).orElseThrow();
+        int rank = rank(incarnation.value());
+        long nowMs = clock.nowMs();
+        return rank < ROUTERS_MAX
+                && nowMs - tracked.goneSinceMs() >= reclaimAfterMs * (1 + rank)
+                && nowMs >= tracked.nextAttemptMs();
+    }
+
+    private boolean isLost(IncarnationId incarnation) {
+        return routers.find(incarnation)
+                .filter(tracked -> tracked.isGone() && clock.nowMs() - tracked.goneSinceMs() >= reclaimAfterMs)
+                .isPresent();
+    }
+
+    private long backoffMs(IncarnationId incarnation) {
+        int attempts = routers.find(incarnation).orElseThrow().attempts();
+        return reclaimAfterMs * Math.min(BACKOFF_MAX, 1L << Math.min(attempts, BACKOFF_MAX - 2));
+    }
+
+    /** Returns the position of this router in the rendezvous order of the live routers; 0 tries first. */
+    private int rank(String key) {
+        List<Member> order = parts.membership().live().stream()
+                .sorted(Comparator.comparing(member -> RequestKey.sha256(key + "/" + member.vm())))
+                .toList();
+        int rank = order.indexOf(parts.membership().self());
+        return rank < 0 ? ROUTERS_MAX : rank;
+    }
+
+    /** A smaller set of registered routers keeps a majority of them reachable. */
+    private void unregister(IncarnationId incarnation) {
+        routers.find(incarnation).flatMap(LostRouters.Tracked::registration).ifPresent(member -> {
+            parts.decisions().record("recovery", "-", "vm=%s holder=%s step=unregister", member.vm(), incarnation);
+            parts.membership().remove(member);
+        });
+    }
+
+    private Set<IncarnationId> presentIncarnations() {
+        Set<IncarnationId> present = new HashSet<>();
+        present.add(parts.membership().self().incarnation());
+        parts.membership().registered().stream()
+                .map(Member::incarnation)
+                .filter(routers::isPresent)
+                .forEach(present::add);
+        return present;
+    }
+
+    private void swept(List<IncarnationId> due, Optional<List<OpenEntry>> listed) {
+        if (listed.isEmpty()) {
+            busy = false;
+            return;
+        }
+        List<OpenEntry> entries = listed.get();
+        entries.forEach(entry -> routers.found(entry.holder(), clock.nowMs()));
+        Set<Grant> open = entries.stream().map(RecoveryService::grant).collect(Collectors.toSet());
+        views.entrySet()
+                .removeIf(view -> view.getValue().step() != ReclaimStep.CLOSED && !open.contains(view.getKey()));
+        due.stream()
+                .filter(incarnation ->
+                        open.stream().noneMatch(grant -> grant.holder().equals(incarnation)))
+                .forEach(routers::settled);
+        entries.stream().filter(entry -> due.contains(entry.holder())).forEach(queue::add);
+        next();
+    }
+
+    private void next() {
+        OpenEntry entry = queue.poll();
+        if (entry == null) {
+            busy = false;
+            return;
+        }
+        long seenAtMs =
+                routers.find(entry.holder()).map(LostRouters.Tracked::seenAtMs).orElse(0L);
+        Map<UpstreamName, UpstreamSpec> targets =
+                history.targets(entry.budget(), seenAtMs).orElse(Map.of());
+        ReclaimPlan plan = new ReclaimPlan(
+                entry.budget(),
+                entry.holder(),
+                FENCING_NUMBER,
+                UUID.randomUUID().toString(),
+                targets.values().stream()
+                        .map(upstream -> new FenceTarget(upstream.name(), upstream.checksFencing()))
+                        .toList());
+        new ReclaimRun(parts, targets, this::isLost, (step, reason) -> moved(entry, step, reason)).start(plan);
+    }
+
+    private void moved(OpenEntry entry, ReclaimStep step, String reason) {
+        boolean closed = step == ReclaimStep.CLOSED;
+        long strandedTokens = closed ? 0 : entry.strandedTokens();
+        views.remove(grant(entry));
+        views.put(grant(entry), new ReclaimView(entry.budget(), entry.holder(), step, reason, strandedTokens));
+        if (closed) {
+            forgetOldest();
+        }
+        sumStranded();
+        if (closed || step == ReclaimStep.WRITTEN_OFF) {
+            parts.control().execute(this::next);
+        }
+    }
+
+    private void sumStranded() {
+        strandedTokens =
+                views.values().stream().mapToLong(ReclaimView::strandedTokens).sum();
+    }
+
+    private void forgetOldest() {
+        List<Grant> closed = views.entrySet().stream()
+                .filter(view -> view.getValue().step() == ReclaimStep.CLOSED)
+                .map(Map.Entry::getKey)
+                .toList();
+        closed.stream().limit(Math.max(0, closed.size() - CLOSED_VIEWS_MAX)).forEach(views::remove);
+    }
+
+    private static Grant grant(OpenEntry entry) {
+        return new Grant(entry.budget(), entry.holder());
+    }
+}
--- /dev/null
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/recovery/package-info.java
@@ -0,0 +1,2 @@
+/** Finds lost routers and reclaims their grants. */
+package io.jayhead.daemon.recovery;
