--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/recovery/RecoveredCharges.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/recovery/RecoveredCharges.java
@@ -23,7 +23,8 @@
     private static final String SERVICE = "recovered";
 
     /** The id that a router sends: request key, run, organisation and budget. */
-    private static final Pattern REQUEST_ID = Pattern.compile("([0-9a-f]{64})-[^~]*~([A-Za-z0-9_-]+)\\.([A-Za-z0-9_-]+)");
+    private static final Pattern REQUEST_ID =
+            Pattern.compile("([0-9a-f]{64})-[^~]*~([A-Za-z0-9_-]+)\\.([A-Za-z0-9_-]+)");
 
     private RecoveredCharges() {}
 
--- /dev/null
+++ b/jayhead-daemon/src/test/java/io/jayhead/daemon/recovery/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the recovery from lost routers. */
+package io.jayhead.daemon.recovery;
