Bound what is kept of lost routers and test takeover and held charges

Cause: routers that do not try a reclaim kept each lost router for ever and sorted the rendezvous order for it every second. Change: such routers look again after reclaim_after_ms and forget a lost router after 1440 of these periods. Seen: the test of a killed router failed once because it did not wait for the first load report of the engine; the fixture now waits until the service is ready.

--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/recovery/LostRouters.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/recovery/LostRouters.java
@@ -51,6 +51,10 @@
         Tracked attempted(long nextMs) {
             return new Tracked(seenAtMs, goneSinceMs, registration, attempts + 1, nextMs);
         }
+
+        Tracked postponed(long nextMs) {
+            return new Tracked(seenAtMs, goneSinceMs, registration, attempts, nextMs);
+        }
     }
 
     /** Takes in the VM list and the registered routers. */
@@ -99,6 +103,18 @@
         routers.computeIfPresent(incarnation, (key, tracked) -> tracked.attempted(nextMs));
     }
 
+    void postponed(IncarnationId incarnation, long nextMs) {
+        routers.computeIfPresent(incarnation, (key, tracked) -> tracked.postponed(nextMs));
+    }
+
+    /** Forgets unregistered incarnations that other routers had time to reclaim. */
+    void forgetGoneBefore(long timeMs) {
+        routers.values()
+                .removeIf(tracked -> tracked.isGone()
+                        && tracked.goneSinceMs() < timeMs
+                        && tracked.registration().isEmpty());
+    }
+
     /** Forgets an unregistered incarnation that has no open entry. */
     void settled(IncarnationId incarnation) {
         routers.computeIfPresent(
--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/recovery/RecoveryService.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/recovery/RecoveryService.java
@@ -46,6 +46,9 @@
     /** Finds entries of incarnations that no running router has seen, such as after a restart of all routers. */
     private static final int SWEEP_PERIODS = 10;
 
+    /** A day at the default setting; bounds what is kept of routers whose grants others reclaimed. */
+    private static final int KEEP_PERIODS = 1_440;
+
     private static final int CLOSED_VIEWS_MAX = 64;
 
     private final ReclaimParts parts;
@@ -98,6 +101,7 @@
         }
         Set<VmName> names = vms.stream().map(VmRecord::name).collect(Collectors.toSet());
         routers.observe(names, parts.membership().peers(), clock.nowMs());
+        routers.forgetGoneBefore(clock.nowMs() - reclaimAfterMs * KEEP_PERIODS);
         // A router that cannot confirm its configuration may be the one that is cut off.
         if (!busy && configuration.isFresh()) {
             startDue();
@@ -144,11 +148,17 @@
 
     private boolean isDue(IncarnationId incarnation) {
         LostRouters.Tracked tracked = routers.find(incarnation).orElseThrow();
-        int rank = rank(incarnation.value());
         long nowMs = clock.nowMs();
-        return rank < ROUTERS_MAX
-                && nowMs - tracked.goneSinceMs() >= reclaimAfterMs * (1 + rank)
-                && nowMs >= tracked.nextAttemptMs();
+        long goneMs = nowMs - tracked.goneSinceMs();
+        if (goneMs < reclaimAfterMs || nowMs < tracked.nextAttemptMs()) {
+            return false;
+        }
+        int rank = rank(incarnation.value());
+        if (rank < ROUTERS_MAX && goneMs >= reclaimAfterMs * (1 + rank)) {
+            return true;
+        }
+        routers.postponed(incarnation, nowMs + reclaimAfterMs);
+        return false;
     }
 
     private boolean isLost(IncarnationId incarnation) {
--- a/jayhead-daemon/src/test/java/io/jayhead/daemon/recovery/Fleet.java
+++ b/jayhead-daemon/src/test/java/io/jayhead/daemon/recovery/Fleet.java
@@ -41,20 +41,20 @@
               - name: m
                 weights: m
             upstreams:
-              - name: engine-a
+              - name: %1$s
                 type: model_engine
                 availability_zone: az-1
-                address: %s
-                checks_fencing: %s
+                address: %2$s
+                checks_fencing: %3$s
             services:
               - name: plan
                 kind: long_generation
-                upstreams: [engine-a]
+                upstreams: [%1$s]
                 depends_on: [model/m]
                 max_output_tokens: 1000
             organisations:
               - name: shop
-                api_key_sha256: [%s]
+                api_key_sha256: [%4$s]
             budgets:
               - name: main
                 organisation: shop
@@ -76,11 +76,15 @@
             arguments.add("--check-fencing");
         }
         engine = StandinsMain.start(status -> {}, arguments.toArray(String[]::new));
-        String text = FLEET.formatted(engine.address(), checksFencing, RequestKey.sha256("key"));
+        String text = text("engine-a", engine.address(), checksFencing);
         store.create("fleet", "current", new FleetDocument(1, "first", text).encode())
                 .join();
     }
 
+    static String text(String engine, String address, boolean checksFencing) {
+        return FLEET.formatted(engine, address, checksFencing, RequestKey.sha256("key"));
+    }
+
     record Router(String vm, Daemon daemon, String callers, String operators, int peers) {}
 
     Router router(String vm) {
@@ -103,7 +107,8 @@
         daemon.start();
         daemons.add(daemon);
         String host = "http://127.0.0.1:";
-        until(() -> call("GET", host + operators + "/ready", null).path("ready").asBoolean());
+        String status = host + operators + "/operator/v1/status";
+        until(() -> isReady(call("GET", status, null)));
         return new Router(vm, daemon, host + callers, host + operators, peers);
     }
 
@@ -181,6 +186,11 @@
         client.connectionPool().evictAll();
     }
 
+    private static boolean isReady(JsonNode status) {
+        return status.path("fresh").asBoolean()
+                && status.path("services").path(0).path("ready").asBoolean();
+    }
+
     private static int freePort() {
         try (ServerSocket socket = new ServerSocket(0)) {
             return socket.getLocalPort();
--- a/jayhead-daemon/src/test/java/io/jayhead/daemon/recovery/RecoveryTest.java
+++ b/jayhead-daemon/src/test/java/io/jayhead/daemon/recovery/RecoveryTest.java
@@ -9,13 +9,17 @@
 import io.jayhead.admission.budget.GrantAccount;
 import io.jayhead.admission.budget.GrantSizer;
 import io.jayhead.daemon.budget.Ledgers;
+import io.jayhead.daemon.fleet.Member;
+import io.jayhead.model.AvailabilityZone;
 import io.jayhead.model.IncarnationId;
 import io.jayhead.model.RequestKey;
+import io.jayhead.model.VmName;
 import io.jayhead.peer.PeerClient;
 import io.jayhead.peer.PeerTraffic;
 import io.jayhead.peer.pb.Append;
 import io.jayhead.peer.pb.AppendOutcome;
 import io.jayhead.peer.pb.Frame;
+import io.jayhead.peer.pb.HoldCharges;
 import io.jayhead.platform.EditResult;
 import io.jayhead.platform.ReadResult;
 import io.jayhead.settlement.charge.ChargeBatchCodec;
@@ -30,6 +34,7 @@
 
     private static final IncarnationId HOLDER = IncarnationId.of("lost-1");
     private static final RequestKey KEY = new RequestKey(RequestKey.sha256("request"));
+    private static final RequestKey LATE_KEY = new RequestKey(RequestKey.sha256("late"));
     private static final long GRANTED_TOKENS = 500;
 
     /**
@@ -94,7 +99,7 @@
             Fleet.until(() -> fleet.ledger().entries().isEmpty());
 
             long retiredTokens = fleet.ledger().retiredTokens();
-            assertEquals(409, generate(fleet, new RequestKey(RequestKey.sha256("late"))));
+            assertEquals(409, generate(fleet, LATE_KEY));
             ChargeEntry late = new ChargeEntry(KEY, Fleet.BUDGET, HOLDER, 3, 20, "plan");
             AppendOutcome outcome = append(router, late);
             assertEquals(AppendOutcome.Status.DUPLICATE, outcome.getStatus());
@@ -112,6 +117,44 @@
         }
     }
 
+    /** Guards against a reclaim that is never finished, or counts less, because the first router to try died. */
+    @Test
+    void anotherRouterFinishesAReclaimWhoseRouterDiedAfterTheFence() throws Exception {
+        try (Fleet fleet = new Fleet(true)) {
+            fleet.write(lostHolder().beginReclaim(HOLDER, "earlier").get());
+            assertEquals(200, generate(fleet, KEY));
+            fleet.call("POST", fleet.engine.address() + "/v1/fence", "{\"holder\":\"lost-1\",\"number\":2}");
+            fleet.router("vm-b");
+
+            Fleet.until(() -> fleet.ledger().entries().isEmpty());
+
+            JsonNode totals = fleet.call("GET", fleet.engine.address() + "/v1/totals", null);
+            assertEquals(
+                    totals.path("prompt_tokens").asLong()
+                            + totals.path("output_tokens").asLong(),
+                    fleet.ledger().retiredTokens());
+        }
+    }
+
+    /** Guards against closing an entry before the charges that other routers hold are in the log. */
+    @Test
+    void chargesThatRoutersHoldForALostOneAreCounted() throws Exception {
+        try (Fleet fleet = new Fleet(true)) {
+            Fleet.Router first = fleet.router("vm-b");
+            Fleet.Router second = fleet.router("vm-c");
+            fleet.write(lostHolder());
+            hold(first, new ChargeEntry(KEY, Fleet.BUDGET, HOLDER, 3, 20, "plan"));
+            hold(second, new ChargeEntry(LATE_KEY, Fleet.BUDGET, HOLDER, 3, 20, "plan"));
+            Member lost =
+                    new Member(VmName.of("vm-x"), HOLDER, AvailabilityZone.of("az-1"), Member.address("127.0.0.1:1"));
+            fleet.store.create("member", "vm-x", lost.encode()).join();
+
+            Fleet.until(() -> fleet.ledger().entries().isEmpty());
+
+            assertEquals(46, fleet.ledger().retiredTokens());
+        }
+    }
+
     private static BudgetLedger lostHolder() {
         return BudgetLedger.empty(Fleet.BUDGET)
                 .topUp("t", 1_000)
@@ -137,19 +180,27 @@
         }
     }
 
+    private static void hold(Fleet.Router router, ChargeEntry entry) throws Exception {
+        HoldCharges held = HoldCharges.newBuilder()
+                .addEntries(ChargeBatchCodec.encodeEntry(entry))
+                .build();
+        request(router, Frame.newBuilder().setHoldCharges(held).build());
+    }
+
     private static AppendOutcome append(Fleet.Router router, ChargeEntry entry) throws Exception {
+        Append append = Append.newBuilder()
+                .addEntries(ChargeBatchCodec.encodeEntry(entry))
+                .build();
+        return request(router, Frame.newBuilder().setAppend(append).build())
+                .getAppendReply()
+                .getOutcomes(0);
+    }
+
+    private static Frame request(Fleet.Router router, Frame frame) throws Exception {
         NioEventLoopGroup group = new NioEventLoopGroup(1);
         try (PeerClient client = PeerClient.of(group, PeerTraffic.NONE)) {
-            Append append = Append.newBuilder()
-                    .addEntries(ChargeBatchCodec.encodeEntry(entry))
-                    .build();
-            return client.request(
-                            new InetSocketAddress("127.0.0.1", router.peers()),
-                            Frame.newBuilder().setAppend(append).build(),
-                            5_000)
-                    .get()
-                    .getAppendReply()
-                    .getOutcomes(0);
+            return client.request(new InetSocketAddress("127.0.0.1", router.peers()), frame, 5_000)
+                    .get();
         } finally {
             group.shutdownGracefully();
         }
