--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/Daemon.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/Daemon.java
@@ -268,7 +268,7 @@
     }
 
     private boolean isReady() {
-        return !draining && configuration.isFresh();
+        return !draining && configuration.isFresh() && routing.hasReports();
     }
 
     private CompletableFuture<ObjectNode> status() {
@@ -294,7 +294,9 @@
                 monitor,
                 decisions,
                 metrics,
-                ticker);
+                ticker,
+                settings.firstByteTimeoutMs(),
+                settings.betweenTokensTimeoutMs());
     }
 
     private void registerGauges() {
