--- /dev/null
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/charge/PendingCommit.java
@@ -0,0 +1,35 @@
+package io.jayhead.daemon.charge;
+
+import io.jayhead.settlement.charge.ChargeEntry;
+import java.util.function.Consumer;
+
+/** Holds a charge of this router until its result is known; belongs to the control thread. */
+final class PendingCommit {
+
+    final ChargeEntry entry;
+    boolean done;
+    boolean holding;
+    boolean sentTwice;
+    private final Consumer<ChargeResult> callback;
+
+    PendingCommit(ChargeEntry entry, Consumer<ChargeResult> callback) {
+        this.entry = entry;
+        this.callback = callback;
+    }
+
+    /**
+     * Tells whether the first charge of the key is this one, written by the owner or by a holder. An equal charge
+     * of another request with the same key at this router must not consume tokens a second time.
+     */
+    boolean isOwn(ChargeEntry first) {
+        return (sentTwice || holding) && first.equals(entry);
+    }
+
+    void complete(ChargeResult result) {
+        if (done) {
+            return;
+        }
+        done = true;
+        callback.accept(result);
+    }
+}
--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/request/RequestReader.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/request/RequestReader.java
@@ -13,6 +13,7 @@
 import io.jayhead.model.fleet.BudgetSpec;
 import io.jayhead.model.fleet.Dependency;
 import io.jayhead.model.fleet.FleetSpec;
+import io.jayhead.model.fleet.KeySource;
 import io.jayhead.model.fleet.ModelSpec;
 import io.jayhead.model.fleet.OrganisationSpec;
 import io.jayhead.model.fleet.ServiceSpec;
@@ -78,12 +79,12 @@
         if (read != "GET".equals(request.method())) {
             return Refusal.of(ErrorCode.INVALID_REQUEST, "expected method " + (read ? "GET" : "POST"));
         }
-        return read(request, fleet, organisation, service, budget.get(), nowMs);
+        return read(request, view, organisation, service, budget.get(), nowMs);
     }
 
     private Either<Refusal, Reading> read(
             CallerRequest request,
-            FleetSpec fleet,
+            FleetView view,
             OrganisationSpec organisation,
             ServiceSpec service,
             BudgetSpec budget,
@@ -91,21 +92,23 @@
         Optional<String> idempotencyKey = IdempotencyKeys.find(service.keySource(), request);
         if (service.kind() == RequestKind.BOOKING && idempotencyKey.isEmpty()) {
             return Refusal.of(
-                    ErrorCode.IDEMPOTENCY_KEY_MISSING, "this service needs an idempotency key: " + service.keySource());
+                    ErrorCode.IDEMPOTENCY_KEY_MISSING,
+                    "this service needs an idempotency key in " + place(service.keySource()));
         }
         if (!service.kind().isGeneration()) {
             return Either.right(new Reading(
-                    admitted(request, organisation, service, budget, idempotencyKey, "", 0, nowMs),
+                    admitted(request, view.version(), organisation, service, budget, idempotencyKey, "", 0, nowMs),
                     Optional.empty(),
                     ""));
         }
-        String model = model(fleet, service);
+        String model = model(view.spec(), service);
         return GenerationBody.parse(request.body())
                 .<Either<Refusal, Reading>>fold(
                         problem -> Refusal.of(ErrorCode.INVALID_REQUEST, problem),
                         body -> Either.right(new Reading(
                                 admitted(
                                         request,
+                                        view.version(),
                                         organisation,
                                         service,
                                         budget,
@@ -117,8 +120,16 @@
                                 model)));
     }
 
+    private static String place(KeySource source) {
+        if (source instanceof KeySource.Header header) {
+            return "the header " + header.name();
+        }
+        return source instanceof KeySource.Pointer pointer ? "the body at " + pointer.pointer() : "no field";
+    }
+
     private AdmittedRequest admitted(
             CallerRequest request,
+            long fleetVersion,
             OrganisationSpec organisation,
             ServiceSpec service,
             BudgetSpec budget,
@@ -138,6 +149,7 @@
                 budget.id(),
                 priority,
                 RoutingRequest.of(service.name(), priority, prefix, promptTokens, zone),
+                fleetVersion,
                 RequestKey.sha256(new String(request.body(), StandardCharsets.UTF_8)),
                 nowMs);
     }
