--- a/jayhead-dispatch/src/main/java/io/jayhead/dispatch/CallAttempts.java
+++ b/jayhead-dispatch/src/main/java/io/jayhead/dispatch/CallAttempts.java
@@ -171,7 +171,7 @@
         Verdict verdict = state.evidence().verdict();
         List<DispatchCommand> commands = new ArrayList<>();
         if (!state.isCallerGone()) {
-            commands.add(new DispatchCommand.FailCaller(code, verdict, false));
+            commands.add(new DispatchCommand.FailCaller(GenerationEnd.codeFor(code, verdict), verdict, false));
         }
         if (verdict instanceof Verdict.NotRun || state.priceTokens() == 0) {
             return close(state, commands);
--- a/jayhead-dispatch/src/main/java/io/jayhead/dispatch/GenerationEnd.java
+++ b/jayhead-dispatch/src/main/java/io/jayhead/dispatch/GenerationEnd.java
@@ -23,11 +23,16 @@
     /** Tells the caller at once, then charges what ran. */
     static Transition<GenerationState, DispatchCommand> fail(GenerationState state, ErrorCode code) {
         boolean broken = state.deliveredTokens() > 0;
-        DispatchCommand failure =
-                new DispatchCommand.FailCaller(code, state.evidence().verdict(), broken);
+        Verdict verdict = state.evidence().verdict();
+        DispatchCommand failure = new DispatchCommand.FailCaller(codeFor(code, verdict), verdict, broken);
         return stop(state, List.of(failure));
     }
 
+    /** Returns the code for a failure: no_upstream tells callers that the request was never sent. */
+    static ErrorCode codeFor(ErrorCode code, Verdict verdict) {
+        return code == ErrorCode.NO_UPSTREAM && !verdict.isNotRun() ? ErrorCode.UPSTREAM_FAILED : code;
+    }
+
     /** Stops the work for a caller that is gone. */
     static Transition<GenerationState, DispatchCommand> callerGone(GenerationState state) {
         boolean over =
