Restart a router whose grant was reclaimed, and share free ports between test fixtures

Cause: a router that wakes after its grant was reclaimed is refused by every upstream that checks fencing, and stayed so until somebody restarted it. Two ports of one test router were equal in 1 of about 10 runs of RecoveryTest. Ruled out: a new incarnation in the running process, whose requests in flight still carry the old one. Change: the process drains and exits with 75; the fixtures take each port once.

--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/Daemon.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/Daemon.java
@@ -222,6 +222,15 @@
                 settings.vm(), membership.self().incarnation());
     }
 
+    /**
+     * Tells whether this router must be started again, because its grant was reclaimed while it was suspended.
+     *
+     * @return true if it must
+     */
+    public boolean needsRestart() {
+        return admission.isVoided();
+    }
+
     /** Stops gracefully: finishes all requests in flight, returns the grants and commits the charges. */
     public void drain() {
         draining = true;
--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/JayheadMain.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/JayheadMain.java
@@ -11,6 +11,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import joptsimple.OptionException;
@@ -25,6 +26,11 @@
     private static final int EXIT_DONE = 0;
     private static final int EXIT_FAILED = 1;
     private static final int EXIT_USAGE = 2;
+
+    /** EX_TEMPFAIL of sysexits.h: the supervisor starts the router again. */
+    private static final int EXIT_RESTART = 75;
+
+    private static final long RESTART_CHECK_MS = 500;
     private static final Logger ROOT_LOGGER = Logger.getLogger("");
 
     private final OptionParser parser = new OptionParser();
@@ -98,10 +104,12 @@
         out.println("ready callers=" + text(settings.callersAddress()) + " operators="
                 + text(settings.operatorsAddress()) + " peers=" + text(settings.peersAddress()));
         out.flush();
-        stop.await();
+        while (!stop.await(RESTART_CHECK_MS, TimeUnit.MILLISECONDS) && !daemon.needsRestart()) {
+            // Serves until it is told to stop or its grant was reclaimed.
+        }
         daemon.drain();
         daemon.close();
-        return EXIT_DONE;
+        return daemon.needsRestart() ? EXIT_RESTART : EXIT_DONE;
     }
 
     private static Either<String, DaemonSettings> read(Path file) {
--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/budget/AdmissionService.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/budget/AdmissionService.java
@@ -55,6 +55,7 @@
     private final Deque<AdmissionEvent> pending = new ArrayDeque<>();
     private AdmissionState state;
     private boolean handling;
+    private volatile boolean voided;
 
     /**
      * Creates the service.
@@ -188,6 +189,16 @@
         return state;
     }
 
+    /**
+     * Tells whether a grant of this router was reclaimed; may be called from any thread. Upstreams that check fencing
+     * refuse its incarnation, so only a new start can serve that budget again.
+     *
+     * @return true if one was
+     */
+    public boolean isVoided() {
+        return voided;
+    }
+
     /**
      * Returns the incarnation of this router.
      *
@@ -291,6 +302,7 @@
                 || refusal == LedgerRefusal.NO_ENTRY;
         if (lost) {
             LOGGER.atWarning().log("grant reclaimed budget=%s reason=%s", budget, refusal);
+            voided = true;
             handle(new AdmissionEvent.BudgetVoided(budget, clock.nowMs()));
         }
     }
--- a/jayhead-daemon/src/test/java/io/jayhead/daemon/contract/Rig.java
+++ b/jayhead-daemon/src/test/java/io/jayhead/daemon/contract/Rig.java
@@ -5,13 +5,12 @@
 import com.google.common.flogger.FluentLogger;
 import io.jayhead.config.settings.SettingsParser;
 import io.jayhead.daemon.Daemon;
+import io.jayhead.daemon.support.FreePorts;
 import io.jayhead.model.RequestKey;
 import io.jayhead.standins.StandinsMain;
 import io.jayhead.standins.http.StandinServer;
 import java.io.IOException;
 import java.io.InputStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -19,7 +18,6 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import java.util.function.UnaryOperator;
 import java.util.stream.Stream;
@@ -34,12 +32,6 @@
 
     private static final long WAIT_LIMIT_MS = 10_000;
     private static final long POLL_MS = 20;
-    private static final int FIRST_PORT = 20_000;
-    private static final int PORTS = 12_000;
-
-    /** Starts at a place of this process, so that builds side by side seldom try the same ports. */
-    private static final AtomicInteger NEXT_PORT =
-            new AtomicInteger((int) (ProcessHandle.current().pid() * 137 % PORTS));
 
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
@@ -47,9 +39,9 @@
     final StandinServer engineA;
     final StandinServer engineB;
     final StandinServer desk;
-    private final int callersPort = freePort();
-    private final int otherCallersPort = freePort();
-    private final int operatorsPort = freePort();
+    private final int callersPort = FreePorts.next();
+    private final int otherCallersPort = FreePorts.next();
+    private final int operatorsPort = FreePorts.next();
     private final List<Daemon> daemons = new ArrayList<>();
     private final Map<StandinServer, Long> stoppedExecutions = new ConcurrentHashMap<>();
     private int occupied;
@@ -90,7 +82,8 @@
         desk = standin("booking", "--name", "desk-a", "--delay-ms", options.deskDelayMs());
         daemons.add(daemon("1", callersPort, operatorsPort));
         for (int router = 2; router <= options.routers(); router++) {
-            daemons.add(daemon(Integer.toString(router), router == 2 ? otherCallersPort : freePort(), freePort()));
+            daemons.add(daemon(
+                    Integer.toString(router), router == 2 ? otherCallersPort : FreePorts.next(), FreePorts.next()));
         }
     }
 
@@ -132,7 +125,7 @@
                 .replace("@ENGINE_A@", rig.engineA.address())
                 .replace("@ENGINE_B@", rig.engineB.address())
                 .replace("@DESK_A@", rig.desk.address())
-                .replace("@CLOSED@", "http://127.0.0.1:" + freePort())
+                .replace("@CLOSED@", "http://127.0.0.1:" + FreePorts.next())
                 .replace("@SHOP_1@", RequestKey.sha256(SHOP_KEY))
                 .replace("@SHOP_2@", RequestKey.sha256(OTHER_KEY))
                 .replace("@SHOP_3@", RequestKey.sha256(POOR_KEY));
@@ -292,18 +285,6 @@
         }
     }
 
-    /** Returns a port below those that the system gives to outgoing connections, which could take it in between. */
-    static int freePort() {
-        while (true) {
-            int port = FIRST_PORT + NEXT_PORT.getAndIncrement() % PORTS;
-            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
-                return socket.getLocalPort();
-            } catch (IOException e) {
-                LOGGER.atFine().withCause(e).log("port %d is taken", port);
-            }
-        }
-    }
-
     static String resource(String name) {
         try (InputStream in = Rig.class.getResourceAsStream(name)) {
             return new String(in.readAllBytes(), StandardCharsets.UTF_8);
@@ -325,7 +306,7 @@
                 operator_credential_sha256: %s
                 upstream_poll_ms: 100
                 """.formatted(
-                number, number, callers, operators, freePort(), platform.address(), RequestKey.sha256(OPERATOR));
+                number, number, callers, operators, FreePorts.next(), platform.address(), RequestKey.sha256(OPERATOR));
         return new Daemon(SettingsParser.parse(settings).get());
     }
 
--- a/jayhead-daemon/src/test/java/io/jayhead/daemon/recovery/Fleet.java
+++ b/jayhead-daemon/src/test/java/io/jayhead/daemon/recovery/Fleet.java
@@ -7,6 +7,7 @@
 import io.jayhead.daemon.Daemon;
 import io.jayhead.daemon.budget.LedgerCodec;
 import io.jayhead.daemon.fleet.FleetDocument;
+import io.jayhead.daemon.support.FreePorts;
 import io.jayhead.model.BudgetId;
 import io.jayhead.model.RequestKey;
 import io.jayhead.platform.Backoff;
@@ -19,7 +20,6 @@
 import io.jayhead.standins.http.StandinServer;
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.BooleanSupplier;
@@ -88,9 +88,9 @@
     record Router(String vm, Daemon daemon, String callers, String operators, int peers) {}
 
     Router router(String vm) {
-        int callers = freePort();
-        int operators = freePort();
-        int peers = freePort();
+        int callers = FreePorts.next();
+        int operators = FreePorts.next();
+        int peers = FreePorts.next();
         call("PUT", platform.address() + "/v1/vms/" + vm, "{\"availability_zone\":\"az-1\",\"state\":\"live\"}");
         String settings = String.join(
                 "\n",
@@ -190,12 +190,4 @@
         return status.path("fresh").asBoolean()
                 && status.path("services").path(0).path("ready").asBoolean();
     }
-
-    private static int freePort() {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return socket.getLocalPort();
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
-    }
 }
