Accept a configuration only by a member list read after its write

Cause: the property noRouterIsFreshWithAVersionOlderThanTheAcceptedOne failed after 1333 tries: a writer that was removed and had missed two changes of the list accepted its version alone, while others still confirmed the old one. Ruled out: a fault of the test world; a router does read only the newest list. Change: the majority counts only once the list was read after the write. Conclusion: chains of lists that a router skipped stay a limit, see GUARANTEES.

--- a/jayhead-admission/src/main/java/io/jayhead/admission/freshness/Acceptance.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/freshness/Acceptance.java
@@ -37,7 +37,7 @@
      * @return the new acceptance
      */
     public Acceptance observed(FreshnessTracker tracker, long nowMs) {
-        if (majorityAtMs.isPresent() || !tracker.isAdoptedByMajority(version)) {
+        if (majorityAtMs.isPresent() || !isListReadAfterWrite() || !tracker.isAdoptedByMajority(version)) {
             return this;
         }
         return new Acceptance(version, writtenAtMs, OptionalLong.of(nowMs), listReadAtMs);
@@ -72,10 +72,12 @@
         return nowMs - majorityAtMs.getAsLong() >= limitMs || isAdoptedByAll(tracker);
     }
 
+    /** A writer that was removed, or that missed changes of the list, would count a majority of an outdated list. */
+    private boolean isListReadAfterWrite() {
+        return listReadAtMs.isPresent() && listReadAtMs.getAsLong() >= writtenAtMs;
+    }
+
     private boolean isAdoptedByAll(FreshnessTracker tracker) {
-        if (listReadAtMs.isEmpty() || listReadAtMs.getAsLong() < writtenAtMs) {
-            return false;
-        }
         Set<VmName> members = new HashSet<>();
         tracker.members().lists().forEach(list -> members.addAll(list.members()));
         return tracker.adopters(version).containsAll(members);
--- a/jayhead-admission/src/test/java/io/jayhead/admission/freshness/FreshnessPropertyTest.java
+++ b/jayhead-admission/src/test/java/io/jayhead/admission/freshness/FreshnessPropertyTest.java
@@ -1,6 +1,7 @@
 package io.jayhead.admission.freshness;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
@@ -74,6 +75,20 @@
         assertEquals(1, world.acceptedVersion);
     }
 
+    /** A writer that was removed from the list would otherwise accept its version alone. */
+    @Example
+    void writerThatHasNotReadTheListSinceTheWriteAcceptsNothing() {
+        MemberLists outdated = MemberLists.of(new MemberList(3, Set.of(FreshnessWorld.vm(1))));
+        FreshnessTracker tracker =
+                FreshnessTracker.of(FreshnessWorld.vm(1), outdated).adopted(2);
+        Acceptance unread = Acceptance.of(2, 100).listRead(99).observed(tracker, 100);
+        long lateMs = 100 + FreshnessWorld.LIMIT_MS;
+        assertFalse(unread.isAccepted(tracker, lateMs, FreshnessWorld.LIMIT_MS));
+        FreshnessTracker informed = tracker.registeredChanged(new MemberList(5, Set.of(FreshnessWorld.vm(2))));
+        Acceptance read = unread.listRead(100).observed(informed, lateMs);
+        assertFalse(read.isAccepted(informed, 2 * lateMs, FreshnessWorld.LIMIT_MS));
+    }
+
     @Example
     void replyOfAnotherVersionOrOfARestartedPeerDoesNotConfirm() {
         MemberLists three = MemberLists.of(
