Let only one of several equal charges of a router consume tokens

Cause: scenario both-streams-of-one-key-finish: 262 tokens retired for 187 charged. Two requests with one key at one router end with equal entries; in one batch the log answers both as committed. A graceful stop also logged 'grant reclaimed' and exited with 75, because a report followed the close. Change: RecentCommits lets the first charge of a key through; the others wait for its result. No report is sent, and no grant counts as lost, after the close. Conclusion: consumption equals the bill for equal requests of one router.

--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/budget/AdmissionService.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/budget/AdmissionService.java
@@ -56,6 +56,7 @@
     private AdmissionState state;
     private boolean handling;
     private volatile boolean voided;
+    private boolean closing;
 
     /**
      * Creates the service.
@@ -147,7 +148,7 @@
 
     /** Reports to the ledgers what was consumed since the last report. */
     public void reportConsumption() {
-        if (monitor.isDown()) {
+        if (monitor.isDown() || closing) {
             return;
         }
         state.book()
@@ -167,6 +168,7 @@
      * @return completes when all are closed or given up
      */
     public CompletableFuture<Void> closeAll() {
+        closing = true;
         List<CompletableFuture<?>> closes = state.book()
                 .accounts()
                 .filter(account -> account.grantedTokens() > 0 || account.borrowedTokens() > 0)
@@ -300,7 +302,7 @@
         boolean lost = refusal == LedgerRefusal.ENTRY_CLOSED
                 || refusal == LedgerRefusal.RECLAIMING
                 || refusal == LedgerRefusal.NO_ENTRY;
-        if (lost) {
+        if (lost && !closing) {
             LOGGER.atWarning().log("grant reclaimed budget=%s reason=%s", budget, refusal);
             voided = true;
             handle(new AdmissionEvent.BudgetVoided(budget, clock.nowMs()));
--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/charge/ChargeService.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/charge/ChargeService.java
@@ -65,6 +65,7 @@
     private final Map<Integer, PartitionWriter> writers = new HashMap<>();
     private final Map<RequestKey, List<Member>> holders = new HashMap<>();
     private final HeldCharges held = new HeldCharges();
+    private final RecentCommits recent = new RecentCommits();
     private final OpenAppends appends = new OpenAppends();
 
     /**
@@ -111,7 +112,13 @@
      * @param callback is told the result once, on the control thread
      */
     public void commit(ChargeEntry entry, Consumer<ChargeResult> callback) {
-        PendingCommit commit = new PendingCommit(entry, callback);
+        if (!recent.isFirst(entry.key(), callback)) {
+            return;
+        }
+        PendingCommit commit = new PendingCommit(entry, result -> {
+            callback.accept(result);
+            recent.complete(entry.key(), result);
+        });
         Member owner = ownerOf(entry.key());
         if (owner.equals(membership.self())) {
             appendHere(commit);
--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/charge/PendingCommit.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/charge/PendingCommit.java
@@ -17,10 +17,7 @@
         this.callback = callback;
     }
 
-    /**
-     * Tells whether the first charge of the key is this one, written by the owner or by a holder. An equal charge
-     * of another request with the same key at this router must not consume tokens a second time.
-     */
+    /** Tells whether the first charge of the key is this one, written by the owner or by a holder. */
     boolean isOwn(ChargeEntry first) {
         return (sentTwice || holding) && first.equals(entry);
     }
