Count false refusals in the metrics

Ruled out: judging them by the grants of other routers, which one router does not know. Change: jayhead_false_refusals_total counts requests refused as budget_exhausted while the ledger, when last asked, had the tokens. Measured: mvn -pl jayhead-daemon -am -Dtest='io.jayhead.daemon.**' verify passes; no test brings such a refusal about. Conclusion: the value is a lower bound.

--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/budget/AdmissionService.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/budget/AdmissionService.java
@@ -6,6 +6,7 @@
 import io.jayhead.admission.AdmissionEvent;
 import io.jayhead.admission.AdmissionRequest;
 import io.jayhead.admission.AdmissionState;
+import io.jayhead.admission.BudgetDemand;
 import io.jayhead.admission.budget.BudgetLedger;
 import io.jayhead.admission.budget.GrantAccount;
 import io.jayhead.admission.budget.LedgerRefusal;
@@ -191,6 +192,16 @@
         return state;
     }
 
+    /**
+     * Returns what the ledger of a budget had left when this router last asked for tokens.
+     *
+     * @param budget the budget
+     * @return the unallocated tokens, 0 if it never asked
+     */
+    public long unallocatedTokens(BudgetId budget) {
+        return state.demands().get(budget).map(BudgetDemand::unallocatedTokens).orElse(0L);
+    }
+
     /**
      * Tells whether a grant of this router was reclaimed; may be called from any thread. Upstreams that check fencing
      * refuse its incarnation, so only a new start can serve that budget again.
--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/observe/RouterMetrics.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/observe/RouterMetrics.java
@@ -33,6 +33,11 @@
             .help("Requests by kind, code and verdict")
             .labelNames("kind", "code", "verdict")
             .register(registry);
+    private final Counter falseRefusals = Counter.builder()
+            .name("jayhead_false_refusals_total")
+            .help("Requests refused as budget_exhausted while the ledger had the tokens")
+            .labelNames("kind")
+            .register(registry);
     private final Histogram queueSeconds = Histogram.builder()
             .name("jayhead_queue_seconds")
             .help("Time from arrival to admission")
@@ -99,6 +104,15 @@
                 .inc();
     }
 
+    /**
+     * Counts a request that was refused although its budget could have paid for it.
+     *
+     * @param kind the kind
+     */
+    public void falselyRefused(RequestKind kind) {
+        falseRefusals.labelValues(kind.configName()).inc();
+    }
+
     /**
      * Records the time from arrival to admission.
      *
--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/request/RequestPipeline.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/request/RequestPipeline.java
@@ -247,6 +247,10 @@
 
             @Override
             public void refused(ErrorCode code, String message) {
+                boolean covered = services.admission().unallocatedTokens(request.budget()) >= worstCaseTokens;
+                if (code == ErrorCode.BUDGET_EXHAUSTED && covered) {
+                    services.metrics().falselyRefused(kind);
+                }
                 refuse(response, Optional.of(request), code, message);
             }
         });
