--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/fleet/PlatformMonitor.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/fleet/PlatformMonitor.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.jayhead.daemon.control.HybridClock;
+import io.jayhead.platform.Backoff;
 import io.jayhead.platform.PlatformHealth;
 import java.util.concurrent.ThreadLocalRandom;
 
@@ -11,7 +12,10 @@
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
     private final HybridClock clock;
-    private PlatformHealth health = PlatformHealth.initial();
+    /** With full jitter, 330 routers make about 220 attempts a second; 10 s kept bookings refused after an outage. */
+    private static final Backoff RECONNECT = new Backoff(200, 3_000);
+
+    private PlatformHealth health = new PlatformHealth(0, 0, RECONNECT);
 
     /**
      * Creates a monitor of a platform that is not known to be down.
