--- a/jayhead-dispatch/src/main/java/io/jayhead/dispatch/RetryBudget.java
+++ b/jayhead-dispatch/src/main/java/io/jayhead/dispatch/RetryBudget.java
@@ -4,8 +4,9 @@
  * Limits retries to a share of the requests; an immutable token bucket.
  *
  * @param tokens the retries that may be made now
+ * @param maxTokens the size of the bucket
  */
-public record RetryBudget(double tokens) {
+public record RetryBudget(double tokens, double maxTokens) {
 
     /** The retries earned by one request. */
     public static final double RETRIES_PER_REQUEST = 0.1;
@@ -17,7 +18,7 @@
 
     /** Limits the tokens to the size of the bucket. */
     public RetryBudget {
-        tokens = Math.max(0, Math.min(MAX_TOKENS, tokens));
+        tokens = Math.max(0, Math.min(maxTokens, tokens));
     }
 
     /**
@@ -26,7 +27,17 @@
      * @return the budget
      */
     public static RetryBudget full() {
-        return new RetryBudget(MAX_TOKENS);
+        return full(MAX_TOKENS);
+    }
+
+    /**
+     * Returns a full bucket of a given size.
+     *
+     * @param maxTokens the size of the bucket
+     * @return the budget
+     */
+    public static RetryBudget full(double maxTokens) {
+        return new RetryBudget(maxTokens, maxTokens);
     }
 
     /**
@@ -35,7 +46,7 @@
      * @return the new budget
      */
     public RetryBudget withRequest() {
-        return new RetryBudget(tokens + RETRIES_PER_REQUEST);
+        return new RetryBudget(tokens + RETRIES_PER_REQUEST, maxTokens);
     }
 
     /**
@@ -57,6 +68,6 @@
         if (!allowsRetry()) {
             throw new IllegalStateException("retry budget is empty");
         }
-        return new RetryBudget(tokens - 1);
+        return new RetryBudget(tokens - 1, maxTokens);
     }
 }
--- /dev/null
+++ b/jayhead-dispatch/src/main/java/io/jayhead/dispatch/forward/package-info.java
@@ -0,0 +1,2 @@
+/** Decisions on the attempts of a request whose body and answer are opaque. */
+package io.jayhead.dispatch.forward;
--- a/jayhead-dispatch/src/test/java/io/jayhead/dispatch/ConnectionHealthTest.java
+++ b/jayhead-dispatch/src/test/java/io/jayhead/dispatch/ConnectionHealthTest.java
@@ -39,7 +39,7 @@
     /** Guards against retries that multiply the load while many upstreams fail. */
     @Test
     void allowsOneRetryForTenRequests() {
-        RetryBudget budget = new RetryBudget(0);
+        RetryBudget budget = new RetryBudget(0, RetryBudget.MAX_TOKENS);
         for (int i = 0; i < 10; i++) {
             assertFalse(budget.allowsRetry());
             budget = budget.withRequest();
--- /dev/null
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/Gateway.java
@@ -0,0 +1,150 @@
+package io.jayhead.gateway;
+
+import io.jayhead.gateway.budget.BudgetDesk;
+import io.jayhead.gateway.control.ControlPlane;
+import io.jayhead.gateway.control.Platform;
+import io.jayhead.gateway.edge.CallerServer;
+import io.jayhead.gateway.edge.StatusServer;
+import io.jayhead.gateway.exchange.DrainState;
+import io.jayhead.gateway.exchange.GatewayContext;
+import io.jayhead.gateway.exchange.RetryBudgets;
+import io.jayhead.gateway.log.DecisionLog;
+import io.jayhead.gateway.log.LogKind;
+import io.jayhead.gateway.metrics.GatewayMetrics;
+import io.jayhead.gateway.upstream.UpstreamTable;
+import io.jayhead.gateway.wire.WireDialect;
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiFunction;
+
+/** A router: one control thread, one traffic thread, and the servers for callers and checks. */
+public final class Gateway {
+
+    private static final long SWEEP_MS = 500;
+    private static final long DRAIN_CHECK_MS = 50;
+    /** The platform's balancer needs two missed checks before it sends no more connections. */
+    private static final long KEEP_SERVING_MS = 2_600;
+    /** The time at the end of a stop that is left for returning tokens and closing connections. */
+    private static final long STOP_MARGIN_MS = 400;
+
+    private final GatewaySettings settings;
+    private final DecisionLog log;
+    private final NioEventLoopGroup controlGroup = new NioEventLoopGroup(1);
+    private final NioEventLoopGroup trafficGroup = new NioEventLoopGroup(1);
+    private final EventLoop traffic = trafficGroup.next();
+    private final DrainState drain = new DrainState();
+    private final GatewayMetrics metrics = new GatewayMetrics();
+    private final ControlPlane control;
+    private final BudgetDesk budgets;
+    private final UpstreamTable upstreams;
+    private final CallerServer callers;
+    private final WireDialect dialect;
+    private volatile boolean stopping;
+    private long stopAtNs;
+
+    /**
+     * Creates a router.
+     *
+     * @param settings the settings
+     * @param dialect reads and writes headers
+     * @param platform creates the platform's client on the control thread
+     * @param incarnation a name that no earlier process of this VM had
+     * @param log the log
+     */
+    public Gateway(
+            GatewaySettings settings,
+            WireDialect dialect,
+            BiFunction<EventLoop, DecisionLog, Platform> platform,
+            String incarnation,
+            DecisionLog log) {
+        this.settings = settings;
+        this.dialect = dialect;
+        this.log = log;
+        EventLoop controlLoop = controlGroup.next();
+        ControlPlane[] holder = new ControlPlane[1];
+        this.budgets =
+                new BudgetDesk(traffic, (organisation, need) -> holder[0].need(organisation, need), log, metrics);
+        this.control = new ControlPlane(
+                controlLoop,
+                platform.apply(controlLoop, log),
+                settings.vmName() + "/" + incarnation,
+                log,
+                metrics,
+                budgets,
+                this::snapshotChanged);
+        holder[0] = control;
+        this.upstreams = new UpstreamTable(traffic, dialect, settings.availabilityZone(), metrics::connectionOpened);
+        this.callers = new CallerServer(new GatewayContext(
+                traffic, dialect, control::snapshot, upstreams, budgets, new RetryBudgets(), log, metrics, drain));
+    }
+
+    /** Starts to serve. */
+    public void start() {
+        control.start();
+        budgets.start();
+        traffic.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+        callers.listen(trafficGroup, trafficGroup, settings.callers());
+        new StatusServer(dialect.readinessPath(), this::isReady, () -> metrics.text(log.droppedLines()))
+                .listen(trafficGroup, settings.status());
+        log.write(
+                LogKind.PROCESS,
+                "started",
+                "vm",
+                settings.vmName(),
+                "availability_zone",
+                settings.availabilityZone(),
+                "callers",
+                settings.callers(),
+                "status",
+                settings.status());
+    }
+
+    /**
+     * Starts a planned stop: open requests are finished, then the process ends.
+     *
+     * @param onStopped is called when the process may end
+     */
+    public void stop(Runnable onStopped) {
+        if (stopping) {
+            return;
+        }
+        stopping = true;
+        log.write(LogKind.PROCESS, "stopping", "vm", settings.vmName());
+        traffic.execute(() -> {
+            stopAtNs = System.nanoTime() + (settings.stopMs() - STOP_MARGIN_MS) * 1_000_000;
+            drain.drain();
+        });
+        traffic.schedule(() -> refuseNew(onStopped), KEEP_SERVING_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void refuseNew(Runnable onStopped) {
+        drain.refuse();
+        callers.stopListening();
+        callers.closeIdle();
+        budgets.returnAll();
+        awaitOpenRequests(onStopped);
+    }
+
+    private void awaitOpenRequests(Runnable onStopped) {
+        if (drain.openRequests() > 0 && System.nanoTime() - stopAtNs < 0) {
+            traffic.schedule(() -> awaitOpenRequests(onStopped), DRAIN_CHECK_MS, TimeUnit.MILLISECONDS);
+            return;
+        }
+        budgets.returnAll();
+        log.write(LogKind.PROCESS, "stopped", "vm", settings.vmName(), "open_requests", drain.openRequests());
+        traffic.schedule(onStopped, STOP_MARGIN_MS / 2, TimeUnit.MILLISECONDS);
+    }
+
+    private boolean isReady() {
+        return !stopping && control.snapshot().isComplete();
+    }
+
+    private void snapshotChanged() {
+        traffic.execute(this::sweep);
+    }
+
+    private void sweep() {
+        upstreams.sweep(control.snapshot().registry());
+    }
+}
--- /dev/null
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetAccount.java
@@ -0,0 +1,180 @@
+package io.jayhead.gateway.budget;
+
+import io.jayhead.admission.prepaid.BudgetNeed;
+import io.jayhead.admission.prepaid.Wallet;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.Iterator;
+import java.util.List;
+import java.util.function.Consumer;
+
+/** The tokens of one budget at this router and the requests that wait for them; used by the traffic thread. */
+final class BudgetAccount {
+
+    /** The demand that is taken ahead, so that requests seldom wait for the ledger. */
+    private static final double AHEAD_S = 2.5;
+    /** Below this much demand, more tokens are taken. */
+    private static final double LOW_WATER_S = 1.0;
+    /** The time over which the demand is averaged. */
+    private static final double DEMAND_WINDOW_S = 3.0;
+    /** A page that was read within this time decides that a budget is exhausted. */
+    private static final long PAGE_MAX_AGE_NS = 700_000_000L;
+    /** When less than this share of a budget is left, tokens that no request needs go back at once. */
+    private static final double SCARCE_SHARE = 0.08;
+    /** The demand that is kept when tokens are scarce. */
+    private static final double SCARCE_KEEP_S = 0.3;
+
+    private final Consumer<BudgetNeed> needs;
+    private final Deque<Waiting> waiting = new ArrayDeque<>();
+    private Wallet wallet = Wallet.empty();
+    private long prepaidTokens;
+    private long leftTokens;
+    private long pageReadAtNs;
+    private boolean pageRead;
+    private boolean asked;
+    private long returnedTokens;
+    private double tokensPerS;
+    private long demandAtNs = System.nanoTime();
+
+    BudgetAccount(Consumer<BudgetNeed> needs) {
+        this.needs = needs;
+    }
+
+    Wallet wallet() {
+        return wallet;
+    }
+
+    void reserve(long prepaid, long tokens, long waitMs, Consumer<ReservationResult> callback) {
+        if (prepaid > prepaidTokens && pageRead) {
+            leftTokens += prepaid - prepaidTokens;
+        }
+        prepaidTokens = prepaid;
+        countDemand(tokens);
+        if (waiting.isEmpty() && tokens <= wallet.freeTokens()) {
+            wallet = wallet.reserve(tokens);
+            callback.accept(ReservationResult.RESERVED);
+            askAhead();
+            return;
+        }
+        if (isExhausted(tokens) && System.nanoTime() - pageReadAtNs < PAGE_MAX_AGE_NS) {
+            callback.accept(ReservationResult.EXHAUSTED);
+            return;
+        }
+        waiting.add(new Waiting(tokens, System.nanoTime() + waitMs * 1_000_000, callback));
+        askForWaiting();
+    }
+
+    void settle(long reserved, long consumed) {
+        wallet = wallet.settle(reserved, consumed);
+        serveWaiting();
+    }
+
+    void ledgerRead(long ownTokens, long left, long returnsSeen) {
+        asked = false;
+        pageRead = true;
+        pageReadAtNs = System.nanoTime();
+        long returnsUnseen = returnedTokens - returnsSeen;
+        wallet = wallet.withOwn(ownTokens - returnsUnseen);
+        leftTokens = left;
+        serveWaiting();
+        refuseUncovered();
+        askForWaiting();
+    }
+
+    void tick() {
+        long nowNs = System.nanoTime();
+        List<Waiting> expired = new ArrayList<>();
+        for (Iterator<Waiting> each = waiting.iterator(); each.hasNext(); ) {
+            Waiting next = each.next();
+            if (next.untilNs() - nowNs <= 0) {
+                each.remove();
+                expired.add(next);
+            }
+        }
+        expired.forEach(each -> each.callback().accept(ReservationResult.UNAVAILABLE));
+        decayDemand();
+        returnScarce();
+    }
+
+    void returnAll() {
+        giveBack(wallet.freeTokens());
+    }
+
+    private void returnScarce() {
+        boolean scarce = pageRead && leftTokens < SCARCE_SHARE * prepaidTokens;
+        if (!scarce || asked || !waiting.isEmpty()) {
+            return;
+        }
+        giveBack(wallet.freeTokens() - (long) (tokensPerS * SCARCE_KEEP_S));
+    }
+
+    private void giveBack(long tokens) {
+        if (tokens <= 0) {
+            return;
+        }
+        asked = true;
+        returnedTokens += tokens;
+        wallet = wallet.withOwn(wallet.ownTokens() - tokens);
+        needs.accept(new BudgetNeed(0, 0, tokens));
+    }
+
+    private boolean isExhausted(long tokens) {
+        return pageRead && leftTokens + wallet.freeTokens() < tokens;
+    }
+
+    private void serveWaiting() {
+        while (!waiting.isEmpty() && waiting.peek().tokens() <= wallet.freeTokens()) {
+            Waiting next = waiting.poll();
+            wallet = wallet.reserve(next.tokens());
+            next.callback().accept(ReservationResult.RESERVED);
+        }
+    }
+
+    private void refuseUncovered() {
+        List<Waiting> refused = new ArrayList<>();
+        for (Iterator<Waiting> each = waiting.iterator(); each.hasNext(); ) {
+            Waiting next = each.next();
+            if (isExhausted(next.tokens())) {
+                each.remove();
+                refused.add(next);
+            }
+        }
+        refused.forEach(each -> each.callback().accept(ReservationResult.EXHAUSTED));
+        serveWaiting();
+    }
+
+    private void askForWaiting() {
+        if (waiting.isEmpty()) {
+            return;
+        }
+        long total = waiting.stream().mapToLong(Waiting::tokens).sum();
+        long required = Math.max(1, total - wallet.freeTokens());
+        asked = true;
+        needs.accept(new BudgetNeed(required, required + (long) (tokensPerS * AHEAD_S), 0));
+    }
+
+    private void askAhead() {
+        boolean enough = wallet.freeTokens() >= tokensPerS * LOW_WATER_S;
+        boolean scarce = pageRead && leftTokens < SCARCE_SHARE * prepaidTokens;
+        if (asked || enough || scarce) {
+            return;
+        }
+        asked = true;
+        needs.accept(new BudgetNeed(0, (long) (tokensPerS * AHEAD_S) - wallet.freeTokens(), 0));
+    }
+
+    private void countDemand(long tokens) {
+        decayDemand();
+        tokensPerS += tokens / DEMAND_WINDOW_S;
+    }
+
+    private void decayDemand() {
+        long nowNs = System.nanoTime();
+        tokensPerS *= Math.exp(-(nowNs - demandAtNs) / 1e9 / DEMAND_WINDOW_S);
+        demandAtNs = nowNs;
+    }
+
+    /** A request that waits for tokens. */
+    private record Waiting(long tokens, long untilNs, Consumer<ReservationResult> callback) {}
+}
--- /dev/null
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlPlane.java
@@ -0,0 +1,172 @@
+package io.jayhead.gateway.control;
+
+import io.jayhead.admission.prepaid.BudgetNeed;
+import io.jayhead.gateway.log.DecisionLog;
+import io.jayhead.gateway.log.LogKind;
+import io.jayhead.gateway.metrics.GatewayMetrics;
+import io.jayhead.routing.catalog.Catalog;
+import io.jayhead.routing.catalog.Organisation;
+import io.jayhead.routing.registry.RegistryTracker;
+import io.netty.channel.EventLoop;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+
+/** Owns the control state of a router. All state belongs to the control thread; snapshots are published to others. */
+public final class ControlPlane {
+
+    /** Bounds the time that a watch on a silent connection goes unnoticed. */
+    private static final int WATCH_WAIT_MS = 2_500;
+    /** More pages mean fewer conflicts between routers and more calls. */
+    private static final int LEDGER_PAGES = 2;
+
+    private static final long EXPIRY_CHECK_MS = 250;
+
+    private final EventLoop loop;
+    private final DecisionLog log;
+    private final PlatformHealth health;
+    private final List<LedgerKeeper> ledgers = new ArrayList<>();
+    private final WatchLoop<Catalog, Catalog> catalogLoop;
+    private final WatchLoop<UpstreamListing, UpstreamChanges> registryLoop;
+    private final Runnable onChange;
+    private volatile RoutingSnapshot snapshot = RoutingSnapshot.empty();
+    private RegistryTracker tracker = RegistryTracker.empty();
+
+    /**
+     * Creates the control state of a router.
+     *
+     * @param loop the control thread
+     * @param platform the platform
+     * @param holder the name of this incarnation in ledger pages
+     * @param log the log
+     * @param metrics the metrics
+     * @param budgets receives the state of budgets
+     * @param onChange is called on the control thread after a new snapshot was published
+     */
+    public ControlPlane(
+            EventLoop loop,
+            Platform platform,
+            String holder,
+            DecisionLog log,
+            GatewayMetrics metrics,
+            BudgetListener budgets,
+            Runnable onChange) {
+        this.loop = loop;
+        this.log = log;
+        this.onChange = onChange;
+        this.health = new PlatformHealth(log, metrics, this::platformReturned);
+        this.catalogLoop = new WatchLoop<>(
+                "configuration",
+                loop,
+                health,
+                platform::readCatalog,
+                revision -> platform.watchCatalog(revision, WATCH_WAIT_MS),
+                this::catalogRead,
+                this::catalogRead);
+        this.registryLoop = new WatchLoop<>(
+                "registry",
+                loop,
+                health,
+                platform::listUpstreams,
+                revision -> platform.watchUpstreams(revision, WATCH_WAIT_MS),
+                this::registryListed,
+                this::registryChanged);
+        for (int page = 0; page < LEDGER_PAGES; page++) {
+            ledgers.add(new LedgerKeeper("page-" + page, holder, platform, health, loop, log, this::prepaid, budgets));
+        }
+    }
+
+    /** Starts to follow the platform. */
+    public void start() {
+        loop.execute(catalogLoop::run);
+        loop.execute(registryLoop::run);
+        ledgers.forEach(ledger -> loop.execute(ledger::pump));
+        loop.scheduleWithFixedDelay(this::expireUpstreams, EXPIRY_CHECK_MS, EXPIRY_CHECK_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Returns the newest snapshot; may be called by any thread.
+     *
+     * @return the snapshot
+     */
+    public RoutingSnapshot snapshot() {
+        return snapshot;
+    }
+
+    /**
+     * Tells what this router wants of a budget; may be called by any thread.
+     *
+     * @param organisation the organisation
+     * @param need the need; it replaces the one before
+     */
+    public void need(String organisation, BudgetNeed need) {
+        int page = Math.floorMod(organisation.hashCode(), LEDGER_PAGES);
+        loop.execute(() -> ledgers.get(page).need(organisation, need));
+    }
+
+    private OptionalLong prepaid(String organisation) {
+        return snapshot.catalog()
+                .organisation(organisation)
+                .map(Organisation::prepaidTokens)
+                .orElse(OptionalLong.empty());
+    }
+
+    private void catalogRead(Catalog catalog) {
+        if (catalog.version() <= snapshot.catalog().version()) {
+            return;
+        }
+        log.write(
+                LogKind.STATE,
+                "configuration in force",
+                "version",
+                catalog.version(),
+                "replaced_version",
+                snapshot.catalog().version());
+        snapshot = new RoutingSnapshot(catalog, snapshot.registry(), snapshot.registryKnown());
+        onChange.run();
+    }
+
+    private void registryListed(UpstreamListing listing) {
+        publish(tracker.listed(listing.byId(), nowMs()), "listed");
+    }
+
+    private void registryChanged(UpstreamChanges changes) {
+        RegistryTracker next = tracker;
+        for (UpstreamChange change : changes.changes()) {
+            RegistryTracker before = next;
+            next = change.entry().map(before::changed).orElseGet(() -> before.deleted(change.id(), nowMs()));
+        }
+        publish(next, "changed");
+    }
+
+    private void platformReturned() {
+        tracker = tracker.platformReturned(nowMs());
+    }
+
+    private void expireUpstreams() {
+        RegistryTracker next = tracker.expired(nowMs());
+        if (next != tracker) {
+            publish(next, "expired");
+        }
+    }
+
+    private void publish(RegistryTracker next, String cause) {
+        tracker = next;
+        log.write(
+                LogKind.STATE,
+                "registry in force",
+                "cause",
+                cause,
+                "upstreams",
+                next.registry().ids().size(),
+                "missing",
+                next.missing().size());
+        snapshot = new RoutingSnapshot(snapshot.catalog(), next.registry(), true);
+        onChange.run();
+    }
+
+    private static long nowMs() {
+        return System.nanoTime() / 1_000_000;
+    }
+}
--- /dev/null
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/LedgerKeeper.java
@@ -0,0 +1,168 @@
+package io.jayhead.gateway.control;
+
+import io.jayhead.admission.prepaid.BudgetNeed;
+import io.jayhead.admission.prepaid.LedgerSession;
+import io.jayhead.admission.prepaid.LedgerUpdate;
+import io.jayhead.admission.prepaid.VersionedPage;
+import io.jayhead.gateway.log.DecisionLog;
+import io.jayhead.gateway.log.LogKind;
+import io.netty.channel.EventLoop;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+
+/** Keeps this router's entries of one ledger page; used by the control thread, with one call at a time. */
+final class LedgerKeeper {
+
+    /** Needs that no request waits for are collected for this time, so that one call serves many budgets. */
+    private static final long COLLECT_MS = 200;
+
+    private final String pageName;
+    private final Platform platform;
+    private final PlatformHealth health;
+    private final EventLoop loop;
+    private final DecisionLog log;
+    private final Function<String, OptionalLong> prepaid;
+    private final BudgetListener listener;
+    private final Map<String, BudgetNeed> needs = new HashMap<>();
+    private final Map<String, Long> returnedTokens = new HashMap<>();
+    private final Set<String> asking = new HashSet<>();
+    private final Backoff backoff = new Backoff();
+    private LedgerSession session;
+    private boolean busy;
+    private boolean scheduled;
+    private boolean refresh = true;
+
+    LedgerKeeper(
+            String pageName,
+            String holder,
+            Platform platform,
+            PlatformHealth health,
+            EventLoop loop,
+            DecisionLog log,
+            Function<String, OptionalLong> prepaid,
+            BudgetListener listener) {
+        this.pageName = pageName;
+        this.platform = platform;
+        this.health = health;
+        this.loop = loop;
+        this.log = log;
+        this.prepaid = prepaid;
+        this.listener = listener;
+        this.session = LedgerSession.of(holder);
+    }
+
+    void need(String organisation, BudgetNeed need) {
+        if (need.returnedTokens() > 0) {
+            session = session.withReturn(organisation, need.returnedTokens());
+            returnedTokens.merge(organisation, need.returnedTokens(), Long::sum);
+        }
+        if (need.desiredTokens() > 0) {
+            needs.put(organisation, need);
+        }
+        asking.add(organisation);
+        if (need.requiredTokens() > 0) {
+            pump();
+        } else {
+            pumpAfter(COLLECT_MS);
+        }
+    }
+
+    void pump() {
+        if (busy) {
+            return;
+        }
+        if (!session.isRead()) {
+            call("create ledger", platform.createLedger(pageName));
+            return;
+        }
+        if (refresh) {
+            call("read ledger", platform.readLedger(pageName));
+            return;
+        }
+        Optional<LedgerUpdate> update =
+                session.inFlight().isPresent() ? session.inFlight() : session.nextUpdate(needs, prepaid);
+        if (update.isPresent()) {
+            session = session.sending(update.get());
+            call("update ledger", platform.updateLedger(pageName, update.get()));
+        } else if (needs.values().stream().anyMatch(need -> need.requiredTokens() > 0)) {
+            needs.clear();
+            refresh = true;
+            pump();
+        }
+    }
+
+    private void call(String name, CompletionStage<VersionedPage> stage) {
+        busy = true;
+        stage.whenComplete((page, failure) -> {
+            busy = false;
+            if (failure == null) {
+                succeeded(name, page);
+            } else {
+                failed(name, failure);
+            }
+        });
+    }
+
+    private void succeeded(String name, VersionedPage page) {
+        health.succeeded(name);
+        backoff.reset();
+        refresh = false;
+        session = session.read(page);
+        Set<String> asked = new HashSet<>(asking);
+        asking.clear();
+        boolean open =
+                session.inFlight().isPresent() || !session.pendingReturns().isEmpty();
+        for (String organisation : asked) {
+            needs.remove(organisation);
+            publish(organisation);
+        }
+        if (open || !needs.isEmpty()) {
+            pumpAfter(open ? 0 : COLLECT_MS);
+        }
+    }
+
+    private void publish(String organisation) {
+        long own = session.ownTokens(organisation);
+        long left = session.leftTokens(organisation, prepaid.apply(organisation).orElse(0));
+        log.write(
+                LogKind.BUDGET,
+                "ledger page read",
+                "organisation",
+                organisation,
+                "own_tokens",
+                own,
+                "left_tokens",
+                left,
+                "revision",
+                session.known().revision());
+        listener.budgetRead(organisation, own, left, returnedTokens.getOrDefault(organisation, 0L));
+    }
+
+    private void failed(String name, Throwable failure) {
+        health.failed(name, failure);
+        refresh = session.isRead();
+        listener.ledgerUnavailable();
+        pumpAfter(backoff.next());
+    }
+
+    private void pumpAfter(long delayMs) {
+        if (scheduled) {
+            return;
+        }
+        scheduled = true;
+        loop.schedule(
+                () -> {
+                    scheduled = false;
+                    pump();
+                },
+                delayMs,
+                TimeUnit.MILLISECONDS);
+    }
+}
--- /dev/null
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/PlatformException.java
@@ -0,0 +1,44 @@
+package io.jayhead.gateway.control;
+
+/** Reports a failed call to the platform. */
+public final class PlatformException extends RuntimeException {
+
+    private static final long serialVersionUID = 1L;
+
+    private final PlatformFault fault;
+
+    /**
+     * Creates an exception.
+     *
+     * @param fault why the call failed
+     * @param message details for the log
+     */
+    public PlatformException(PlatformFault fault, String message) {
+        super(message, null, false, false);
+        this.fault = fault;
+    }
+
+    /**
+     * Returns the reason.
+     *
+     * @return why the call failed
+     */
+    public PlatformFault fault() {
+        return fault;
+    }
+
+    /**
+     * Finds the reason behind a failed stage.
+     *
+     * @param failure the failure, possibly wrapped
+     * @return the reason; malformed for failures of other types
+     */
+    public static PlatformFault faultOf(Throwable failure) {
+        for (Throwable each = failure; each != null; each = each.getCause()) {
+            if (each instanceof PlatformException known) {
+                return known.fault();
+            }
+        }
+        return PlatformFault.MALFORMED;
+    }
+}
--- /dev/null
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/edge/CallerConnection.java
@@ -0,0 +1,189 @@
+package io.jayhead.gateway.edge;
+
+import io.jayhead.gateway.exchange.CallerChannel;
+import io.jayhead.gateway.exchange.Exchange;
+import io.jayhead.gateway.exchange.GatewayContext;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
+import io.netty.handler.codec.TooLongFrameException;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.timeout.IdleStateEvent;
+import io.netty.util.ReferenceCountUtil;
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+/** A connection of a caller; its requests are served one after the other. */
+final class CallerConnection extends ChannelInboundHandlerAdapter implements CallerChannel {
+
+    private static final int MAX_PIPELINED = 8;
+
+    private final GatewayContext context;
+    private final Deque<FullHttpRequest> pipelined = new ArrayDeque<>();
+    private Channel channel;
+    private Exchange exchange;
+    private boolean keepAlive = true;
+
+    CallerConnection(GatewayContext context) {
+        this.context = context;
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext handler) {
+        channel = handler.channel();
+    }
+
+    @Override
+    public Channel channel() {
+        return channel;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext handler, Object message) {
+        if (!(message instanceof FullHttpRequest request)) {
+            ReferenceCountUtil.release(message);
+            return;
+        }
+        if (exchange == null) {
+            serve(request);
+        } else if (pipelined.size() < MAX_PIPELINED) {
+            pipelined.add(request);
+        } else {
+            request.release();
+            channel.close();
+        }
+    }
+
+    private void serve(FullHttpRequest request) {
+        if (request.decoderResult().isFailure()) {
+            refuseMalformed(request);
+            return;
+        }
+        keepAlive = HttpUtil.isKeepAlive(request);
+        exchange = new Exchange(context, this, request);
+        exchange.start();
+    }
+
+    private void refuseMalformed(FullHttpRequest request) {
+        boolean tooLong = request.decoderResult().cause() instanceof TooLongFrameException;
+        request.release();
+        keepAlive = false;
+        HttpResponseStatus status =
+                tooLong ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE : HttpResponseStatus.BAD_REQUEST;
+        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status);
+        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
+        response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+    }
+
+    @Override
+    public void answer(HttpResponseStatus status, HttpHeaders headers, byte[] body) {
+        FullHttpResponse response =
+                new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(body));
+        response.headers().set(headers);
+        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
+        closeIfDraining(response);
+        finish(channel.writeAndFlush(response));
+    }
+
+    @Override
+    public void startStream(HttpResponseStatus status, HttpHeaders headers) {
+        HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, status);
+        response.headers().set(headers);
+        response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+        closeIfDraining(response);
+        channel.write(response, channel.voidPromise());
+    }
+
+    @Override
+    public void stream(byte[] bytes) {
+        channel.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)), channel.voidPromise());
+    }
+
+    @Override
+    public void endStream() {
+        finish(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
+    }
+
+    @Override
+    public void breakOff() {
+        channel.config().setOption(ChannelOption.SO_LINGER, 0);
+        channel.close();
+    }
+
+    private void closeIfDraining(HttpResponse response) {
+        if (context.drain().isDraining()) {
+            keepAlive = false;
+        }
+        if (!keepAlive) {
+            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        }
+    }
+
+    private void finish(ChannelFuture written) {
+        if (!keepAlive) {
+            written.addListener(ChannelFutureListener.CLOSE);
+            return;
+        }
+        channel.eventLoop().execute(this::serveNext);
+    }
+
+    private void serveNext() {
+        exchange = null;
+        FullHttpRequest next = pipelined.poll();
+        if (next != null) {
+            serve(next);
+        }
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext handler) {
+        if (exchange != null) {
+            exchange.writabilityChanged();
+        }
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext handler, Object event) {
+        if (event instanceof IdleStateEvent && exchange == null) {
+            channel.close();
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext handler) {
+        if (exchange != null) {
+            exchange.callerClosed();
+        }
+        pipelined.forEach(FullHttpRequest::release);
+        pipelined.clear();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext handler, Throwable cause) {
+        channel.close();
+    }
+
+    /** Closes the connection if no request is open. */
+    void closeIfIdle() {
+        if (exchange == null) {
+            channel.close();
+        }
+    }
+}
--- /dev/null
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/edge/CallerServer.java
@@ -0,0 +1,87 @@
+package io.jayhead.gateway.edge;
+
+import io.jayhead.gateway.exchange.GatewayContext;
+import io.jayhead.routing.catalog.CallerLimits;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.timeout.IdleStateHandler;
+import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+/** Accepts the connections of callers; used by the traffic thread after its start. */
+public final class CallerServer {
+
+    private static final int BACKLOG = 1_024;
+    private static final int MAX_LINE_BYTES = 8_192;
+    private static final int MAX_CHUNK_BYTES = 8_192;
+    /** Callers reuse connections that were idle for a part of the limit, so the router closes them a little later. */
+    private static final long IDLE_MARGIN_MS = 1_000;
+
+    private final GatewayContext context;
+    private final Set<CallerConnection> connections = new HashSet<>();
+    private Channel server;
+
+    /**
+     * Creates a server that does not listen yet.
+     *
+     * @param context what exchanges share
+     */
+    public CallerServer(GatewayContext context) {
+        this.context = context;
+    }
+
+    /**
+     * Starts to listen.
+     *
+     * @param acceptor accepts connections
+     * @param traffic serves them
+     * @param address the address
+     */
+    public void listen(EventLoopGroup acceptor, EventLoopGroup traffic, InetSocketAddress address) {
+        server = new ServerBootstrap()
+                .group(acceptor, traffic)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        initConnection(channel);
+                    }
+                })
+                .bind(address)
+                .syncUninterruptibly()
+                .channel();
+    }
+
+    private void initConnection(Channel channel) {
+        CallerLimits limits = context.snapshot().get().catalog().limits();
+        CallerConnection connection = new CallerConnection(context);
+        connections.add(connection);
+        channel.closeFuture().addListener(closed -> connections.remove(connection));
+        channel.pipeline()
+                .addLast(new IdleStateHandler(0, 0, limits.idleTimeoutMs() + IDLE_MARGIN_MS, TimeUnit.MILLISECONDS))
+                .addLast(new HttpServerCodec(MAX_LINE_BYTES, limits.maxHeaderBytes(), MAX_CHUNK_BYTES))
+                .addLast(new HttpObjectAggregator(limits.maxBodyBytes()))
+                .addLast(connection);
+    }
+
+    /** Stops to accept connections. */
+    public void stopListening() {
+        server.close();
+    }
+
+    /** Closes the connections without an open request. */
+    public void closeIdle() {
+        Set.copyOf(connections).forEach(CallerConnection::closeIfIdle);
+    }
+}
--- /dev/null
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/edge/package-info.java
@@ -0,0 +1,2 @@
+/** Connections of callers, the readiness check and the metrics page. */
+package io.jayhead.gateway.edge;
--- /dev/null
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/AttemptRun.java
@@ -0,0 +1,211 @@
+package io.jayhead.gateway.exchange;
+
+import io.jayhead.dispatch.forward.AttemptOutcome;
+import io.jayhead.gateway.upstream.AttemptListener;
+import io.jayhead.gateway.upstream.UpstreamConnection;
+import io.jayhead.gateway.upstream.UpstreamHandle;
+import io.jayhead.gateway.wire.AnswerFacts;
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.io.ByteArrayOutputStream;
+
+/** One attempt of an exchange at one upstream; used by the traffic thread. */
+final class AttemptRun implements AttemptListener {
+
+    private static final int MAX_BUFFERED_BYTES = 16 * 1024 * 1024;
+
+    private final Exchange exchange;
+    private final UpstreamHandle upstream;
+    private final long promptTokens;
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private UpstreamConnection connection;
+    private HttpResponse head;
+    private AnswerFacts facts;
+    private boolean sent;
+    private boolean promptPending;
+    private boolean ended;
+    private boolean streaming;
+    private long sentAtNs;
+    private long lastByteNs;
+
+    AttemptRun(Exchange exchange, UpstreamHandle upstream, long promptTokens) {
+        this.exchange = exchange;
+        this.upstream = upstream;
+        this.promptTokens = promptTokens;
+    }
+
+    UpstreamHandle upstream() {
+        return upstream;
+    }
+
+    boolean isSent() {
+        return sent;
+    }
+
+    boolean hasHead() {
+        return head != null;
+    }
+
+    HttpResponse head() {
+        return head;
+    }
+
+    long silentMs(long nowNs) {
+        return (nowNs - lastByteNs) / 1_000_000;
+    }
+
+    void start(int maxConnections) {
+        upstream.started(promptTokens);
+        promptPending = true;
+        upstream.acquire(maxConnections, this);
+    }
+
+    @Override
+    public void connected(UpstreamConnection ready) {
+        if (ended || exchange.isEnded()) {
+            ready.abort();
+            end();
+            return;
+        }
+        connection = ready;
+        sent = true;
+        sentAtNs = System.nanoTime();
+        lastByteNs = sentAtNs;
+        exchange.send(this, ready);
+    }
+
+    @Override
+    public void notConnected() {
+        if (ended) {
+            return;
+        }
+        upstream.unreachable();
+        finish(AttemptOutcome.NOT_SENT, "not connected");
+    }
+
+    @Override
+    public void head(HttpResponse answer, AnswerFacts answerFacts) {
+        head = answer;
+        facts = answerFacts;
+        lastByteNs = System.nanoTime();
+        facts.load().ifPresent(upstream::reported);
+        if (isSuccess() && (!facts.sealed() || facts.encoded())) {
+            upstream.broke();
+            connection.abort();
+            finish(AttemptOutcome.UNKNOWN, "answer without a seal or with an encoded body");
+            return;
+        }
+        streaming = isSuccess() && exchange.isStreaming();
+    }
+
+    @Override
+    public void content(ByteBuf bytes) {
+        lastByteNs = System.nanoTime();
+        byte[] copy = new byte[bytes.readableBytes()];
+        bytes.readBytes(copy);
+        if (ended) {
+            return;
+        }
+        promptRead();
+        if (streaming) {
+            exchange.streamBytes(this, copy);
+            return;
+        }
+        body.writeBytes(copy);
+        if (body.size() > MAX_BUFFERED_BYTES) {
+            connection.abort();
+            finish(AttemptOutcome.UNKNOWN, "answer is too large");
+        }
+    }
+
+    @Override
+    public void complete() {
+        if (ended) {
+            return;
+        }
+        if (facts.provenNotRun()) {
+            upstream.rejected();
+            finish(AttemptOutcome.REJECTED, "rejected with " + head.status().code());
+            return;
+        }
+        if (head.status().code() >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code()) {
+            upstream.reportedFailure();
+            finish(AttemptOutcome.FAILED, "failed with " + head.status().code());
+            return;
+        }
+        upstream.answered((System.nanoTime() - sentAtNs) / 1e6);
+        end();
+        exchange.answered(this, body.toByteArray());
+    }
+
+    @Override
+    public void broken(String reason) {
+        if (ended) {
+            return;
+        }
+        upstream.broke();
+        finish(AttemptOutcome.UNKNOWN, reason);
+    }
+
+    @Override
+    public void writabilityChanged() {
+        exchange.writabilityChanged();
+    }
+
+    byte[] bufferedBody() {
+        return body.toByteArray();
+    }
+
+    /** Stops the attempt; the upstream sees its connection close. */
+    void abort() {
+        if (ended) {
+            return;
+        }
+        end();
+        if (connection != null) {
+            connection.abort();
+        }
+    }
+
+    /** Stops the attempt because the upstream is silent. */
+    void abandon() {
+        upstream.broke();
+        if (connection != null) {
+            connection.abort();
+        }
+        finish(sent ? AttemptOutcome.UNKNOWN : AttemptOutcome.NOT_SENT, "no answer in time");
+    }
+
+    void setReading(boolean reading) {
+        if (connection != null && !ended) {
+            connection.setReading(reading);
+        }
+    }
+
+    private boolean isSuccess() {
+        int code = head.status().code();
+        return code >= 200 && code < 300;
+    }
+
+    private void promptRead() {
+        if (promptPending) {
+            promptPending = false;
+            upstream.promptRead(promptTokens);
+        }
+    }
+
+    private void finish(AttemptOutcome outcome, String reason) {
+        end();
+        exchange.attemptEnded(this, outcome, reason);
+    }
+
+    private void end() {
+        if (ended) {
+            return;
+        }
+        ended = true;
+        promptRead();
+        upstream.ended();
+    }
+}
--- /dev/null
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/DrainState.java
@@ -0,0 +1,56 @@
+package io.jayhead.gateway.exchange;
+
+/** Says whether a router is being stopped, and counts its open requests; used by the traffic thread. */
+public final class DrainState {
+
+    private boolean draining;
+    private boolean refusing;
+    private int openRequests;
+
+    /** Starts to drain: answers close their connections. */
+    public void drain() {
+        draining = true;
+    }
+
+    /** Refuses new requests from now on. */
+    public void refuse() {
+        refusing = true;
+    }
+
+    /**
+     * Tells whether the router is being stopped.
+     *
+     * @return true after {@link #drain()}
+     */
+    public boolean isDraining() {
+        return draining;
+    }
+
+    /**
+     * Tells whether new requests are refused.
+     *
+     * @return true after {@link #refuse()}
+     */
+    public boolean isRefusing() {
+        return refusing;
+    }
+
+    /**
+     * Returns the number of requests without a final answer.
+     *
+     * @return the number
+     */
+    public int openRequests() {
+        return openRequests;
+    }
+
+    /** Counts a request that has arrived. */
+    public void opened() {
+        openRequests++;
+    }
+
+    /** Counts a request that has its final answer. */
+    public void closed() {
+        openRequests--;
+    }
+}
--- /dev/null
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/GatewayContext.java
@@ -0,0 +1,34 @@
+package io.jayhead.gateway.exchange;
+
+import io.jayhead.gateway.budget.BudgetDesk;
+import io.jayhead.gateway.control.RoutingSnapshot;
+import io.jayhead.gateway.log.DecisionLog;
+import io.jayhead.gateway.metrics.GatewayMetrics;
+import io.jayhead.gateway.upstream.UpstreamTable;
+import io.jayhead.gateway.wire.WireDialect;
+import io.netty.channel.EventLoop;
+import java.util.function.Supplier;
+
+/**
+ * What the exchanges of a router share.
+ *
+ * @param loop the traffic thread
+ * @param dialect reads and writes headers
+ * @param snapshot returns the newest routing snapshot
+ * @param upstreams the upstreams
+ * @param budgets the prepaid budgets
+ * @param retries the retry budgets
+ * @param log the log
+ * @param metrics the metrics
+ * @param drain the state of a planned stop
+ */
+public record GatewayContext(
+        EventLoop loop,
+        WireDialect dialect,
+        Supplier<RoutingSnapshot> snapshot,
+        UpstreamTable upstreams,
+        BudgetDesk budgets,
+        RetryBudgets retries,
+        DecisionLog log,
+        GatewayMetrics metrics,
+        DrainState drain) {}
--- /dev/null
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/StreamRelay.java
@@ -0,0 +1,59 @@
+package io.jayhead.gateway.exchange;
+
+import io.jayhead.dispatch.forward.EventFramer;
+import io.jayhead.dispatch.forward.StreamEvent;
+import java.util.OptionalLong;
+
+/** Passes the whole events of a stream on, across several attempts; used by the traffic thread. */
+final class StreamRelay {
+
+    private final CallerChannel caller;
+    private EventFramer framer = new EventFramer();
+    private String lastId = "";
+    private OptionalLong lastNumber = OptionalLong.empty();
+    private int events;
+
+    StreamRelay(CallerChannel caller) {
+        this.caller = caller;
+    }
+
+    /** Starts to read another attempt; the bytes of an unfinished event are forgotten. */
+    void restart() {
+        framer = new EventFramer();
+    }
+
+    void add(byte[] bytes) {
+        for (StreamEvent event : framer.add(bytes)) {
+            if (isRepeated(event)) {
+                continue;
+            }
+            caller.stream(event.bytes());
+            events++;
+            if (!event.id().isEmpty()) {
+                lastId = event.id();
+                lastNumber = event.number();
+            }
+        }
+    }
+
+    void end() {
+        byte[] rest = framer.rest();
+        if (rest.length > 0) {
+            caller.stream(rest);
+        }
+        caller.endStream();
+    }
+
+    int events() {
+        return events;
+    }
+
+    String lastId() {
+        return lastId;
+    }
+
+    private boolean isRepeated(StreamEvent event) {
+        OptionalLong number = event.number();
+        return number.isPresent() && lastNumber.isPresent() && number.getAsLong() <= lastNumber.getAsLong();
+    }
+}
--- /dev/null
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/log/DecisionLog.java
@@ -0,0 +1,122 @@
+package io.jayhead.gateway.log;
+
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * Writes one JSON object a line without ever blocking the caller.
+ *
+ * <p>Lines beyond the bound of their kind, and lines that find the queue full because nobody reads the output, are
+ * dropped and counted; the next line that is written says how many.
+ */
+public final class DecisionLog {
+
+    private static final int QUEUE_LINES = 1_024;
+    private static final long SECOND_MS = 1_000;
+
+    private final PrintStream output;
+    private final BlockingQueue<String> queue = new ArrayBlockingQueue<>(QUEUE_LINES);
+    private final Map<LogKind, Window> windows = new EnumMap<>(LogKind.class);
+    private final AtomicLong dropped = new AtomicLong();
+    private final AtomicLong droppedTotal = new AtomicLong();
+
+    /**
+     * Creates a log and starts its writer thread.
+     *
+     * @param output where lines are written
+     */
+    public DecisionLog(PrintStream output) {
+        this.output = output;
+        for (LogKind kind : LogKind.values()) {
+            windows.put(kind, new Window());
+        }
+        Thread writer = new Thread(this::writeLines, "log-writer");
+        writer.setDaemon(true);
+        writer.start();
+    }
+
+    /**
+     * Writes a line.
+     *
+     * @param kind the kind of line
+     * @param event what happened
+     * @param fields names and values in turn
+     */
+    public void write(LogKind kind, String event, Object... fields) {
+        long nowMs = System.currentTimeMillis();
+        if (!windows.get(kind).admits(kind.maxPerSecond(), nowMs)) {
+            drop();
+            return;
+        }
+        StringBuilder line = new StringBuilder(160);
+        line.append("{\"ts_ms\":").append(nowMs);
+        line.append(",\"kind\":\"").append(kind.label()).append("\",\"event\":");
+        LogValue.append(line, event);
+        for (int index = 0; index + 1 < fields.length; index += 2) {
+            line.append(",\"").append(fields[index]).append("\":");
+            LogValue.append(line, fields[index + 1]);
+        }
+        line.append('}');
+        if (!queue.offer(line.toString())) {
+            drop();
+        }
+    }
+
+    /**
+     * Returns the number of lines that were not written.
+     *
+     * @return the lines dropped since the start
+     */
+    public long droppedLines() {
+        return droppedTotal.get();
+    }
+
+    private void drop() {
+        dropped.incrementAndGet();
+        droppedTotal.incrementAndGet();
+    }
+
+    private void writeLines() {
+        StringBuilder batch = new StringBuilder();
+        try {
+            while (true) {
+                batch.append(queue.take()).append('\n');
+                for (String next = queue.poll(); next != null; next = queue.poll()) {
+                    batch.append(next).append('\n');
+                }
+                long missing = dropped.getAndSet(0);
+                if (missing > 0) {
+                    batch.append("{\"kind\":\"log\",\"event\":\"lines dropped\",\"count\":")
+                            .append(missing)
+                            .append("}\n");
+                }
+                byte[] bytes = batch.toString().getBytes(StandardCharsets.UTF_8);
+                output.write(bytes, 0, bytes.length);
+                output.flush();
+                batch.setLength(0);
+            }
+        } catch (InterruptedException stopped) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Counts the lines of one kind in the present second. */
+    private static final class Window {
+        private long startMs;
+        private int lines;
+
+        synchronized boolean admits(int max, long nowMs) {
+            if (nowMs - startMs >= SECOND_MS || nowMs < startMs) {
+                startMs = nowMs;
+                lines = 0;
+            }
+            lines++;
+            return lines <= max;
+        }
+    }
+}
--- /dev/null
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/log/LogKind.java
@@ -0,0 +1,40 @@
+package io.jayhead.gateway.log;
+
+import java.util.Locale;
+
+/** The kinds of log lines, each with its own bound. */
+public enum LogKind {
+    /** Start, stop and reload of the process. */
+    PROCESS(50),
+    /** A dependency was lost or regained. */
+    DEPENDENCY(50),
+    /** The configuration or the registry changed. */
+    STATE(100),
+    /** Tokens were taken from or returned to a budget. */
+    BUDGET(50),
+    /** A request was answered by an upstream. */
+    SERVED(40),
+    /** A request was refused or failed. */
+    FAILED(150),
+    /** An attempt ended without an answer. */
+    ATTEMPT(100);
+
+    private final int maxPerSecond;
+
+    LogKind(int maxPerSecond) {
+        this.maxPerSecond = maxPerSecond;
+    }
+
+    /**
+     * Returns the bound.
+     *
+     * @return the most lines of this kind in a second
+     */
+    public int maxPerSecond() {
+        return maxPerSecond;
+    }
+
+    String label() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/log/package-info.java
@@ -0,0 +1,2 @@
+/** Bounded structured log lines. */
+package io.jayhead.gateway.log;
--- /dev/null
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/metrics/GatewayMetrics.java
@@ -0,0 +1,124 @@
+package io.jayhead.gateway.metrics;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+
+/** The metrics of a router. */
+public final class GatewayMetrics {
+
+    private final PrometheusRegistry registry = new PrometheusRegistry();
+    private final Counter answers = Counter.builder()
+            .name("jayhead_answers_total")
+            .help("Answers to callers by route and outcome")
+            .labelNames("route", "outcome")
+            .register(registry);
+    private final Histogram firstByteSeconds = Histogram.builder()
+            .name("jayhead_first_byte_seconds")
+            .help("Time from the arrival of a request to the first byte of its answer")
+            .labelNames("route")
+            .classicOnly()
+            .classicUpperBounds(0.05, 0.1, 0.2, 0.5, 1, 2, 5)
+            .register(registry);
+    private final Counter platformCalls = Counter.builder()
+            .name("jayhead_platform_calls_total")
+            .help("Calls to the platform by kind and result")
+            .labelNames("call", "result")
+            .register(registry);
+    private final Counter connections = Counter.builder()
+            .name("jayhead_upstream_connections_total")
+            .help("Connections opened to upstreams")
+            .register(registry);
+    private final Counter attempts = Counter.builder()
+            .name("jayhead_failed_attempts_total")
+            .help("Attempts that brought no answer, by outcome")
+            .labelNames("outcome")
+            .register(registry);
+    private final Gauge budgetTokens = Gauge.builder()
+            .name("jayhead_budget_tokens")
+            .help("Tokens of budgets at this router, by organisation and state")
+            .labelNames("organisation", "state")
+            .register(registry);
+    private final Gauge droppedLines = Gauge.builder()
+            .name("jayhead_log_lines_dropped")
+            .help("Log lines that were not written")
+            .register(registry);
+
+    /**
+     * Counts an answer to a caller.
+     *
+     * @param route the name of the route
+     * @param outcome the outcome
+     */
+    public void answered(String route, String outcome) {
+        answers.labelValues(route, outcome).inc();
+    }
+
+    /**
+     * Records the time to the first byte of an answer.
+     *
+     * @param route the name of the route
+     * @param seconds the time
+     */
+    public void firstByte(String route, double seconds) {
+        firstByteSeconds.labelValues(route).observe(seconds);
+    }
+
+    /**
+     * Counts a call to the platform.
+     *
+     * @param call the kind of call
+     * @param result the result
+     */
+    public void platformCall(String call, String result) {
+        platformCalls.labelValues(call, result).inc();
+    }
+
+    /** Counts a connection to an upstream. */
+    public void connectionOpened() {
+        connections.inc();
+    }
+
+    /**
+     * Counts an attempt without an answer.
+     *
+     * @param outcome how it ended
+     */
+    public void attemptFailed(String outcome) {
+        attempts.labelValues(outcome).inc();
+    }
+
+    /**
+     * Records the state of a budget.
+     *
+     * @param organisation the organisation
+     * @param freeTokens the tokens that new requests may reserve here
+     * @param consumedTokens the tokens consumed here
+     */
+    public void budget(String organisation, long freeTokens, long consumedTokens) {
+        budgetTokens.labelValues(organisation, "free").set(freeTokens);
+        budgetTokens.labelValues(organisation, "consumed").set(consumedTokens);
+    }
+
+    /**
+     * Writes all metrics in the Prometheus text format.
+     *
+     * @param droppedLogLines the log lines that were not written
+     * @return the text in UTF-8
+     */
+    public byte[] text(long droppedLogLines) {
+        droppedLines.set(droppedLogLines);
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try {
+            new PrometheusTextFormatWriter(false).write(bytes, registry.scrape());
+        } catch (IOException failure) {
+            throw new UncheckedIOException(failure);
+        }
+        return bytes.toByteArray();
+    }
+}
--- /dev/null
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** Counters and histograms. */
+package io.jayhead.gateway.metrics;
--- /dev/null
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/package-info.java
@@ -0,0 +1,2 @@
+/** Assembly of the router that forwards opaque requests. */
+package io.jayhead.gateway;
--- /dev/null
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamConnections.java
@@ -0,0 +1,106 @@
+package io.jayhead.gateway.upstream;
+
+import io.jayhead.gateway.wire.WireDialect;
+import io.jayhead.routing.registry.Upstream;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpClientCodec;
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+/** The connections of this router to one incarnation of an upstream; used by the traffic thread. */
+final class UpstreamConnections {
+
+    /** A SYN that is not answered within some round trips is lost or the upstream is unreachable. */
+    static final int CONNECT_TIMEOUT_MS = 250;
+    /** Idle connections are closed after this time, before the upstream does. */
+    static final long IDLE_LIMIT_MS = 4_000;
+
+    private static final int MAX_HEAD_BYTES = 65_536;
+
+    private final Upstream upstream;
+    private final EventLoop loop;
+    private final WireDialect dialect;
+    private final Runnable onNewConnection;
+    private final Deque<UpstreamConnection> idle = new ArrayDeque<>();
+    private int open;
+
+    UpstreamConnections(Upstream upstream, EventLoop loop, WireDialect dialect, Runnable onNewConnection) {
+        this.upstream = upstream;
+        this.loop = loop;
+        this.dialect = dialect;
+        this.onNewConnection = onNewConnection;
+    }
+
+    int open() {
+        return open;
+    }
+
+    void acquire(int maxConnections, AttemptListener listener) {
+        long nowNs = System.nanoTime();
+        for (UpstreamConnection next = idle.pollFirst(); next != null; next = idle.pollFirst()) {
+            if (next.isUsable(nowNs)) {
+                next.markReused();
+                listener.connected(next);
+                return;
+            }
+            next.close();
+        }
+        if (open >= maxConnections) {
+            listener.notConnected();
+            return;
+        }
+        connect(listener);
+    }
+
+    private void connect(AttemptListener listener) {
+        open++;
+        onNewConnection.run();
+        UpstreamConnection connection = new UpstreamConnection(dialect, this, IDLE_LIMIT_MS);
+        new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline().addLast(new HttpClientCodec(4_096, MAX_HEAD_BYTES, 8_192), connection);
+                    }
+                })
+                .connect(upstream.host(), upstream.port())
+                .addListener(connected -> {
+                    if (connected.isSuccess()) {
+                        listener.connected(connection);
+                    } else {
+                        open--;
+                        listener.notConnected();
+                    }
+                });
+    }
+
+    void released(UpstreamConnection connection) {
+        idle.addFirst(connection);
+    }
+
+    void closed(UpstreamConnection connection) {
+        open--;
+        idle.remove(connection);
+    }
+
+    void closeExpired(long nowNs) {
+        while (!idle.isEmpty() && !idle.peekLast().isUsable(nowNs)) {
+            idle.pollLast().close();
+        }
+    }
+
+    void closeIdle() {
+        for (UpstreamConnection next = idle.pollFirst(); next != null; next = idle.pollFirst()) {
+            next.close();
+        }
+    }
+}
--- /dev/null
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamHandle.java
@@ -0,0 +1,121 @@
+package io.jayhead.gateway.upstream;
+
+import io.jayhead.routing.placement.Candidate;
+import io.jayhead.routing.registry.Upstream;
+
+/** One incarnation of an upstream as this router sees it; used by the traffic thread. */
+public final class UpstreamHandle {
+
+    /** The severity of a failure that the upstream itself reports; the service may mean it as an answer. */
+    private static final double REPORTED_FAILURE = 0.4;
+    /** The severity of a rejected request; the upstream works, but is full. */
+    private static final double REJECTION = 0.3;
+
+    private final UpstreamLoad load = new UpstreamLoad();
+    private final UpstreamConnections connections;
+    private final boolean sameZone;
+    private Upstream upstream;
+
+    UpstreamHandle(Upstream upstream, UpstreamConnections connections, boolean sameZone) {
+        this.upstream = upstream;
+        this.connections = connections;
+        this.sameZone = sameZone;
+    }
+
+    /**
+     * Returns the upstream.
+     *
+     * @return the newest entry of the registry
+     */
+    public Upstream upstream() {
+        return upstream;
+    }
+
+    /**
+     * Takes a connection for one request.
+     *
+     * @param maxConnections the connections that this router may open
+     * @param listener receives the connection
+     */
+    public void acquire(int maxConnections, AttemptListener listener) {
+        connections.acquire(maxConnections, listener);
+    }
+
+    /**
+     * Counts a request that is being sent.
+     *
+     * @param promptTokens the prompt tokens that the upstream has to read
+     */
+    public void started(long promptTokens) {
+        load.started(promptTokens);
+    }
+
+    /**
+     * Counts a prompt that has been read.
+     *
+     * @param promptTokens the prompt tokens of the request
+     */
+    public void promptRead(long promptTokens) {
+        load.promptRead(promptTokens);
+    }
+
+    /** Counts a request that has ended. */
+    public void ended() {
+        load.ended();
+    }
+
+    /**
+     * Records an answer.
+     *
+     * @param answerMs the time until its first byte
+     */
+    public void answered(double answerMs) {
+        load.answered(answerMs, System.nanoTime());
+    }
+
+    /** Records a failure that the upstream reported. */
+    public void reportedFailure() {
+        load.failed(REPORTED_FAILURE, System.nanoTime());
+    }
+
+    /** Records a request that the upstream did not accept. */
+    public void rejected() {
+        load.failed(REJECTION, System.nanoTime());
+    }
+
+    /** Records a broken or missing answer. */
+    public void broke() {
+        load.failed(1, System.nanoTime());
+    }
+
+    /** Records that no connection could be made. */
+    public void unreachable() {
+        load.unreachable(System.nanoTime());
+        connections.closeIdle();
+    }
+
+    /**
+     * Records the load that the upstream reports.
+     *
+     * @param requests its running and waiting requests
+     */
+    public void reported(int requests) {
+        load.reported(requests, System.nanoTime());
+    }
+
+    Candidate candidate(long nowNs) {
+        return load.candidate(upstream, sameZone, nowNs);
+    }
+
+    UpstreamConnections connections() {
+        return connections;
+    }
+
+    void update(Upstream newest) {
+        upstream = newest;
+    }
+
+    boolean isIdle() {
+        return load.inFlight() == 0 && connections.open() == 0;
+    }
+}
--- /dev/null
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamLoad.java
@@ -0,0 +1,79 @@
+package io.jayhead.gateway.upstream;
+
+import io.jayhead.routing.placement.Candidate;
+import io.jayhead.routing.registry.Upstream;
+
+/** What this router knows of the load and the health of one upstream; used by the traffic thread. */
+final class UpstreamLoad {
+
+    /** The weight of the newest answer in the failure rate. */
+    private static final double FAILURE_WEIGHT = 0.25;
+    /** Above this share of failed answers, an upstream is avoided. */
+    private static final double SUSPECT_RATE = 0.45;
+    /** The time for which a suspect upstream is avoided before it is tried again. */
+    private static final long SUSPECT_NS = 1_500_000_000L;
+    /** A report tells little about the load after this time. */
+    private static final long REPORT_MAX_AGE_NS = 1_000_000_000L;
+    /** The weight of the newest answer in the mean answer time. */
+    private static final double ANSWER_WEIGHT = 0.2;
+    /** The mean answer time is forgotten by half after this time without an answer. */
+    private static final double ANSWER_HALF_LIFE_NS = 2e9;
+
+    private int inFlight;
+    private long pendingPromptTokens;
+    private int reportedOthers;
+    private long reportedAtNs;
+    private double failureRate;
+    private long lastFailureNs;
+    private double averageAnswerMs;
+    private long lastAnswerNs;
+
+    Candidate candidate(Upstream upstream, boolean sameZone, long nowNs) {
+        int others = nowNs - reportedAtNs < REPORT_MAX_AGE_NS ? reportedOthers : 0;
+        double decay = Math.pow(0.5, (nowNs - lastAnswerNs) / ANSWER_HALF_LIFE_NS);
+        return new Candidate(
+                upstream, inFlight, others, pendingPromptTokens, isSuspect(nowNs), sameZone, averageAnswerMs * decay);
+    }
+
+    boolean isSuspect(long nowNs) {
+        return failureRate > SUSPECT_RATE && nowNs - lastFailureNs < SUSPECT_NS;
+    }
+
+    int inFlight() {
+        return inFlight;
+    }
+
+    void started(long promptTokens) {
+        inFlight++;
+        pendingPromptTokens += promptTokens;
+    }
+
+    void promptRead(long promptTokens) {
+        pendingPromptTokens -= promptTokens;
+    }
+
+    void ended() {
+        inFlight--;
+    }
+
+    void answered(double answerMs, long nowNs) {
+        failureRate *= 1 - FAILURE_WEIGHT;
+        averageAnswerMs += ANSWER_WEIGHT * (answerMs - averageAnswerMs);
+        lastAnswerNs = nowNs;
+    }
+
+    void failed(double severity, long nowNs) {
+        failureRate += FAILURE_WEIGHT * severity * (1 - failureRate);
+        lastFailureNs = nowNs;
+    }
+
+    void unreachable(long nowNs) {
+        failureRate = 1;
+        lastFailureNs = nowNs;
+    }
+
+    void reported(int requests, long nowNs) {
+        reportedOthers = Math.max(0, requests - inFlight);
+        reportedAtNs = nowNs;
+    }
+}
--- /dev/null
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamTable.java
@@ -0,0 +1,92 @@
+package io.jayhead.gateway.upstream;
+
+import io.jayhead.gateway.wire.WireDialect;
+import io.jayhead.routing.placement.Candidate;
+import io.jayhead.routing.registry.Upstream;
+import io.jayhead.routing.registry.UpstreamRegistry;
+import io.netty.channel.EventLoop;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** All upstreams that this router has met; used by the traffic thread. */
+public final class UpstreamTable {
+
+    private final EventLoop loop;
+    private final WireDialect dialect;
+    private final String availabilityZone;
+    private final Runnable onNewConnection;
+    private final Map<String, UpstreamHandle> handles = new HashMap<>();
+
+    /**
+     * Creates an empty table.
+     *
+     * @param loop the traffic thread
+     * @param dialect reads the answers
+     * @param availabilityZone the zone of this router
+     * @param onNewConnection is called for each connection that is opened
+     */
+    public UpstreamTable(EventLoop loop, WireDialect dialect, String availabilityZone, Runnable onNewConnection) {
+        this.loop = loop;
+        this.dialect = dialect;
+        this.availabilityZone = availabilityZone;
+        this.onNewConnection = onNewConnection;
+    }
+
+    /**
+     * Returns the upstreams of a service with their load.
+     *
+     * @param registry the present registry
+     * @param service the service
+     * @return the candidates
+     */
+    public List<Candidate> candidates(UpstreamRegistry registry, String service) {
+        long nowNs = System.nanoTime();
+        return registry.ready(service).stream()
+                .map(upstream -> handle(upstream).candidate(nowNs))
+                .toList();
+    }
+
+    /**
+     * Returns what is known of an upstream.
+     *
+     * @param upstream the entry of the registry
+     * @return the handle
+     */
+    public UpstreamHandle handle(Upstream upstream) {
+        UpstreamHandle handle = handles.computeIfAbsent(
+                upstream.incarnation(),
+                incarnation -> new UpstreamHandle(
+                        upstream,
+                        new UpstreamConnections(upstream, loop, dialect, onNewConnection),
+                        upstream.availabilityZone().equals(availabilityZone)));
+        handle.update(upstream);
+        return handle;
+    }
+
+    /**
+     * Closes idle connections that are old or lead to upstreams that take no requests.
+     *
+     * @param registry the present registry
+     */
+    public void sweep(UpstreamRegistry registry) {
+        long nowNs = System.nanoTime();
+        handles.values().forEach(handle -> sweep(handle, registry, nowNs));
+        handles.values().removeIf(handle -> !isListed(handle, registry) && handle.isIdle());
+    }
+
+    private static void sweep(UpstreamHandle handle, UpstreamRegistry registry, long nowNs) {
+        if (isListed(handle, registry)) {
+            handle.connections().closeExpired(nowNs);
+        } else {
+            handle.connections().closeIdle();
+        }
+    }
+
+    private static boolean isListed(UpstreamHandle handle, UpstreamRegistry registry) {
+        return registry.find(handle.upstream().id())
+                .filter(listed -> !listed.draining())
+                .filter(listed -> listed.incarnation().equals(handle.upstream().incarnation()))
+                .isPresent();
+    }
+}
--- /dev/null
+++ b/jayhead-routing/src/main/java/io/jayhead/routing/placement/Candidate.java
@@ -0,0 +1,23 @@
+package io.jayhead.routing.placement;
+
+import io.jayhead.routing.registry.Upstream;
+
+/**
+ * An upstream with what is known of its load.
+ *
+ * @param upstream the upstream
+ * @param inFlight the requests that this router has open there
+ * @param reportedOthers the requests that the upstream last reported beyond those of this router
+ * @param pendingPromptTokens the prompt tokens sent by this router whose first event has not arrived
+ * @param suspect whether it recently failed to answer
+ * @param sameZone whether it stands in the router's availability zone
+ * @param averageAnswerMs the mean time to the first byte of its recent answers; 0 if not known
+ */
+public record Candidate(
+        Upstream upstream,
+        int inFlight,
+        int reportedOthers,
+        long pendingPromptTokens,
+        boolean suspect,
+        boolean sameZone,
+        double averageAnswerMs) {}
--- /dev/null
+++ b/jayhead-routing/src/main/java/io/jayhead/routing/placement/Placement.java
@@ -0,0 +1,96 @@
+package io.jayhead.routing.placement;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Chooses the upstream with the least expected time to the first byte.
+ *
+ * <p>Requests that share prompt parts prefer the same few engines, by highest random weight of the part and the engine,
+ * so that all routers agree on them without exchanging messages. The preference is worth the prefill time that a cached
+ * part saves and ends where the queue at the preferred engine costs more.
+ */
+public final class Placement {
+
+    /** The prompt tokens that an engine reads in a millisecond, when the service does not say otherwise. */
+    public static final double PROMPT_TOKENS_PER_MS = 56;
+    /** The time that one running request adds for the others, in milliseconds of the first token. */
+    private static final double RUNNING_REQUEST_MS = 3.0;
+    /** The expected time of a plain call, used per request ahead. */
+    private static final double PLAIN_CALL_MS = 20;
+    /** A suspect upstream is chosen only when no other is left. */
+    private static final double SUSPECT_MS = 60_000;
+    /** Bytes between availability zones are billed; a small weight keeps near upstreams first among equals. */
+    private static final double OTHER_ZONE_MS = 2.0;
+    /** The engines that keep a shared part: the more, the more often it is read again; the fewer, the hotter they are. */
+    private static final int HOLDERS = 2;
+    /** Other requests wait while an uncached part is read, so reading it again costs more than its own prefill. */
+    private static final double REREAD_FACTOR = 2.0;
+
+    private Placement() {}
+
+    /**
+     * Chooses an upstream.
+     *
+     * @param candidates the upstreams that take requests
+     * @param request the request
+     * @return the choice, or empty if no candidate is left
+     */
+    public static Optional<Candidate> choose(List<Candidate> candidates, PlacementRequest request) {
+        List<Candidate> open = candidates.stream()
+                .filter(each -> !request.excluded().contains(each.upstream().incarnation()))
+                .toList();
+        if (open.isEmpty()) {
+            return Optional.empty();
+        }
+        List<String> holders = holders(open, request.affinityKey());
+        return open.stream()
+                .min(Comparator.comparingDouble((Candidate each) -> cost(each, request, holders))
+                        .thenComparingInt(each -> mix(each.upstream().id(), Integer.toString(request.salt()))));
+    }
+
+    /**
+     * Estimates the time until the first byte of an answer.
+     *
+     * @param candidate the upstream
+     * @param request the request
+     * @param holders the identities of the engines that are expected to hold the shared parts
+     * @return the time in milliseconds; only the order between candidates is meaningful for suspect upstreams
+     */
+    static double cost(Candidate candidate, PlacementRequest request, List<String> holders) {
+        double base = candidate.suspect() ? SUSPECT_MS : 0;
+        base += candidate.sameZone() ? 0 : OTHER_ZONE_MS;
+        int running = candidate.inFlight() + candidate.reportedOthers();
+        if (!request.modelRequest()) {
+            int slots = Math.max(1, candidate.upstream().slots());
+            double excessMs = Math.max(0, candidate.averageAnswerMs() - PLAIN_CALL_MS);
+            return base + PLAIN_CALL_MS * running / slots + excessMs;
+        }
+        boolean cached = holders.contains(candidate.upstream().id());
+        double rereadMs = cached ? 0 : REREAD_FACTOR * request.sharedTokens() / PROMPT_TOKENS_PER_MS;
+        return base + rereadMs + candidate.pendingPromptTokens() / PROMPT_TOKENS_PER_MS + RUNNING_REQUEST_MS * running;
+    }
+
+    private static List<String> holders(List<Candidate> candidates, String key) {
+        if (key.isEmpty()) {
+            return List.of();
+        }
+        return candidates.stream()
+                .filter(each -> !each.suspect())
+                .map(each -> each.upstream().id())
+                .sorted(Comparator.comparingInt(id -> mix(id, key)))
+                .limit(HOLDERS)
+                .toList();
+    }
+
+    /** Mixes the bits of two hashes (the finalizer of MurmurHash3). */
+    private static int mix(String left, String right) {
+        int hash = left.hashCode() * 31 + right.hashCode();
+        hash ^= hash >>> 16;
+        hash *= 0x85ebca6b;
+        hash ^= hash >>> 13;
+        hash *= 0xc2b2ae35;
+        return hash ^ hash >>> 16;
+    }
+}
--- /dev/null
+++ b/jayhead-routing/src/main/java/io/jayhead/routing/placement/package-info.java
@@ -0,0 +1,2 @@
+/** Choice of the upstream for one request. */
+package io.jayhead.routing.placement;
--- /dev/null
+++ b/jayhead-routing/src/main/java/io/jayhead/routing/registry/UpstreamRegistry.java
@@ -0,0 +1,94 @@
+package io.jayhead.routing.registry;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+/** The upstreams that may be used; an immutable snapshot. */
+public final class UpstreamRegistry {
+
+    private final Map<String, Upstream> byId;
+    private final Map<String, List<Upstream>> readyByService;
+
+    private UpstreamRegistry(Map<String, Upstream> byId) {
+        this.byId = Map.copyOf(byId);
+        this.readyByService = byId.values().stream()
+                .filter(upstream -> !upstream.draining())
+                .collect(Collectors.groupingBy(Upstream::service));
+    }
+
+    /**
+     * Returns a registry.
+     *
+     * @param byId the upstreams by identity
+     * @return the registry
+     */
+    public static UpstreamRegistry of(Map<String, Upstream> byId) {
+        return new UpstreamRegistry(byId);
+    }
+
+    /**
+     * Returns a registry without entries.
+     *
+     * @return the registry
+     */
+    public static UpstreamRegistry empty() {
+        return of(Map.of());
+    }
+
+    /**
+     * Returns a registry with one entry added or replaced.
+     *
+     * @param upstream the entry
+     * @return the new registry
+     */
+    public UpstreamRegistry with(Upstream upstream) {
+        Map<String, Upstream> entries = new HashMap<>(byId);
+        entries.put(upstream.id(), upstream);
+        return of(entries);
+    }
+
+    /**
+     * Returns a registry without some entries.
+     *
+     * @param ids the identities to leave out
+     * @return the new registry
+     */
+    public UpstreamRegistry without(Set<String> ids) {
+        Map<String, Upstream> entries = new HashMap<>(byId);
+        entries.keySet().removeAll(ids);
+        return of(entries);
+    }
+
+    /**
+     * Returns the upstreams of a service that take new requests.
+     *
+     * @param service the name of the service
+     * @return the upstreams in no particular order
+     */
+    public List<Upstream> ready(String service) {
+        return readyByService.getOrDefault(service, List.of());
+    }
+
+    /**
+     * Finds an upstream.
+     *
+     * @param id the identity
+     * @return the upstream, or empty if it is not listed
+     */
+    public Optional<Upstream> find(String id) {
+        return Optional.ofNullable(byId.get(id));
+    }
+
+    /**
+     * Returns the identities of all entries.
+     *
+     * @return the identities
+     */
+    public Set<String> ids() {
+        return byId.keySet();
+    }
+}
