--- a/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/GrantRule.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/GrantRule.java
@@ -4,7 +4,7 @@
 public final class GrantRule {
 
     /** A router takes at most this share of what is left, divided by the number of routers, ahead of its demand. */
-    private static final double AHEAD_SHARE = 0.25;
+    private static final double AHEAD_SHARE = 0.5;
 
     private GrantRule() {}
 
--- /dev/null
+++ b/jayhead-dispatch/src/test/java/io/jayhead/dispatch/forward/EventFramerTest.java
@@ -0,0 +1,44 @@
+package io.jayhead.dispatch.forward;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+class EventFramerTest {
+
+    private static final String STREAM = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: unfinished";
+
+    @Property
+    void eventsDoNotDependOnHowBytesArrive(@ForAll @IntRange(min = 1, max = 20) int chunkBytes) {
+        EventFramer framer = new EventFramer();
+        List<StreamEvent> events = new ArrayList<>();
+        byte[] bytes = STREAM.getBytes(StandardCharsets.UTF_8);
+        for (int start = 0; start < bytes.length; start += chunkBytes) {
+            int end = Math.min(bytes.length, start + chunkBytes);
+            events.addAll(framer.add(java.util.Arrays.copyOfRange(bytes, start, end)));
+        }
+        assertEquals(List.of("1", "2"), events.stream().map(StreamEvent::id).toList());
+        assertEquals("id: 3\ndata: unfinished", new String(framer.rest(), StandardCharsets.UTF_8));
+    }
+
+    @Test
+    void theBytesOfEventsAreKeptAsTheyCame() {
+        List<StreamEvent> events = new EventFramer().add(STREAM.getBytes(StandardCharsets.UTF_8));
+        assertEquals("id: 2\r\ndata: b\r\n\r\n", new String(events.get(1).bytes(), StandardCharsets.UTF_8));
+    }
+
+    @Test
+    void anIdentifierThatIsNoNumberIsKept() {
+        StreamEvent event = new EventFramer()
+                .add("id: a7\n\n".getBytes(StandardCharsets.UTF_8))
+                .get(0);
+        assertEquals("a7", event.id());
+        assertEquals(true, event.number().isEmpty());
+    }
+}
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/Gateway.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/Gateway.java
@@ -19,7 +19,7 @@
 import java.util.function.BiFunction;
 
 /** A router: one control thread, one traffic thread, and the servers for callers and checks. */
-public final class Gateway {
+public final class Gateway implements AutoCloseable {
 
     private static final long SWEEP_MS = 500;
     private static final long DRAIN_CHECK_MS = 50;
@@ -136,6 +136,13 @@
         traffic.schedule(onStopped, STOP_MARGIN_MS / 2, TimeUnit.MILLISECONDS);
     }
 
+    /** Ends all threads at once; open requests are cut off. */
+    @Override
+    public void close() {
+        trafficGroup.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+        controlGroup.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+    }
+
     private boolean isReady() {
         return !stopping && control.snapshot().isComplete();
     }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetAccount.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetAccount.java
@@ -12,10 +12,10 @@
 /** The tokens of one budget at this router and the requests that wait for them; used by the traffic thread. */
 final class BudgetAccount {
 
-    /** The demand that is taken ahead, so that requests seldom wait for the ledger. */
-    private static final double AHEAD_S = 2.5;
+    /** The demand that is taken ahead, so that requests are served while the ledger is out of reach for some seconds. */
+    private static final double AHEAD_S = 12;
     /** Below this much demand, more tokens are taken. */
-    private static final double LOW_WATER_S = 1.0;
+    private static final double LOW_WATER_S = 9;
     /** The time over which the demand is averaged. */
     private static final double DEMAND_WINDOW_S = 3.0;
     /** A page that was read within this time decides that a budget is exhausted. */
--- /dev/null
+++ b/jayhead-routing/src/test/java/io/jayhead/routing/placement/PlacementTest.java
@@ -0,0 +1,84 @@
+package io.jayhead.routing.placement;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.jayhead.routing.registry.Upstream;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+class PlacementTest {
+
+    @Test
+    void requestsThatShareAPromptPartGoToTheSameEngineWhileItIsFree() {
+        assertEquals(2, holders(engines(13, 0, 0), "part").size());
+    }
+
+    @Test
+    void differentPartsSpreadOverAllEngines() {
+        Set<String> used = new HashSet<>();
+        for (int part = 0; part < 100; part++) {
+            used.addAll(holders(engines(13, 0, 0), "part" + part));
+        }
+        assertEquals(13, used.size());
+    }
+
+    @Test
+    void aHotPartSpreadsWhenItsEnginesHaveAQueue() {
+        List<Candidate> engines = new ArrayList<>(engines(6, 0, 0));
+        Set<String> holders = holders(engines, "hot");
+        engines.replaceAll(each -> holders.contains(each.upstream().id())
+                ? candidate(each.upstream().id(), 10, 60_000, false)
+                : each);
+        assertFalse(holders.contains(chosen(engines, generation("hot", 1))));
+    }
+
+    @Test
+    void aSuspectUpstreamIsTheLastResort() {
+        List<Candidate> upstreams = List.of(candidate("a", 0, 0, true), candidate("b", 50, 0, false));
+        assertEquals("b", chosen(upstreams, plain(Set.of())));
+        assertEquals("a", chosen(upstreams, plain(Set.of("b@0"))));
+    }
+
+    @Test
+    void noUpstreamIsTriedTwice() {
+        assertTrue(Placement.choose(engines(1, 0, 0), plain(Set.of("e0@0"))).isEmpty());
+    }
+
+    private static Set<String> holders(List<Candidate> engines, String part) {
+        Set<String> chosen = new HashSet<>();
+        for (int salt = 0; salt < 50; salt++) {
+            chosen.add(chosen(engines, generation(part, salt)));
+        }
+        return chosen;
+    }
+
+    private static String chosen(List<Candidate> candidates, PlacementRequest request) {
+        return Placement.choose(candidates, request).get().upstream().id();
+    }
+
+    private static PlacementRequest generation(String part, int salt) {
+        return new PlacementRequest(true, 12_000, 5_000, part, Set.of(), salt);
+    }
+
+    private static PlacementRequest plain(Set<String> excluded) {
+        return new PlacementRequest(false, 0, 0, "", excluded, 1);
+    }
+
+    private static List<Candidate> engines(int count, int inFlight, long pendingTokens) {
+        List<Candidate> engines = new ArrayList<>();
+        for (int index = 0; index < count; index++) {
+            engines.add(candidate("e" + index, inFlight, pendingTokens, false));
+        }
+        return engines;
+    }
+
+    private static Candidate candidate(String id, int inFlight, long pendingTokens, boolean suspect) {
+        Upstream upstream = new Upstream(id, 0, "pool", "10.0.0.1", 80, "z1", false, 64);
+        return new Candidate(upstream, inFlight, 0, pendingTokens, suspect, true, 0);
+    }
+}
