--- a/jayhead-routing/src/main/java/io/jayhead/routing/placement/Placement.java
+++ b/jayhead-routing/src/main/java/io/jayhead/routing/placement/Placement.java
@@ -7,7 +7,7 @@
 /**
  * Chooses the upstream with the least expected time to the first byte.
  *
- * <p>Requests that share prompt parts prefer the same few engines, by highest random weight of the part and the engine,
+ * <p>Requests that share prompt parts prefer the same two engines, by highest random weight of the part and the engine,
  * so that all routers agree on them without exchanging messages. The preference is worth the prefill time that a cached
  * part saves and ends where the queue at the preferred engine costs more.
  */
@@ -23,10 +23,11 @@
     private static final double SUSPECT_MS = 60_000;
     /** Bytes between availability zones are billed; a small weight keeps near upstreams first among equals. */
     private static final double OTHER_ZONE_MS = 2.0;
-    /** The engines that keep a shared part: the more, the more often it is read again; the fewer, the hotter they are. */
-    private static final int HOLDERS = 2;
-    /** Other requests wait while an uncached part is read, so reading it again costs more than its own prefill. */
-    private static final double REREAD_FACTOR = 2.0;
+    /**
+     * The cost of reading the shared parts again, by the rank of the engine for them. The first engine keeps them, the
+     * second takes what the first cannot; elsewhere they are read in vain, and other requests wait meanwhile.
+     */
+    private static final double[] REREAD_FACTOR_BY_RANK = {0, 1.0, 2.5};
 
     private Placement() {}
 
@@ -55,7 +56,7 @@
      *
      * @param candidate the upstream
      * @param request the request
-     * @param holders the identities of the engines that are expected to hold the shared parts
+     * @param holders the identities of the engines that are expected to hold the shared parts, the first one first
      * @return the time in milliseconds; only the order between candidates is meaningful for suspect upstreams
      */
     static double cost(Candidate candidate, PlacementRequest request, List<String> holders) {
@@ -67,8 +68,9 @@
             double excessMs = Math.max(0, candidate.averageAnswerMs() - PLAIN_CALL_MS);
             return base + PLAIN_CALL_MS * running / slots + excessMs;
         }
-        boolean cached = holders.contains(candidate.upstream().id());
-        double rereadMs = cached ? 0 : REREAD_FACTOR * request.sharedTokens() / PROMPT_TOKENS_PER_MS;
+        int rank = holders.indexOf(candidate.upstream().id());
+        double factor = REREAD_FACTOR_BY_RANK[rank < 0 ? REREAD_FACTOR_BY_RANK.length - 1 : rank];
+        double rereadMs = factor * request.sharedTokens() / PROMPT_TOKENS_PER_MS;
         return base + rereadMs + candidate.pendingPromptTokens() / PROMPT_TOKENS_PER_MS + RUNNING_REQUEST_MS * running;
     }
 
@@ -80,7 +82,7 @@
                 .filter(each -> !each.suspect())
                 .map(each -> each.upstream().id())
                 .sorted(Comparator.comparingInt(id -> mix(id, key)))
-                .limit(HOLDERS)
+                .limit(REREAD_FACTOR_BY_RANK.length - 1)
                 .toList();
     }
 
