Ask for the tokens of all budgets in one update, and watch for longer

Change: one page; whoever asks takes the needs of all budgets along; returns of scarce tokens once a second; watches of 15 s, with TCP keep-alive probes to find silent connections.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetAccount.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetAccount.java
@@ -15,7 +15,7 @@
     /** The demand that is taken ahead, so that requests are served while the ledger is out of reach for some seconds. */
     private static final double AHEAD_S = 12;
     /** Below this much demand, more tokens are taken. */
-    private static final double LOW_WATER_S = 9;
+    private static final double LOW_WATER_S = 8;
     /** The time over which the demand is averaged. */
     private static final double DEMAND_WINDOW_S = 3.0;
     /** A page that was read within this time decides that a budget is exhausted. */
@@ -23,9 +23,12 @@
     /** When less than this share of a budget is left, tokens that no request needs go back at once. */
     private static final double SCARCE_SHARE = 0.08;
     /** The demand that is kept when tokens are scarce. */
-    private static final double SCARCE_KEEP_S = 0.3;
+    private static final double SCARCE_KEEP_S = 0.5;
+    /** Returns cost a call each, so they are collected for this time. */
+    private static final long RETURN_INTERVAL_NS = 1_000_000_000L;
 
     private final Consumer<BudgetNeed> needs;
+    private final Runnable onAsk;
     private final Deque<Waiting> waiting = new ArrayDeque<>();
     private Wallet wallet = Wallet.empty();
     private long prepaidTokens;
@@ -34,11 +37,13 @@
     private boolean pageRead;
     private boolean asked;
     private long returnedTokens;
+    private long returnedAtNs = System.nanoTime();
     private double tokensPerS;
     private long demandAtNs = System.nanoTime();
 
-    BudgetAccount(Consumer<BudgetNeed> needs) {
+    BudgetAccount(Consumer<BudgetNeed> needs, Runnable onAsk) {
         this.needs = needs;
+        this.onAsk = onAsk;
     }
 
     Wallet wallet() {
@@ -102,8 +107,8 @@
     }
 
     private void returnScarce() {
-        boolean scarce = pageRead && leftTokens < SCARCE_SHARE * prepaidTokens;
-        if (!scarce || asked || !waiting.isEmpty()) {
+        boolean recent = System.nanoTime() - returnedAtNs < RETURN_INTERVAL_NS;
+        if (!isScarce() || asked || recent || !waiting.isEmpty()) {
             return;
         }
         giveBack(wallet.freeTokens() - (long) (tokensPerS * SCARCE_KEEP_S));
@@ -115,6 +120,7 @@
         }
         asked = true;
         returnedTokens += tokens;
+        returnedAtNs = System.nanoTime();
         wallet = wallet.withOwn(wallet.ownTokens() - tokens);
         needs.accept(new BudgetNeed(0, 0, tokens));
     }
@@ -150,18 +156,37 @@
         }
         long total = waiting.stream().mapToLong(Waiting::tokens).sum();
         long required = Math.max(1, total - wallet.freeTokens());
-        asked = true;
-        needs.accept(new BudgetNeed(required, required + (long) (tokensPerS * AHEAD_S), 0));
+        ask(required);
     }
 
     private void askAhead() {
         boolean enough = wallet.freeTokens() >= tokensPerS * LOW_WATER_S;
-        boolean scarce = pageRead && leftTokens < SCARCE_SHARE * prepaidTokens;
-        if (asked || enough || scarce) {
+        if (asked || enough || isScarce()) {
+            return;
+        }
+        ask(0);
+    }
+
+    /** Asks for what is missing ahead because a call is made anyway. */
+    void joinAsking() {
+        long missing = (long) (tokensPerS * AHEAD_S) - wallet.freeTokens();
+        if (asked || missing <= 0 || isScarce()) {
             return;
         }
         asked = true;
-        needs.accept(new BudgetNeed(0, (long) (tokensPerS * AHEAD_S) - wallet.freeTokens(), 0));
+        needs.accept(new BudgetNeed(0, missing, 0));
+    }
+
+    private void ask(long required) {
+        long ahead = isScarce() ? 0 : (long) (tokensPerS * AHEAD_S);
+        long missing = required + ahead - Math.max(0, wallet.freeTokens());
+        asked = true;
+        onAsk.run();
+        needs.accept(new BudgetNeed(required, Math.max(required, missing), 0));
+    }
+
+    private boolean isScarce() {
+        return pageRead && leftTokens < SCARCE_SHARE * prepaidTokens;
     }
 
     private void countDemand(long tokens) {
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetDesk.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetDesk.java
@@ -87,11 +87,17 @@
         log.write(LogKind.BUDGET, "ledger unavailable");
     }
 
+    /** One update serves all budgets, so each call takes along what the others will need soon. */
+    private void joinAsking() {
+        accounts.values().forEach(BudgetAccount::joinAsking);
+    }
+
     private void tick() {
         accounts.values().forEach(BudgetAccount::tick);
     }
 
     private BudgetAccount account(String organisation) {
-        return accounts.computeIfAbsent(organisation, name -> new BudgetAccount(need -> needs.accept(name, need)));
+        return accounts.computeIfAbsent(
+                organisation, name -> new BudgetAccount(need -> needs.accept(name, need), this::joinAsking));
     }
 }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlPlane.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlPlane.java
@@ -16,10 +16,10 @@
 /** Owns the control state of a router. All state belongs to the control thread; snapshots are published to others. */
 public final class ControlPlane {
 
-    /** Bounds the time that a watch on a silent connection goes unnoticed. */
-    private static final int WATCH_WAIT_MS = 2_500;
+    /** Each renewal is a call; silent connections are found by keep-alive probes. */
+    private static final int WATCH_WAIT_MS = 15_000;
     /** More pages mean fewer conflicts between routers and more calls. */
-    private static final int LEDGER_PAGES = 2;
+    private static final int LEDGER_PAGES = 1;
 
     private static final long EXPIRY_CHECK_MS = 250;
 
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/LedgerKeeper.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/LedgerKeeper.java
@@ -21,7 +21,7 @@
 final class LedgerKeeper {
 
     /** Needs that no request waits for are collected for this time, so that one call serves many budgets. */
-    private static final long COLLECT_MS = 200;
+    private static final long COLLECT_MS = 300;
 
     private final String pageName;
     private final Platform platform;
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamConnections.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamConnections.java
@@ -61,7 +61,7 @@
         open++;
         onNewConnection.run();
         UpstreamConnection connection = new UpstreamConnection(dialect, this, IDLE_LIMIT_MS);
-        new Bootstrap()
+        KeepAliveOptions.apply(new Bootstrap())
                 .group(loop)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
