Do not bill a generation of which the caller received nothing

Ruled out: reservations that are not released (the sum of settled tokens equals what the ledger shows), counting of output tokens by whole events (under 0.2% of the budget). Change: tokens are consumed once a part of the answer was delivered.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
@@ -330,6 +330,7 @@
     }
 
     private void passOn(AttemptRun run, byte[] body) {
+        answerStarted = run.head().status().code() < 300;
         HttpHeaders headers = new DefaultHttpHeaders();
         context.dialect().copyAnswer(run.head().headers(), headers);
         caller.answer(run.head().status(), headers, body);
@@ -451,13 +452,14 @@
         end("caller closed", consumedTokens(), attempt);
     }
 
+    /** A generation of which the caller received nothing is not billed. */
     private long consumedTokens() {
-        if (facts.size().isEmpty() || mayHaveRun <= 0) {
+        if (facts.size().isEmpty() || !answerStarted) {
             return 0;
         }
         GenerationSize size = facts.size().get();
         int perEvent = service.tokensPerEvent();
-        if (!isStreaming() || perEvent == 0) {
+        if (perEvent == 0) {
             return size.maxTokens();
         }
         long output = Math.min(size.maxOutputTokens(), (long) perEvent * relay.events());
