Hold at most half of what is left ahead, by demand, and refuse at once while the ledger is away

Ruled out: late restarts (routers were configured 2 s after the power came back), engines (none was full). Change: entries carry the demand of their router; all routers together hold at most half of what nobody has taken, each by its demand, counting only the newest incarnation of a VM. A new demand is estimated without the bias of the empty past. While the ledger does not answer, a request beyond the wallet is refused at once instead of after 450 ms.

--- a/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/BudgetNeed.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/BudgetNeed.java
@@ -4,22 +4,28 @@
  * What a router wants to change in its entry of one budget.
  *
  * @param requiredTokens the least that waiting requests need beyond what the router has
- * @param desiredTokens what the router would like to take, at least the required tokens
+ * @param freeTokens what the router still has for new requests
+ * @param tokensPerS its demand
  * @param returnedTokens what the router gives back and has already written off
  */
-public record BudgetNeed(long requiredTokens, long desiredTokens, long returnedTokens) {
+public record BudgetNeed(long requiredTokens, long freeTokens, long tokensPerS, long returnedTokens) {
 
-    /** Makes the desired tokens cover the required ones. */
-    public BudgetNeed {
-        desiredTokens = Math.max(requiredTokens, desiredTokens);
+    /**
+     * Returns the need of a router that gives tokens back.
+     *
+     * @param tokens the tokens
+     * @return the need
+     */
+    public static BudgetNeed returning(long tokens) {
+        return new BudgetNeed(0, 0, 0, tokens);
     }
 
     /**
-     * Tells whether there is nothing to change.
+     * Tells whether the router wants tokens.
      *
-     * @return true if nothing is wanted or returned
+     * @return false if it only gives tokens back
      */
-    public boolean isEmpty() {
-        return desiredTokens <= 0 && returnedTokens <= 0;
+    public boolean wantsTokens() {
+        return returnedTokens == 0;
     }
 }
--- a/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/GrantRule.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/GrantRule.java
@@ -1,9 +1,16 @@
 package io.jayhead.admission.prepaid;
 
-/** Decides how much a router takes from a budget at once. */
+/**
+ * Decides how much a router takes from a budget at once.
+ *
+ * <p>Tokens that are held ahead keep a router serving while the store is out of reach, and are lost when it is killed.
+ * So all routers together hold at most a share of what is left, divided by their demand.
+ */
 public final class GrantRule {
 
-    /** A router takes at most this share of what is left, divided by the number of routers, ahead of its demand. */
+    /** The demand that is held ahead at the most; outages of the store last for several seconds. */
+    public static final double MAX_AHEAD_S = 12;
+    /** The routers together hold at most this part of the tokens that nobody has taken. */
     private static final double AHEAD_SHARE = 0.5;
 
     private GrantRule() {}
@@ -13,13 +20,14 @@
      *
      * @param need what the router wants
      * @param leftTokens what no router has taken yet
-     * @param holders the routers that draw from the budget
+     * @param othersTokensPerS the demand of the other routers
      * @return the tokens to take; less than the required tokens if the budget cannot cover them
      */
-    public static long tokensToTake(BudgetNeed need, long leftTokens, int holders) {
+    public static long tokensToTake(BudgetNeed need, long leftTokens, long othersTokensPerS) {
         long left = Math.max(0, leftTokens);
-        long ahead = (long) (left * AHEAD_SHARE / Math.max(1, holders));
-        long wanted = Math.max(need.requiredTokens(), Math.min(need.desiredTokens(), ahead));
-        return Math.min(wanted, left);
+        double allTokensPerS = Math.max(1.0, (double) othersTokensPerS + need.tokensPerS());
+        double aheadS = Math.min(MAX_AHEAD_S, AHEAD_SHARE * left / allTokensPerS);
+        long ahead = (long) (need.tokensPerS() * aheadS) - need.freeTokens();
+        return Math.min(Math.max(need.requiredTokens(), ahead), left);
     }
 }
--- a/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/LedgerPage.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/LedgerPage.java
@@ -4,17 +4,17 @@
 import java.util.Map;
 
 /**
- * The tokens that routers have taken from a group of budgets; an immutable value.
+ * The entries of routers for a group of budgets; an immutable value.
  *
- * @param takenTokens the tokens taken, by organisation and then by holder
+ * @param entries the entries, by organisation and then by the name of the holder
  */
-public record LedgerPage(Map<String, Map<String, Long>> takenTokens) {
+public record LedgerPage(Map<String, Map<String, LedgerEntry>> entries) {
 
     /** Copies the maps. */
     public LedgerPage {
-        Map<String, Map<String, Long>> copy = new HashMap<>();
-        takenTokens.forEach((organisation, holders) -> copy.put(organisation, Map.copyOf(holders)));
-        takenTokens = Map.copyOf(copy);
+        Map<String, Map<String, LedgerEntry>> copy = new HashMap<>();
+        entries.forEach((organisation, holders) -> copy.put(organisation, Map.copyOf(holders)));
+        entries = Map.copyOf(copy);
     }
 
     /**
@@ -30,11 +30,11 @@
      * Returns what one holder has taken.
      *
      * @param organisation the organisation
-     * @param holder the holder
+     * @param holder the name of the holder
      * @return the tokens
      */
     public long taken(String organisation, String holder) {
-        return takenTokens.getOrDefault(organisation, Map.of()).getOrDefault(holder, 0L);
+        return holders(organisation).getOrDefault(holder, LedgerEntry.NONE).takenTokens();
     }
 
     /**
@@ -44,34 +44,52 @@
      * @return the tokens
      */
     public long takenByAll(String organisation) {
-        return takenTokens.getOrDefault(organisation, Map.of()).values().stream()
-                .mapToLong(Long::longValue)
+        return holders(organisation).values().stream()
+                .mapToLong(LedgerEntry::takenTokens)
                 .sum();
     }
 
     /**
-     * Returns the number of holders of a budget.
+     * Returns the demand of the other VMs, each by its newest incarnation.
      *
      * @param organisation the organisation
-     * @return the number of holders with an entry
+     * @param vmName the VM to leave out
+     * @return the demand in tokens per second
      */
-    public int holders(String organisation) {
-        return takenTokens.getOrDefault(organisation, Map.of()).size();
+    public long demandOfOthers(String organisation, String vmName) {
+        Map<String, Holder> newest = new HashMap<>();
+        for (String name : holders(organisation).keySet()) {
+            Holder holder = Holder.of(name);
+            newest.merge(
+                    holder.vmName(),
+                    holder,
+                    (one, other) -> one.startedAtEpochMs() >= other.startedAtEpochMs() ? one : other);
+        }
+        return newest.values().stream()
+                .filter(holder -> !holder.vmName().equals(vmName))
+                .mapToLong(holder -> holders(organisation)
+                        .getOrDefault(holder.name(), LedgerEntry.NONE)
+                        .tokensPerS())
+                .sum();
     }
 
     /**
      * Returns a page with one entry replaced.
      *
      * @param organisation the organisation
-     * @param holder the holder
-     * @param tokens what the holder has taken in total
+     * @param holder the name of the holder
+     * @param entry the new entry
      * @return the new page
      */
-    public LedgerPage with(String organisation, String holder, long tokens) {
-        Map<String, Map<String, Long>> pages = new HashMap<>(takenTokens);
-        Map<String, Long> holders = new HashMap<>(pages.getOrDefault(organisation, Map.of()));
-        holders.put(holder, tokens);
+    public LedgerPage with(String organisation, String holder, LedgerEntry entry) {
+        Map<String, Map<String, LedgerEntry>> pages = new HashMap<>(entries);
+        Map<String, LedgerEntry> holders = new HashMap<>(holders(organisation));
+        holders.put(holder, entry);
         pages.put(organisation, holders);
         return new LedgerPage(pages);
     }
+
+    private Map<String, LedgerEntry> holders(String organisation) {
+        return entries.getOrDefault(organisation, Map.of());
+    }
 }
--- a/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/LedgerSession.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/LedgerSession.java
@@ -13,13 +13,13 @@
  * The session therefore trusts only pages that it has read: tokens count as taken once a page shows them, and returned
  * tokens are written off before the update is sent.
  *
- * @param holder the name of this incarnation of the router
+ * @param holder this incarnation of the router
  * @param known the newest page read
  * @param pendingReturns returns that no page shows yet, by organisation
  * @param inFlight the update that was sent last and may still take effect
  */
 public record LedgerSession(
-        String holder, VersionedPage known, Map<String, Long> pendingReturns, Optional<LedgerUpdate> inFlight) {
+        Holder holder, VersionedPage known, Map<String, Long> pendingReturns, Optional<LedgerUpdate> inFlight) {
 
     /** The revision of a page that was never read. */
     public static final long UNREAD = -1;
@@ -32,10 +32,10 @@
     /**
      * Returns a session that has read nothing.
      *
-     * @param holder the name of this incarnation of the router
+     * @param holder this incarnation of the router
      * @return the session
      */
-    public static LedgerSession of(String holder) {
+    public static LedgerSession of(Holder holder) {
         return new LedgerSession(holder, new VersionedPage(LedgerPage.empty(), UNREAD), Map.of(), Optional.empty());
     }
 
@@ -55,7 +55,7 @@
      * @return the tokens taken, less those given back
      */
     public long ownTokens(String organisation) {
-        return known.page().taken(organisation, holder) - pendingReturns.getOrDefault(organisation, 0L);
+        return known.page().taken(organisation, holder.name()) - pendingReturns.getOrDefault(organisation, 0L);
     }
 
     /**
@@ -91,19 +91,14 @@
      */
     public Optional<LedgerUpdate> nextUpdate(Map<String, BudgetNeed> needs, Function<String, OptionalLong> prepaid) {
         LedgerPage page = known.page();
-        for (Map.Entry<String, Long> entry : pendingReturns.entrySet()) {
-            page = page.with(entry.getKey(), holder, ownTokens(entry.getKey()));
+        for (String organisation : pendingReturns.keySet()) {
+            page = page.with(organisation, holder.name(), new LedgerEntry(ownTokens(organisation), 0));
         }
         for (Map.Entry<String, BudgetNeed> entry : needs.entrySet()) {
             String organisation = entry.getKey();
             OptionalLong size = prepaid.apply(organisation);
-            if (size.isEmpty() || pendingReturns.containsKey(organisation)) {
-                continue;
-            }
-            long left = leftTokens(organisation, size.getAsLong());
-            long tokens = GrantRule.tokensToTake(entry.getValue(), left, page.holders(organisation));
-            if (tokens > 0) {
-                page = page.with(organisation, holder, page.taken(organisation, holder) + tokens);
+            if (size.isPresent() && !pendingReturns.containsKey(organisation)) {
+                page = withTaken(page, organisation, entry.getValue(), size.getAsLong());
             }
         }
         if (page.equals(known.page())) {
@@ -112,6 +107,17 @@
         return Optional.of(new LedgerUpdate(page, known.revision(), pendingReturns));
     }
 
+    private LedgerPage withTaken(LedgerPage page, String organisation, BudgetNeed need, long prepaidTokens) {
+        long left = leftTokens(organisation, prepaidTokens);
+        long others = page.demandOfOthers(organisation, holder.vmName());
+        long tokens = GrantRule.tokensToTake(need, left, others);
+        if (tokens <= 0) {
+            return page;
+        }
+        long taken = page.taken(organisation, holder.name()) + tokens;
+        return page.with(organisation, holder.name(), new LedgerEntry(taken, need.tokensPerS()));
+    }
+
     /**
      * Records that an update is being sent.
      *
@@ -144,8 +150,8 @@
     }
 
     private boolean showsUpdate(LedgerPage page, LedgerUpdate update) {
-        return update.page().takenTokens().keySet().stream()
+        return update.page().entries().keySet().stream()
                 .allMatch(organisation ->
-                        page.taken(organisation, holder) == update.page().taken(organisation, holder));
+                        page.taken(organisation, holder.name()) == update.page().taken(organisation, holder.name()));
     }
 }
--- /dev/null
+++ b/jayhead-admission/src/test/java/io/jayhead/admission/prepaid/LedgerPageTest.java
@@ -0,0 +1,24 @@
+package io.jayhead.admission.prepaid;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import org.junit.jupiter.api.Test;
+
+class LedgerPageTest {
+
+    @Test
+    void theDemandOfAnEarlierIncarnationDoesNotCount() {
+        LedgerPage page = LedgerPage.empty()
+                .with("shop", new Holder("vm-1", 10, "a").name(), new LedgerEntry(500, 70))
+                .with("shop", new Holder("vm-1", 20, "b").name(), new LedgerEntry(100, 30))
+                .with("shop", new Holder("vm-2", 10, "c").name(), new LedgerEntry(100, 5));
+        assertEquals(30, page.demandOfOthers("shop", "vm-2"));
+        assertEquals(700, page.takenByAll("shop"));
+    }
+
+    @Test
+    void aNameOfAnotherFormStillCountsWithWhatItTook() {
+        LedgerPage page = LedgerPage.empty().with("shop", "unknown", new LedgerEntry(9, 4));
+        assertEquals(9, page.takenByAll("shop"));
+    }
+}
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/Gateway.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/Gateway.java
@@ -1,5 +1,6 @@
 package io.jayhead.gateway;
 
+import io.jayhead.admission.prepaid.Holder;
 import io.jayhead.gateway.budget.BudgetDesk;
 import io.jayhead.gateway.control.ControlPlane;
 import io.jayhead.gateway.control.Platform;
@@ -49,7 +50,7 @@
      * @param settings the settings
      * @param dialect reads and writes headers
      * @param platform creates the platform's client on the control thread
-     * @param incarnation a name that no earlier process of this VM had
+     * @param incarnation a text without a slash that no earlier process of this VM had
      * @param log the log
      */
     public Gateway(
@@ -62,18 +63,18 @@
         this.dialect = dialect;
         this.log = log;
         EventLoop controlLoop = controlGroup.next();
-        ControlPlane[] holder = new ControlPlane[1];
+        ControlPlane[] created = new ControlPlane[1];
         this.budgets =
-                new BudgetDesk(traffic, (organisation, need) -> holder[0].need(organisation, need), log, metrics);
+                new BudgetDesk(traffic, (organisation, need) -> created[0].need(organisation, need), log, metrics);
         this.control = new ControlPlane(
                 controlLoop,
                 platform.apply(controlLoop, log),
-                settings.vmName() + "/" + incarnation,
+                new Holder(settings.vmName(), System.currentTimeMillis(), incarnation),
                 log,
                 metrics,
                 budgets,
                 this::snapshotChanged);
-        holder[0] = control;
+        created[0] = control;
         this.upstreams = new UpstreamTable(traffic, dialect, settings.availabilityZone(), metrics::connectionOpened);
         this.callers = new CallerServer(new GatewayContext(
                 traffic, dialect, control::snapshot, upstreams, budgets, new RetryBudgets(), log, metrics, drain));
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetAccount.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetAccount.java
@@ -1,6 +1,7 @@
 package io.jayhead.gateway.budget;
 
 import io.jayhead.admission.prepaid.BudgetNeed;
+import io.jayhead.admission.prepaid.GrantRule;
 import io.jayhead.admission.prepaid.Wallet;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -12,18 +13,18 @@
 /** The tokens of one budget at this router and the requests that wait for them; used by the traffic thread. */
 final class BudgetAccount {
 
-    /** The demand that is taken ahead, so that requests are served while the ledger is out of reach for some seconds. */
-    private static final double AHEAD_S = 12;
-    /** Below this much demand, more tokens are taken. */
-    private static final double LOW_WATER_S = 8;
+    /** Below this part of what was free after the last ledger reading, more tokens are taken. */
+    private static final double LOW_WATER = 0.65;
     /** The time over which the demand is averaged. */
     private static final double DEMAND_WINDOW_S = 3.0;
+    /** The demand of the first requests is averaged over at least this time. */
+    private static final double MIN_DEMAND_AGE_S = 0.5;
     /** A page that was read within this time decides that a budget is exhausted. */
     private static final long PAGE_MAX_AGE_NS = 700_000_000L;
     /** When less than this share of a budget is left, tokens that no request needs go back at once. */
     private static final double SCARCE_SHARE = 0.08;
     /** The demand that is kept when tokens are scarce. */
-    private static final double SCARCE_KEEP_S = 0.5;
+    private static final double SCARCE_KEEP_S = 1.0;
     /** Returns cost a call each, so they are collected for this time. */
     private static final long RETURN_INTERVAL_NS = 1_000_000_000L;
 
@@ -36,10 +37,13 @@
     private long pageReadAtNs;
     private boolean pageRead;
     private boolean asked;
+    private boolean unavailable;
     private long returnedTokens;
     private long returnedAtNs = System.nanoTime();
-    private double tokensPerS;
+    private long freeAfterReading;
+    private double averageTokensPerS;
     private long demandAtNs = System.nanoTime();
+    private final long firstDemandAtNs = System.nanoTime();
 
     BudgetAccount(Consumer<BudgetNeed> needs, Runnable onAsk) {
         this.needs = needs;
@@ -66,6 +70,10 @@
             callback.accept(ReservationResult.EXHAUSTED);
             return;
         }
+        if (unavailable) {
+            callback.accept(ReservationResult.UNAVAILABLE);
+            return;
+        }
         waiting.add(new Waiting(tokens, System.nanoTime() + waitMs * 1_000_000, callback));
         askForWaiting();
     }
@@ -77,6 +85,7 @@
 
     void ledgerRead(long ownTokens, long left, long returnsSeen) {
         asked = false;
+        unavailable = false;
         pageRead = true;
         pageReadAtNs = System.nanoTime();
         long returnsUnseen = returnedTokens - returnsSeen;
@@ -84,9 +93,18 @@
         leftTokens = left;
         serveWaiting();
         refuseUncovered();
+        freeAfterReading = Math.max(0, wallet.freeTokens());
         askForWaiting();
     }
 
+    /** Refuses the requests that wait, since the ledger will not answer in time; the keeper goes on asking. */
+    void ledgerUnavailable() {
+        unavailable = asked;
+        List<Waiting> refused = new ArrayList<>(waiting);
+        waiting.clear();
+        refused.forEach(each -> each.callback().accept(ReservationResult.UNAVAILABLE));
+    }
+
     void tick() {
         long nowNs = System.nanoTime();
         List<Waiting> expired = new ArrayList<>();
@@ -111,7 +129,7 @@
         if (!isScarce() || asked || recent || !waiting.isEmpty()) {
             return;
         }
-        giveBack(wallet.freeTokens() - (long) (tokensPerS * SCARCE_KEEP_S));
+        giveBack(wallet.freeTokens() - (long) (tokensPerS() * SCARCE_KEEP_S));
     }
 
     private void giveBack(long tokens) {
@@ -122,7 +140,7 @@
         returnedTokens += tokens;
         returnedAtNs = System.nanoTime();
         wallet = wallet.withOwn(wallet.ownTokens() - tokens);
-        needs.accept(new BudgetNeed(0, 0, tokens));
+        needs.accept(BudgetNeed.returning(tokens));
     }
 
     private boolean isExhausted(long tokens) {
@@ -160,8 +178,8 @@
     }
 
     private void askAhead() {
-        boolean enough = wallet.freeTokens() >= tokensPerS * LOW_WATER_S;
-        if (asked || enough || isScarce()) {
+        long nearlyUsed = Math.min(freeAfterReading, (long) (tokensPerS() * GrantRule.MAX_AHEAD_S));
+        if (asked || wallet.freeTokens() >= nearlyUsed * LOW_WATER) {
             return;
         }
         ask(0);
@@ -169,20 +187,21 @@
 
     /** Asks for what is missing ahead because a call is made anyway. */
     void joinAsking() {
-        long missing = (long) (tokensPerS * AHEAD_S) - wallet.freeTokens();
-        if (asked || missing <= 0 || isScarce()) {
+        if (asked || isScarce()) {
             return;
         }
         asked = true;
-        needs.accept(new BudgetNeed(0, missing, 0));
+        needs.accept(need(0));
     }
 
     private void ask(long required) {
-        long ahead = isScarce() ? 0 : (long) (tokensPerS * AHEAD_S);
-        long missing = required + ahead - Math.max(0, wallet.freeTokens());
         asked = true;
         onAsk.run();
-        needs.accept(new BudgetNeed(required, Math.max(required, missing), 0));
+        needs.accept(need(required));
+    }
+
+    private BudgetNeed need(long required) {
+        return new BudgetNeed(required, Math.max(0, wallet.freeTokens()), (long) tokensPerS(), 0);
     }
 
     private boolean isScarce() {
@@ -191,15 +210,21 @@
 
     private void countDemand(long tokens) {
         decayDemand();
-        tokensPerS += tokens / DEMAND_WINDOW_S;
+        averageTokensPerS += tokens / DEMAND_WINDOW_S;
     }
 
     private void decayDemand() {
         long nowNs = System.nanoTime();
-        tokensPerS *= Math.exp(-(nowNs - demandAtNs) / 1e9 / DEMAND_WINDOW_S);
+        averageTokensPerS *= Math.exp(-(nowNs - demandAtNs) / 1e9 / DEMAND_WINDOW_S);
         demandAtNs = nowNs;
     }
 
+    /** Corrects the average for the time before the first request, when there was no demand to see. */
+    private double tokensPerS() {
+        double ageS = Math.max(MIN_DEMAND_AGE_S, (System.nanoTime() - firstDemandAtNs) / 1e9);
+        return averageTokensPerS / (1 - Math.exp(-ageS / DEMAND_WINDOW_S));
+    }
+
     /** A request that waits for tokens. */
     private record Waiting(long tokens, long untilNs, Consumer<ReservationResult> callback) {}
 }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetDesk.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetDesk.java
@@ -84,7 +84,10 @@
 
     @Override
     public void ledgerUnavailable() {
-        log.write(LogKind.BUDGET, "ledger unavailable");
+        traffic.execute(() -> {
+            log.write(LogKind.BUDGET, "ledger unavailable", "accounts", accounts.size());
+            accounts.values().forEach(BudgetAccount::ledgerUnavailable);
+        });
     }
 
     /** One update serves all budgets, so each call takes along what the others will need soon. */
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlPlane.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlPlane.java
@@ -1,6 +1,7 @@
 package io.jayhead.gateway.control;
 
 import io.jayhead.admission.prepaid.BudgetNeed;
+import io.jayhead.admission.prepaid.Holder;
 import io.jayhead.gateway.log.DecisionLog;
 import io.jayhead.gateway.log.LogKind;
 import io.jayhead.gateway.metrics.GatewayMetrics;
@@ -38,7 +39,7 @@
      *
      * @param loop the control thread
      * @param platform the platform
-     * @param holder the name of this incarnation in ledger pages
+     * @param holder this incarnation in ledger pages
      * @param log the log
      * @param metrics the metrics
      * @param budgets receives the state of budgets
@@ -47,7 +48,7 @@
     public ControlPlane(
             EventLoop loop,
             Platform platform,
-            String holder,
+            Holder holder,
             DecisionLog log,
             GatewayMetrics metrics,
             BudgetListener budgets,
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/LedgerKeeper.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/LedgerKeeper.java
@@ -1,6 +1,7 @@
 package io.jayhead.gateway.control;
 
 import io.jayhead.admission.prepaid.BudgetNeed;
+import io.jayhead.admission.prepaid.Holder;
 import io.jayhead.admission.prepaid.LedgerSession;
 import io.jayhead.admission.prepaid.LedgerUpdate;
 import io.jayhead.admission.prepaid.VersionedPage;
@@ -41,7 +42,7 @@
 
     LedgerKeeper(
             String pageName,
-            String holder,
+            Holder holder,
             Platform platform,
             PlatformHealth health,
             EventLoop loop,
@@ -63,7 +64,7 @@
             session = session.withReturn(organisation, need.returnedTokens());
             returnedTokens.merge(organisation, need.returnedTokens(), Long::sum);
         }
-        if (need.desiredTokens() > 0) {
+        if (need.wantsTokens()) {
             needs.put(organisation, need);
         }
         asking.add(organisation);
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Refusal.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Refusal.java
@@ -13,7 +13,7 @@
     /** The prepaid budget cannot cover the request. */
     BUDGET_EXHAUSTED(HttpResponseStatus.PAYMENT_REQUIRED, 0),
     /** The ledger of the budget cannot be reached, so the request is not started. */
-    BUDGET_UNAVAILABLE(HttpResponseStatus.SERVICE_UNAVAILABLE, 1_000),
+    BUDGET_UNAVAILABLE(HttpResponseStatus.SERVICE_UNAVAILABLE, 300),
     /** The router has not yet read the configuration. */
     NOT_CONFIGURED(HttpResponseStatus.SERVICE_UNAVAILABLE, 500),
     /** The router is being stopped. */
