Lend tokens between routers while the ledger is away or nearly empty

Change: routers announce their peer address in the store; a router whose request is not covered asks up to four others by the Borrow message that jayhead-peer already has. The lender writes the tokens off before it answers. Tests: aRouterBorrowsFromAnotherWhileTheStoreIsDown, routersTogetherNeverServeMoreThanTheBudget.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/Gateway.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/Gateway.java
@@ -4,6 +4,7 @@
 import io.jayhead.gateway.budget.BudgetDesk;
 import io.jayhead.gateway.control.ControlPlane;
 import io.jayhead.gateway.control.Platform;
+import io.jayhead.gateway.control.RouterAddress;
 import io.jayhead.gateway.edge.CallerServer;
 import io.jayhead.gateway.edge.StatusServer;
 import io.jayhead.gateway.exchange.DrainState;
@@ -14,6 +15,9 @@
 import io.jayhead.gateway.metrics.GatewayMetrics;
 import io.jayhead.gateway.upstream.UpstreamTable;
 import io.jayhead.gateway.wire.WireDialect;
+import io.jayhead.peer.PeerClient;
+import io.jayhead.peer.PeerServer;
+import io.jayhead.peer.PeerTraffic;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.util.concurrent.TimeUnit;
@@ -64,12 +68,19 @@
         this.log = log;
         EventLoop controlLoop = controlGroup.next();
         ControlPlane[] created = new ControlPlane[1];
-        this.budgets =
-                new BudgetDesk(traffic, (organisation, need) -> created[0].need(organisation, need), log, metrics);
+        this.budgets = new BudgetDesk(
+                traffic,
+                (organisation, need) -> created[0].need(organisation, need),
+                PeerClient.of(trafficGroup, PeerTraffic.NONE),
+                settings.vmName(),
+                () -> created[0].snapshot().routers(),
+                log,
+                metrics);
         this.control = new ControlPlane(
                 controlLoop,
                 platform.apply(controlLoop, log),
                 new Holder(settings.vmName(), System.currentTimeMillis(), incarnation),
+                new RouterAddress(settings.vmName(), settings.peers()),
                 log,
                 metrics,
                 budgets,
@@ -85,6 +96,7 @@
         control.start();
         budgets.start();
         traffic.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+        PeerServer.start(trafficGroup, settings.peers(), budgets::answerPeer, PeerTraffic.NONE);
         callers.listen(trafficGroup, trafficGroup, settings.callers());
         new StatusServer(dialect.readinessPath(), this::isReady, () -> metrics.text(log.droppedLines()))
                 .listen(trafficGroup, settings.status());
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/GatewaySettings.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/GatewaySettings.java
@@ -9,6 +9,7 @@
  * @param availabilityZone the availability zone
  * @param callers the address for callers
  * @param status the address of the readiness check and the metrics
+ * @param peers the address for other routers
  * @param drainMs how long upstreams that leave go on serving
  * @param stopMs the time between the signal to stop and the end of the process
  */
@@ -17,6 +18,7 @@
         String availabilityZone,
         InetSocketAddress callers,
         InetSocketAddress status,
+        InetSocketAddress peers,
         int drainMs,
         long stopMs) {
 
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetAccount.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetAccount.java
@@ -1,53 +1,55 @@
 package io.jayhead.gateway.budget;
 
 import io.jayhead.admission.prepaid.BudgetNeed;
-import io.jayhead.admission.prepaid.GrantRule;
 import io.jayhead.admission.prepaid.Wallet;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
-import java.util.Iterator;
 import java.util.List;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 /** The tokens of one budget at this router and the requests that wait for them; used by the traffic thread. */
 final class BudgetAccount {
 
     /** Below this part of what was free after the last ledger reading, more tokens are taken. */
     private static final double LOW_WATER = 0.65;
-    /** The time over which the demand is averaged. */
-    private static final double DEMAND_WINDOW_S = 3.0;
-    /** The demand of the first requests is averaged over at least this time. */
-    private static final double MIN_DEMAND_AGE_S = 0.5;
     /** A page that was read within this time decides that a budget is exhausted. */
     private static final long PAGE_MAX_AGE_NS = 700_000_000L;
+    /** Other routers are not asked again within this time after they had nothing to lend. */
+    private static final long NO_LOAN_NS = 500_000_000L;
     /** When less than this share of a budget is left, tokens that no request needs go back at once. */
     private static final double SCARCE_SHARE = 0.08;
     /** The demand that is kept when tokens are scarce. */
     private static final double SCARCE_KEEP_S = 1.0;
     /** Returns cost a call each, so they are collected for this time. */
     private static final long RETURN_INTERVAL_NS = 1_000_000_000L;
+    /** A loan covers this much demand beyond the requests that wait. */
+    private static final double LOAN_AHEAD_S = 1.0;
 
     private final Consumer<BudgetNeed> needs;
     private final Runnable onAsk;
-    private final Deque<Waiting> waiting = new ArrayDeque<>();
+    private final LoanSource loans;
+    private final DemandRate demand = new DemandRate();
+    private final List<Waiting> waiting = new ArrayList<>();
     private Wallet wallet = Wallet.empty();
+    private long ledgerTokens;
+    private long borrowedTokens;
+    private long lentTokens;
     private long prepaidTokens;
     private long leftTokens;
+    private long freeAfterReading;
     private long pageReadAtNs;
     private boolean pageRead;
     private boolean asked;
     private boolean unavailable;
+    private boolean borrowing;
     private long returnedTokens;
     private long returnedAtNs = System.nanoTime();
-    private long freeAfterReading;
-    private double averageTokensPerS;
-    private long demandAtNs = System.nanoTime();
-    private final long firstDemandAtNs = System.nanoTime();
+    private long noLoanAtNs = System.nanoTime() - NO_LOAN_NS;
 
-    BudgetAccount(Consumer<BudgetNeed> needs, Runnable onAsk) {
+    BudgetAccount(Consumer<BudgetNeed> needs, Runnable onAsk, LoanSource loans) {
         this.needs = needs;
         this.onAsk = onAsk;
+        this.loans = loans;
     }
 
     Wallet wallet() {
@@ -59,23 +61,24 @@
             leftTokens += prepaid - prepaidTokens;
         }
         prepaidTokens = prepaid;
-        countDemand(tokens);
+        demand.add(tokens);
         if (waiting.isEmpty() && tokens <= wallet.freeTokens()) {
             wallet = wallet.reserve(tokens);
             callback.accept(ReservationResult.RESERVED);
             askAhead();
             return;
         }
-        if (isExhausted(tokens) && System.nanoTime() - pageReadAtNs < PAGE_MAX_AGE_NS) {
-            callback.accept(ReservationResult.EXHAUSTED);
-            return;
-        }
-        if (unavailable) {
-            callback.accept(ReservationResult.UNAVAILABLE);
+        boolean decided = isExhausted(tokens) && System.nanoTime() - pageReadAtNs < PAGE_MAX_AGE_NS;
+        if ((decided || unavailable) && System.nanoTime() - noLoanAtNs < NO_LOAN_NS) {
+            callback.accept(refusal());
             return;
         }
         waiting.add(new Waiting(tokens, System.nanoTime() + waitMs * 1_000_000, callback));
-        askForWaiting();
+        if (decided || unavailable) {
+            borrow();
+        } else {
+            askForWaiting();
+        }
     }
 
     void settle(long reserved, long consumed) {
@@ -88,35 +91,43 @@
         unavailable = false;
         pageRead = true;
         pageReadAtNs = System.nanoTime();
-        long returnsUnseen = returnedTokens - returnsSeen;
-        wallet = wallet.withOwn(ownTokens - returnsUnseen);
+        ledgerTokens = ownTokens - (returnedTokens - returnsSeen);
         leftTokens = left;
+        updateWallet();
         serveWaiting();
-        refuseUncovered();
         freeAfterReading = Math.max(0, wallet.freeTokens());
-        askForWaiting();
+        if (waiting.stream().anyMatch(each -> isExhausted(each.tokens()))) {
+            borrow();
+        } else {
+            askForWaiting();
+        }
     }
 
-    /** Refuses the requests that wait, since the ledger will not answer in time; the keeper goes on asking. */
+    /** Lets the requests that wait ask other routers, since the ledger will not answer in time. */
     void ledgerUnavailable() {
         unavailable = asked;
-        List<Waiting> refused = new ArrayList<>(waiting);
-        waiting.clear();
-        refused.forEach(each -> each.callback().accept(ReservationResult.UNAVAILABLE));
+        borrow();
+    }
+
+    /**
+     * Lends tokens to another router.
+     *
+     * @param tokens the tokens that it needs
+     * @return the tokens that are written off here
+     */
+    long lend(long tokens) {
+        if (!waiting.isEmpty()) {
+            return 0;
+        }
+        long lent = PeerLoans.tokensToLend(tokens, wallet.freeTokens());
+        lentTokens += lent;
+        updateWallet();
+        return lent;
     }
 
     void tick() {
         long nowNs = System.nanoTime();
-        List<Waiting> expired = new ArrayList<>();
-        for (Iterator<Waiting> each = waiting.iterator(); each.hasNext(); ) {
-            Waiting next = each.next();
-            if (next.untilNs() - nowNs <= 0) {
-                each.remove();
-                expired.add(next);
-            }
-        }
-        expired.forEach(each -> each.callback().accept(ReservationResult.UNAVAILABLE));
-        decayDemand();
+        refuse(each -> each.untilNs() - nowNs <= 0, ReservationResult.UNAVAILABLE);
         returnScarce();
     }
 
@@ -124,48 +135,89 @@
         giveBack(wallet.freeTokens());
     }
 
+    /** Asks for what is missing ahead because a call is made anyway. */
+    void joinAsking() {
+        if (asked || isScarce()) {
+            return;
+        }
+        asked = true;
+        needs.accept(need(0));
+    }
+
+    private void borrow() {
+        if (borrowing || waiting.isEmpty()) {
+            return;
+        }
+        borrowing = true;
+        long total = waiting.stream().mapToLong(Waiting::tokens).sum();
+        long ahead = (long) (demand.tokensPerS() * LOAN_AHEAD_S);
+        loans.borrow(total - wallet.freeTokens() + ahead, this::borrowed);
+    }
+
+    private void borrowed(long tokens) {
+        borrowing = false;
+        borrowedTokens += tokens;
+        updateWallet();
+        serveWaiting();
+        if (!waiting.isEmpty()) {
+            noLoanAtNs = System.nanoTime();
+            refuse(each -> true, refusal());
+        }
+    }
+
+    private ReservationResult refusal() {
+        return unavailable ? ReservationResult.UNAVAILABLE : ReservationResult.EXHAUSTED;
+    }
+
     private void returnScarce() {
         boolean recent = System.nanoTime() - returnedAtNs < RETURN_INTERVAL_NS;
         if (!isScarce() || asked || recent || !waiting.isEmpty()) {
             return;
         }
-        giveBack(wallet.freeTokens() - (long) (tokensPerS() * SCARCE_KEEP_S));
+        giveBack(wallet.freeTokens() - (long) (demand.tokensPerS() * SCARCE_KEEP_S));
     }
 
     private void giveBack(long tokens) {
-        if (tokens <= 0) {
+        long returned = Math.min(tokens, ledgerTokens);
+        if (returned <= 0) {
             return;
         }
         asked = true;
-        returnedTokens += tokens;
+        returnedTokens += returned;
         returnedAtNs = System.nanoTime();
-        wallet = wallet.withOwn(wallet.ownTokens() - tokens);
-        needs.accept(BudgetNeed.returning(tokens));
+        ledgerTokens -= returned;
+        updateWallet();
+        needs.accept(BudgetNeed.returning(returned));
+    }
+
+    private void updateWallet() {
+        wallet = wallet.withOwn(ledgerTokens + borrowedTokens - lentTokens);
     }
 
     private boolean isExhausted(long tokens) {
         return pageRead && leftTokens + wallet.freeTokens() < tokens;
     }
 
-    private void serveWaiting() {
-        while (!waiting.isEmpty() && waiting.peek().tokens() <= wallet.freeTokens()) {
-            Waiting next = waiting.poll();
-            wallet = wallet.reserve(next.tokens());
-            next.callback().accept(ReservationResult.RESERVED);
-        }
+    private boolean isScarce() {
+        return pageRead && leftTokens < SCARCE_SHARE * prepaidTokens;
     }
 
-    private void refuseUncovered() {
-        List<Waiting> refused = new ArrayList<>();
-        for (Iterator<Waiting> each = waiting.iterator(); each.hasNext(); ) {
-            Waiting next = each.next();
-            if (isExhausted(next.tokens())) {
-                each.remove();
-                refused.add(next);
+    private void serveWaiting() {
+        List<Waiting> served = new ArrayList<>();
+        for (Waiting next : waiting) {
+            if (next.tokens() <= wallet.freeTokens()) {
+                wallet = wallet.reserve(next.tokens());
+                served.add(next);
             }
         }
-        refused.forEach(each -> each.callback().accept(ReservationResult.EXHAUSTED));
-        serveWaiting();
+        waiting.removeAll(served);
+        served.forEach(each -> each.callback().accept(ReservationResult.RESERVED));
+    }
+
+    private void refuse(Predicate<Waiting> which, ReservationResult result) {
+        List<Waiting> refused = waiting.stream().filter(which).toList();
+        waiting.removeAll(refused);
+        refused.forEach(each -> each.callback().accept(result));
     }
 
     private void askForWaiting() {
@@ -173,27 +225,16 @@
             return;
         }
         long total = waiting.stream().mapToLong(Waiting::tokens).sum();
-        long required = Math.max(1, total - wallet.freeTokens());
-        ask(required);
+        ask(Math.max(1, total - wallet.freeTokens()));
     }
 
     private void askAhead() {
-        long nearlyUsed = Math.min(freeAfterReading, (long) (tokensPerS() * GrantRule.MAX_AHEAD_S));
-        if (asked || wallet.freeTokens() >= nearlyUsed * LOW_WATER) {
+        if (asked || wallet.freeTokens() >= freeAfterReading * LOW_WATER) {
             return;
         }
         ask(0);
     }
 
-    /** Asks for what is missing ahead because a call is made anyway. */
-    void joinAsking() {
-        if (asked || isScarce()) {
-            return;
-        }
-        asked = true;
-        needs.accept(need(0));
-    }
-
     private void ask(long required) {
         asked = true;
         onAsk.run();
@@ -201,28 +242,7 @@
     }
 
     private BudgetNeed need(long required) {
-        return new BudgetNeed(required, Math.max(0, wallet.freeTokens()), (long) tokensPerS(), 0);
-    }
-
-    private boolean isScarce() {
-        return pageRead && leftTokens < SCARCE_SHARE * prepaidTokens;
-    }
-
-    private void countDemand(long tokens) {
-        decayDemand();
-        averageTokensPerS += tokens / DEMAND_WINDOW_S;
-    }
-
-    private void decayDemand() {
-        long nowNs = System.nanoTime();
-        averageTokensPerS *= Math.exp(-(nowNs - demandAtNs) / 1e9 / DEMAND_WINDOW_S);
-        demandAtNs = nowNs;
-    }
-
-    /** Corrects the average for the time before the first request, when there was no demand to see. */
-    private double tokensPerS() {
-        double ageS = Math.max(MIN_DEMAND_AGE_S, (System.nanoTime() - firstDemandAtNs) / 1e9);
-        return averageTokensPerS / (1 - Math.exp(-ageS / DEMAND_WINDOW_S));
+        return new BudgetNeed(required, Math.max(0, wallet.freeTokens()), (long) demand.tokensPerS(), 0);
     }
 
     /** A request that waits for tokens. */
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetDesk.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetDesk.java
@@ -2,15 +2,23 @@
 
 import io.jayhead.admission.prepaid.BudgetNeed;
 import io.jayhead.gateway.control.BudgetListener;
+import io.jayhead.gateway.control.RouterAddress;
 import io.jayhead.gateway.log.DecisionLog;
 import io.jayhead.gateway.log.LogKind;
 import io.jayhead.gateway.metrics.GatewayMetrics;
+import io.jayhead.peer.PeerClient;
+import io.jayhead.peer.PeerException;
+import io.jayhead.peer.pb.Borrow;
+import io.jayhead.peer.pb.Frame;
 import io.netty.channel.EventLoop;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 /** Reserves prepaid tokens for requests; used by the traffic thread. */
 public final class BudgetDesk implements BudgetListener {
@@ -21,6 +29,7 @@
     private final BiConsumer<String, BudgetNeed> needs;
     private final DecisionLog log;
     private final GatewayMetrics metrics;
+    private final PeerLoans loans;
     private final Map<String, BudgetAccount> accounts = new HashMap<>();
 
     /**
@@ -28,15 +37,25 @@
      *
      * @param traffic the traffic thread
      * @param needs receives what this router wants of a budget
+     * @param peers connects to other routers
+     * @param vmName the name of this router's VM
+     * @param routers returns the routers of the fleet
      * @param log the log
      * @param metrics the metrics
      */
     public BudgetDesk(
-            EventLoop traffic, BiConsumer<String, BudgetNeed> needs, DecisionLog log, GatewayMetrics metrics) {
+            EventLoop traffic,
+            BiConsumer<String, BudgetNeed> needs,
+            PeerClient peers,
+            String vmName,
+            Supplier<List<RouterAddress>> routers,
+            DecisionLog log,
+            GatewayMetrics metrics) {
         this.traffic = traffic;
         this.needs = needs;
         this.log = log;
         this.metrics = metrics;
+        this.loans = new PeerLoans(traffic, peers, vmName, routers, log);
     }
 
     /** Starts the periodic work. */
@@ -77,6 +96,33 @@
         accounts.values().forEach(BudgetAccount::returnAll);
     }
 
+    /**
+     * Answers a message of another router.
+     *
+     * @param request the message
+     * @return the reply; a failure for messages other than loans
+     */
+    public CompletableFuture<Frame> answerPeer(Frame request) {
+        if (!request.hasBorrow()) {
+            return CompletableFuture.failedFuture(new PeerException("only loans are answered"));
+        }
+        Borrow borrow = request.getBorrow();
+        BudgetAccount account = accounts.get(borrow.getOrganisation());
+        long lent = account == null ? 0 : account.lend(borrow.getTokens());
+        log.write(
+                LogKind.BUDGET,
+                "lent",
+                "organisation",
+                borrow.getOrganisation(),
+                "to",
+                borrow.getVm(),
+                "asked",
+                borrow.getTokens(),
+                "tokens",
+                lent);
+        return CompletableFuture.completedFuture(PeerLoans.reply(borrow, lent));
+    }
+
     @Override
     public void budgetRead(String organisation, long ownTokens, long leftTokens, long returnedTokens) {
         traffic.execute(() -> account(organisation).ledgerRead(ownTokens, leftTokens, returnedTokens));
@@ -101,6 +147,10 @@
 
     private BudgetAccount account(String organisation) {
         return accounts.computeIfAbsent(
-                organisation, name -> new BudgetAccount(need -> needs.accept(name, need), this::joinAsking));
+                organisation,
+                name -> new BudgetAccount(
+                        need -> needs.accept(name, need),
+                        this::joinAsking,
+                        (tokens, callback) -> loans.borrow(name, tokens, callback)));
     }
 }
--- /dev/null
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/PeerLoans.java
@@ -0,0 +1,118 @@
+package io.jayhead.gateway.budget;
+
+import io.jayhead.gateway.control.RouterAddress;
+import io.jayhead.gateway.log.DecisionLog;
+import io.jayhead.gateway.log.LogKind;
+import io.jayhead.peer.PeerClient;
+import io.jayhead.peer.pb.Borrow;
+import io.jayhead.peer.pb.BorrowReply;
+import io.jayhead.peer.pb.Frame;
+import io.netty.channel.EventLoop;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.LongConsumer;
+import java.util.function.Supplier;
+
+/**
+ * Moves tokens between the wallets of routers; used by the traffic thread.
+ *
+ * <p>The lender writes the tokens off before it answers. A lost answer loses the tokens and can never double them.
+ */
+final class PeerLoans {
+
+    /** Other routers answer within a few milliseconds. */
+    private static final long ANSWER_TIMEOUT_MS = 80;
+    /** A router that did not answer is not asked again for this time. */
+    private static final long SILENT_PEER_NS = 2_000_000_000L;
+    /** Bounds the time that a request waits for loans. */
+    private static final int MAX_PEERS = 4;
+    /** A lender keeps at least this part of its free tokens. */
+    private static final double KEPT_SHARE = 0.4;
+
+    private final EventLoop traffic;
+    private final PeerClient client;
+    private final String vmName;
+    private final Supplier<List<RouterAddress>> routers;
+    private final DecisionLog log;
+    private final Map<String, Long> silentSinceNs = new HashMap<>();
+
+    PeerLoans(
+            EventLoop traffic,
+            PeerClient client,
+            String vmName,
+            Supplier<List<RouterAddress>> routers,
+            DecisionLog log) {
+        this.traffic = traffic;
+        this.client = client;
+        this.vmName = vmName;
+        this.routers = routers;
+        this.log = log;
+    }
+
+    /**
+     * Returns what a router may lend.
+     *
+     * @param askedTokens the tokens that another router needs
+     * @param freeTokens the free tokens of this router
+     * @return the tokens to lend
+     */
+    static long tokensToLend(long askedTokens, long freeTokens) {
+        long spare = (long) (Math.max(0, freeTokens) * (1 - KEPT_SHARE));
+        return Math.min(Math.max(0, askedTokens), spare);
+    }
+
+    void borrow(String organisation, long tokens, LongConsumer callback) {
+        List<RouterAddress> peers = new ArrayList<>(routers.get());
+        long nowNs = System.nanoTime();
+        peers.removeIf(peer -> peer.vmName().equals(vmName) || isSilent(peer, nowNs));
+        Collections.shuffle(peers, ThreadLocalRandom.current());
+        List<RouterAddress> asked = peers.subList(0, Math.min(MAX_PEERS, peers.size()));
+        askNext(organisation, tokens, 0, List.copyOf(asked), callback);
+    }
+
+    private void askNext(
+            String organisation, long missing, long received, List<RouterAddress> peers, LongConsumer callback) {
+        if (missing <= 0 || peers.isEmpty()) {
+            log.write(LogKind.BUDGET, "loan", "organisation", organisation, "received", received, "missing", missing);
+            callback.accept(received);
+            return;
+        }
+        RouterAddress peer = peers.get(0);
+        Borrow borrow = Borrow.newBuilder()
+                .setVm(vmName)
+                .setOrganisation(organisation)
+                .setTransferId(Long.toHexString(ThreadLocalRandom.current().nextLong()))
+                .setTokens(missing)
+                .build();
+        client.request(peer.address(), Frame.newBuilder().setBorrow(borrow).build(), ANSWER_TIMEOUT_MS)
+                .whenComplete((frame, failure) -> traffic.execute(() -> {
+                    long tokens = failure == null ? frame.getBorrowReply().getTokens() : 0;
+                    if (failure != null) {
+                        silentSinceNs.put(peer.vmName(), System.nanoTime());
+                    }
+                    askNext(
+                            organisation,
+                            missing - tokens,
+                            received + tokens,
+                            peers.subList(1, peers.size()),
+                            callback);
+                }));
+    }
+
+    private boolean isSilent(RouterAddress peer, long nowNs) {
+        Long since = silentSinceNs.get(peer.vmName());
+        return since != null && nowNs - since < SILENT_PEER_NS;
+    }
+
+    static Frame reply(Borrow request, long tokens) {
+        return Frame.newBuilder()
+                .setBorrowReply(BorrowReply.newBuilder()
+                        .setTransferId(request.getTransferId())
+                        .setTokens(tokens))
+                .build();
+    }
+}
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlPlane.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlPlane.java
@@ -10,7 +10,9 @@
 import io.jayhead.routing.registry.RegistryTracker;
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
@@ -30,6 +32,10 @@
     private final List<LedgerKeeper> ledgers = new ArrayList<>();
     private final WatchLoop<Catalog, Catalog> catalogLoop;
     private final WatchLoop<UpstreamListing, UpstreamChanges> registryLoop;
+    private final WatchLoop<RouterListing, RouterListing> routersLoop;
+    private final Platform platform;
+    private final RouterAddress self;
+    private final Backoff announceBackoff = new Backoff();
     private final Runnable onChange;
     private volatile RoutingSnapshot snapshot = RoutingSnapshot.empty();
     private RegistryTracker tracker = RegistryTracker.empty();
@@ -40,6 +46,7 @@
      * @param loop the control thread
      * @param platform the platform
      * @param holder this incarnation in ledger pages
+     * @param self where this router listens for other routers
      * @param log the log
      * @param metrics the metrics
      * @param budgets receives the state of budgets
@@ -49,12 +56,15 @@
             EventLoop loop,
             Platform platform,
             Holder holder,
+            RouterAddress self,
             DecisionLog log,
             GatewayMetrics metrics,
             BudgetListener budgets,
             Runnable onChange) {
         this.loop = loop;
         this.log = log;
+        this.platform = platform;
+        this.self = self;
         this.onChange = onChange;
         this.health = new PlatformHealth(log, metrics, this::platformReturned);
         this.catalogLoop = new WatchLoop<>(
@@ -73,6 +83,14 @@
                 revision -> platform.watchUpstreams(revision, WATCH_WAIT_MS),
                 this::registryListed,
                 this::registryChanged);
+        this.routersLoop = new WatchLoop<>(
+                "routers",
+                loop,
+                health,
+                platform::listRouters,
+                revision -> platform.watchRouters(revision, WATCH_WAIT_MS),
+                this::routersRead,
+                this::routersRead);
         for (int page = 0; page < LEDGER_PAGES; page++) {
             ledgers.add(new LedgerKeeper("page-" + page, holder, platform, health, loop, log, this::prepaid, budgets));
         }
@@ -82,6 +100,8 @@
     public void start() {
         loop.execute(catalogLoop::run);
         loop.execute(registryLoop::run);
+        loop.execute(routersLoop::run);
+        loop.execute(this::announce);
         ledgers.forEach(ledger -> loop.execute(ledger::pump));
         loop.scheduleWithFixedDelay(this::expireUpstreams, EXPIRY_CHECK_MS, EXPIRY_CHECK_MS, TimeUnit.MILLISECONDS);
     }
@@ -124,10 +144,29 @@
                 catalog.version(),
                 "replaced_version",
                 snapshot.catalog().version());
-        snapshot = new RoutingSnapshot(catalog, snapshot.registry(), snapshot.registryKnown());
+        snapshot = snapshot.withCatalog(catalog);
         onChange.run();
     }
 
+    private void announce() {
+        platform.announce(self).whenComplete((done, failure) -> {
+            if (failure == null) {
+                health.succeeded("announce");
+                return;
+            }
+            health.failed("announce", failure);
+            loop.schedule(this::announce, announceBackoff.next(), TimeUnit.MILLISECONDS);
+        });
+    }
+
+    private void routersRead(RouterListing listing) {
+        Map<String, RouterAddress> byVm = new HashMap<>();
+        snapshot.routers().forEach(router -> byVm.put(router.vmName(), router));
+        listing.routers().forEach(router -> byVm.put(router.vmName(), router));
+        snapshot = snapshot.withRouters(List.copyOf(byVm.values()));
+        log.write(LogKind.STATE, "routers in force", "routers", byVm.size());
+    }
+
     private void registryListed(UpstreamListing listing) {
         publish(tracker.listed(listing.byId(), nowMs()), "listed");
     }
@@ -163,7 +202,7 @@
                 next.registry().ids().size(),
                 "missing",
                 next.missing().size());
-        snapshot = new RoutingSnapshot(snapshot.catalog(), next.registry(), true);
+        snapshot = snapshot.withRegistry(next.registry());
         onChange.run();
     }
 
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/Platform.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/Platform.java
@@ -44,6 +44,30 @@
      */
     CompletionStage<Versioned<UpstreamChanges>> watchUpstreams(long revision, int waitMs);
 
+    /**
+     * Announces where this router listens for other routers.
+     *
+     * @param router the router
+     * @return completes when the announcement is stored
+     */
+    CompletionStage<Void> announce(RouterAddress router);
+
+    /**
+     * Reads the announced routers.
+     *
+     * @return the routers with the revision to watch from
+     */
+    CompletionStage<Versioned<RouterListing>> listRouters();
+
+    /**
+     * Waits for a change of the announced routers.
+     *
+     * @param revision the revision after which changes count
+     * @param waitMs how long the platform waits for a change
+     * @return the changed routers, or null as the value if there was no change
+     */
+    CompletionStage<Versioned<RouterListing>> watchRouters(long revision, int waitMs);
+
     /**
      * Reads a ledger page.
      *
