Wait for the accepting thread when a relay of the scenarios stops to listen

Cause: ProcessControlTest.aDeadProcessRefusesConnections failed beside five busy processes with 'Connection reset'. A thread that waits in accept holds a reference to the listening socket; close() only signals that thread, so on a busy machine a connection is still accepted for a moment and then reset. Change: refuse() waits until the accepting thread has ended.

--- a/jayhead-scenarios/src/main/java/io/jayhead/scenarios/link/Relay.java
+++ b/jayhead-scenarios/src/main/java/io/jayhead/scenarios/link/Relay.java
@@ -14,11 +14,13 @@
 public final class Relay implements AutoCloseable {
 
     private static final int BACKLOG = 128;
+    private static final long ACCEPTOR_END_MS = 5_000;
 
     private final int port;
     private final IntFunction<String> sourceOfPort;
     private final Map<String, Link> links = new ConcurrentHashMap<>();
     private volatile ServerSocket server;
+    private volatile Thread acceptor;
     private volatile InetSocketAddress target;
 
     /**
@@ -60,12 +62,20 @@
         link(source).set(state);
     }
 
-    /** Stops to listen, so that new connections are refused as those to a dead process are. */
+    /**
+     * Stops to listen, so that new connections are refused as those to a dead process are.
+     *
+     * <p>The kernel keeps a closed server socket open while a thread waits in accept, so the end of that thread is
+     * awaited.
+     */
     public synchronized void refuse() {
         try {
             server.close();
+            acceptor.join(ACCEPTOR_END_MS);
         } catch (IOException e) {
             throw new UncheckedIOException(e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         }
     }
 
@@ -84,7 +94,7 @@
             ServerSocket opened = new ServerSocket();
             opened.setReuseAddress(true);
             opened.bind(new InetSocketAddress("127.0.0.1", listenPort), BACKLOG);
-            daemon(() -> accept(opened), "relay-accept");
+            acceptor = daemon(() -> accept(opened), "relay-accept");
             return opened;
         } catch (IOException e) {
             throw new UncheckedIOException("cannot open a relay on port " + listenPort, e);
@@ -113,9 +123,10 @@
         connection.run(to);
     }
 
-    private static void daemon(Runnable task, String name) {
+    private static Thread daemon(Runnable task, String name) {
         Thread thread = new Thread(task, name);
         thread.setDaemon(true);
         thread.start();
+        return thread;
     }
 }
