Go on accepting connections during a planned stop and end it when no request is open

Change: from 2.6 s on only streams are refused, calls are served until 0.5 s before the end, and the process ends as soon as no request is open.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/Gateway.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/Gateway.java
@@ -30,6 +30,8 @@
     private static final long DRAIN_CHECK_MS = 50;
     /** The platform's balancer needs two missed checks before it sends no more connections. */
     private static final long KEEP_SERVING_MS = 2_600;
+    /** Calls take less than this time, so later ones are refused. */
+    private static final long REFUSE_ALL_MS = 500;
     /** The time at the end of a stop that is left for returning tokens and closing connections. */
     private static final long STOP_MARGIN_MS = 400;
 
@@ -128,22 +130,29 @@
             stopAtNs = System.nanoTime() + (settings.stopMs() - STOP_MARGIN_MS) * 1_000_000;
             drain.drain();
         });
-        traffic.schedule(() -> refuseNew(onStopped), KEEP_SERVING_MS, TimeUnit.MILLISECONDS);
-    }
-
-    private void refuseNew(Runnable onStopped) {
-        drain.refuse();
-        callers.stopListening();
-        callers.closeIdle();
-        budgets.returnAll();
-        awaitOpenRequests(onStopped);
+        traffic.schedule(() -> awaitOpenRequests(onStopped), KEEP_SERVING_MS, TimeUnit.MILLISECONDS);
     }
 
+    /**
+     * Ends the process once no request is open. Until then it goes on to accept connections: where most routers of an
+     * availability zone are being stopped, the balancer sends callers to all of them.
+     */
     private void awaitOpenRequests(Runnable onStopped) {
-        if (drain.openRequests() > 0 && System.nanoTime() - stopAtNs < 0) {
+        if (!drain.isRefusingStreams()) {
+            drain.refuseStreams();
+            budgets.returnAll();
+        }
+        long leftMs = (stopAtNs - System.nanoTime()) / 1_000_000;
+        if (leftMs < REFUSE_ALL_MS) {
+            drain.refuse();
+        }
+        if (drain.openRequests() > 0 && leftMs > 0) {
             traffic.schedule(() -> awaitOpenRequests(onStopped), DRAIN_CHECK_MS, TimeUnit.MILLISECONDS);
             return;
         }
+        drain.refuse();
+        callers.stopListening();
+        callers.closeIdle();
         budgets.returnAll();
         log.write(LogKind.PROCESS, "stopped", "vm", settings.vmName(), "open_requests", drain.openRequests());
         traffic.schedule(onStopped, STOP_MARGIN_MS / 2, TimeUnit.MILLISECONDS);
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/DrainState.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/DrainState.java
@@ -4,6 +4,7 @@
 public final class DrainState {
 
     private boolean draining;
+    private boolean refusingStreams;
     private boolean refusing;
     private int openRequests;
 
@@ -12,6 +13,11 @@
         draining = true;
     }
 
+    /** Refuses new streams from now on, since they may last longer than the rest of the stop. */
+    public void refuseStreams() {
+        refusingStreams = true;
+    }
+
     /** Refuses new requests from now on. */
     public void refuse() {
         refusing = true;
@@ -26,6 +32,15 @@
         return draining;
     }
 
+    /**
+     * Tells whether new streams are refused.
+     *
+     * @return true after {@link #refuseStreams()}
+     */
+    public boolean isRefusingStreams() {
+        return refusingStreams;
+    }
+
     /**
      * Tells whether new requests are refused.
      *
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
@@ -114,6 +114,10 @@
             return;
         }
         route = found.get();
+        if (route.kind().isStreaming() && context.drain().isRefusingStreams()) {
+            refuse(Refusal.STOPPING);
+            return;
+        }
         if (!route.open() && snapshot.catalog().hasOrganisations()) {
             organisation = snapshot.catalog().organisationOf(facts.key().orElse(null));
             if (organisation.isEmpty()) {
