--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/Gateway.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/Gateway.java
@@ -95,13 +95,13 @@
 
     /** Starts to serve. */
     public void start() {
-        control.start();
         budgets.start();
         traffic.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
         PeerServer.start(trafficGroup, settings.peers(), budgets::answerPeer, PeerTraffic.NONE);
         callers.listen(trafficGroup, trafficGroup, settings.callers());
         new StatusServer(dialect.readinessPath(), this::isReady, () -> metrics.text(log.droppedLines()))
                 .listen(trafficGroup, settings.status());
+        control.start();
         log.write(
                 LogKind.PROCESS,
                 "started",
