--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/AttemptRun.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/AttemptRun.java
@@ -183,7 +183,7 @@
         }
     }
 
-    private boolean isSuccess() {
+    boolean isSuccess() {
         int code = head.status().code();
         return code >= 200 && code < 300;
     }
--- /dev/null
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/ExchangeRecord.java
@@ -0,0 +1,84 @@
+package io.jayhead.gateway.exchange;
+
+import io.jayhead.dispatch.forward.AttemptOutcome;
+import io.jayhead.dispatch.forward.ForwardDecision;
+import io.jayhead.gateway.log.LogKind;
+import io.jayhead.routing.catalog.Organisation;
+import java.util.Optional;
+
+/** Writes the log lines and metrics of one exchange. */
+final class ExchangeRecord {
+
+    static final String SERVED = "served";
+
+    private static final double NS_PER_S = 1e9;
+
+    private final GatewayContext context;
+    private final String requestId;
+    private final long startNs;
+
+    ExchangeRecord(GatewayContext context, String requestId, long startNs) {
+        this.context = context;
+        this.requestId = requestId;
+        this.startNs = startNs;
+    }
+
+    void firstByte(String route) {
+        context.metrics().firstByte(route, (System.nanoTime() - startNs) / NS_PER_S);
+    }
+
+    void attemptEnded(AttemptRun run, AttemptOutcome outcome, String reason, ForwardDecision decision, long leftMs) {
+        context.metrics().attemptFailed(outcome.name());
+        context.log()
+                .write(
+                        LogKind.ATTEMPT,
+                        "attempt ended",
+                        "request_id",
+                        requestId,
+                        "upstream",
+                        upstream(run),
+                        "outcome",
+                        outcome,
+                        "reason",
+                        reason,
+                        "decision",
+                        decision,
+                        "left_ms",
+                        leftMs);
+    }
+
+    void ended(String outcome, Optional<AdmittedRequest> request, AttemptRun last, ExchangeCounts counts) {
+        String route = request.map(each -> each.route().name()).orElse("none");
+        context.metrics().answered(route, outcome);
+        context.log()
+                .write(
+                        outcome.equals(SERVED) ? LogKind.SERVED : LogKind.FAILED,
+                        outcome,
+                        "request_id",
+                        requestId,
+                        "route",
+                        route,
+                        "organisation",
+                        request.flatMap(AdmittedRequest::organisation)
+                                .map(Organisation::name)
+                                .orElse(""),
+                        "catalog_version",
+                        context.snapshot().get().catalog().version(),
+                        "upstream",
+                        upstream(last),
+                        "tries",
+                        counts.tries(),
+                        "may_have_run",
+                        counts.mayHaveRun(),
+                        "events",
+                        counts.events(),
+                        "consumed_tokens",
+                        counts.consumedTokens(),
+                        "elapsed_ms",
+                        (System.nanoTime() - startNs) / 1_000_000);
+    }
+
+    private static String upstream(AttemptRun run) {
+        return run == null ? "" : run.upstream().upstream().incarnation();
+    }
+}
--- /dev/null
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/ForwardedRequest.java
@@ -0,0 +1,85 @@
+package io.jayhead.gateway.exchange;
+
+import io.jayhead.gateway.wire.ForwardFacts;
+import io.jayhead.gateway.wire.GenerationSize;
+import io.jayhead.gateway.wire.PromptPart;
+import io.jayhead.gateway.wire.WireDialect;
+import io.jayhead.routing.catalog.Organisation;
+import io.jayhead.routing.placement.PlacementRequest;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
+
+/** An admitted request as upstreams get it. */
+final class ForwardedRequest {
+
+    /** The router takes at most this share of the connections that an upstream accepts from all routers. */
+    private static final int CONNECTION_SHARE = 4;
+
+    private static final int MIN_CONNECTIONS = 4;
+    private static final int MAX_PRIORITY = 9;
+
+    private final WireDialect dialect;
+    private final FullHttpRequest request;
+    private final AdmittedRequest admitted;
+    private final int salt = ThreadLocalRandom.current().nextInt();
+
+    ForwardedRequest(WireDialect dialect, FullHttpRequest request, AdmittedRequest admitted) {
+        this.dialect = dialect;
+        this.request = request;
+        this.admitted = admitted;
+    }
+
+    int promptTokens() {
+        return admitted.facts().size().map(GenerationSize::promptTokens).orElse(0);
+    }
+
+    int maxConnections() {
+        int limit = admitted.service().maxConnections();
+        return limit == 0 ? Integer.MAX_VALUE : Math.max(MIN_CONNECTIONS, limit / CONNECTION_SHARE);
+    }
+
+    /** Returns what placement needs to know; the last shared part of the prompt decides which engines hold it. */
+    PlacementRequest placement(Set<String> tried) {
+        List<PromptPart> shared = admitted.facts().sharedParts();
+        String key = shared.isEmpty() ? "" : shared.get(shared.size() - 1).id();
+        int sharedTokens = shared.stream().mapToInt(PromptPart::tokens).sum();
+        return new PlacementRequest(admitted.isGeneration(), promptTokens(), sharedTokens, key, tried, salt);
+    }
+
+    /** Builds the request for one upstream; the body is shared with the caller's request. */
+    FullHttpRequest build(String upstreamId, long leftMs, Optional<String> resumeAfter) {
+        FullHttpRequest forward = new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1,
+                request.method(),
+                request.uri(),
+                Unpooled.wrappedBuffer(request.content().retainedDuplicate()));
+        ForwardFacts facts = new ForwardFacts(
+                upstreamId,
+                Math.max(1, leftMs),
+                admitted.organisation().map(Organisation::name),
+                admitted.isGeneration() ? OptionalInt.of(priority()) : OptionalInt.empty(),
+                resumeAfter);
+        dialect.writeForward(request.headers(), facts, forward.headers());
+        if (forward.content().isReadable() || request.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
+            forward.headers()
+                    .set(HttpHeaderNames.CONTENT_LENGTH, forward.content().readableBytes());
+        }
+        return forward;
+    }
+
+    private int priority() {
+        int rank = admitted.organisation()
+                .map(Organisation::priority)
+                .orElse(OptionalInt.empty())
+                .orElse(admitted.route().priority());
+        return Math.max(0, Math.min(MAX_PRIORITY, rank));
+    }
+}
--- /dev/null
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/TokenReservation.java
@@ -0,0 +1,71 @@
+package io.jayhead.gateway.exchange;
+
+import io.jayhead.gateway.budget.BudgetDesk;
+import io.jayhead.gateway.budget.ReservationResult;
+import io.jayhead.gateway.wire.GenerationSize;
+import io.jayhead.routing.catalog.Organisation;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+/** The prepaid tokens of one request; used by the traffic thread. */
+final class TokenReservation {
+
+    /** The ledger answers in a few milliseconds; a longer wait costs the time that the request needs. */
+    private static final long LEDGER_WAIT_MS = 450;
+
+    private final BudgetDesk budgets;
+    private final AdmittedRequest request;
+    private long reservedTokens;
+
+    TokenReservation(BudgetDesk budgets, AdmittedRequest request) {
+        this.budgets = budgets;
+        this.request = request;
+    }
+
+    /** Reserves the most that the request can consume; requests without a size or a limit need nothing. */
+    void reserve(Consumer<ReservationResult> callback) {
+        Optional<GenerationSize> size = request.facts().size();
+        Optional<Organisation> limited =
+                request.organisation().filter(each -> each.prepaidTokens().isPresent());
+        if (size.isEmpty() || limited.isEmpty()) {
+            callback.accept(ReservationResult.RESERVED);
+            return;
+        }
+        long tokens = size.get().maxTokens();
+        long prepaidTokens = limited.get().prepaidTokens().getAsLong();
+        budgets.reserve(limited.get().name(), prepaidTokens, tokens, LEDGER_WAIT_MS, result -> {
+            if (result == ReservationResult.RESERVED) {
+                reservedTokens = tokens;
+            }
+            callback.accept(result);
+        });
+    }
+
+    /**
+     * Returns what the request has consumed.
+     *
+     * @param delivered whether the caller received a part of the answer; otherwise nothing is billed
+     * @param events the events that were delivered
+     * @return the tokens
+     */
+    long consumedTokens(boolean delivered, int events) {
+        if (request.facts().size().isEmpty() || !delivered) {
+            return 0;
+        }
+        GenerationSize size = request.facts().size().get();
+        int perEvent = request.service().tokensPerEvent();
+        if (perEvent == 0) {
+            return size.maxTokens();
+        }
+        return size.promptTokens() + Math.min(size.maxOutputTokens(), (long) perEvent * events);
+    }
+
+    /** Settles the reservation, if there is one; later calls do nothing. */
+    void settle(long consumedTokens) {
+        if (reservedTokens == 0) {
+            return;
+        }
+        budgets.settle(request.organisation().get().name(), reservedTokens, consumedTokens);
+        reservedTokens = 0;
+    }
+}
