Let a few routers of a large fleet hold each budget and lend to the others

Cause: with 71 routers and 24 organisations a router sees a long prompt of one organisation every 16 s, so tokens ahead are either idle or missing, every refill rewrites a page with 1,700 entries (about 120 kB over links of 7 to 10 Mbit/s), and 71 routers contend for it. Ruled out: a page for each organisation (426 calls a second by estimate). Change: eight routers by highest random weight draw ahead from the ledger; others borrow exactly what a request needs and turn to the ledger only if that fails. Fleets of up to eight routers work as before.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetAccount.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetAccount.java
@@ -4,6 +4,7 @@
 import io.jayhead.admission.prepaid.Wallet;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 
@@ -25,9 +26,13 @@
     /** A loan covers this much demand beyond the requests that wait. */
     private static final double LOAN_AHEAD_S = 1.0;
 
+    /** A lender that runs dry asks the ledger again after this time. */
+    private static final long LENDER_REFRESH_NS = 2_000_000_000L;
+
     private final Consumer<BudgetNeed> needs;
     private final Runnable onAsk;
     private final LoanSource loans;
+    private final BooleanSupplier drawsFromLedger;
     private final DemandRate demand = new DemandRate();
     private final List<Waiting> waiting = new ArrayList<>();
     private Wallet wallet = Wallet.empty();
@@ -46,10 +51,19 @@
     private long returnedAtNs = System.nanoTime();
     private long noLoanAtNs = System.nanoTime() - NO_LOAN_NS;
 
-    BudgetAccount(Consumer<BudgetNeed> needs, Runnable onAsk, LoanSource loans) {
+    /**
+     * Creates an account without tokens.
+     *
+     * @param needs receives what this router wants of the ledger
+     * @param onAsk is called before this router asks the ledger
+     * @param loans asks other routers
+     * @param drawsFromLedger tells whether this router takes tokens ahead from the ledger; others borrow first
+     */
+    BudgetAccount(Consumer<BudgetNeed> needs, Runnable onAsk, LoanSource loans, BooleanSupplier drawsFromLedger) {
         this.needs = needs;
         this.onAsk = onAsk;
         this.loans = loans;
+        this.drawsFromLedger = drawsFromLedger;
     }
 
     Wallet wallet() {
@@ -68,13 +82,13 @@
             askAhead();
             return;
         }
-        boolean decided = isExhausted(tokens) && System.nanoTime() - pageReadAtNs < PAGE_MAX_AGE_NS;
+        boolean decided = isExhausted(tokens) && isPageFresh();
         if ((decided || unavailable) && System.nanoTime() - noLoanAtNs < NO_LOAN_NS) {
             callback.accept(refusal());
             return;
         }
         waiting.add(new Waiting(tokens, System.nanoTime() + waitMs * 1_000_000, callback));
-        if (decided || unavailable) {
+        if (decided || unavailable || !drawsFromLedger.getAsBoolean()) {
             borrow();
         } else {
             askForWaiting();
@@ -119,9 +133,16 @@
         if (!waiting.isEmpty()) {
             return 0;
         }
+        demand.add(tokens);
         long lent = PeerLoans.tokensToLend(tokens, wallet.freeTokens());
         lentTokens += lent;
         updateWallet();
+        boolean recent = pageRead && System.nanoTime() - pageReadAtNs < LENDER_REFRESH_NS;
+        if (lent == tokens) {
+            askAhead();
+        } else if (!asked && !recent && drawsFromLedger.getAsBoolean()) {
+            ask(0);
+        }
         return lent;
     }
 
@@ -137,7 +158,7 @@
 
     /** Asks for what is missing ahead because a call is made anyway. */
     void joinAsking() {
-        if (asked || isScarce()) {
+        if (asked || isScarce() || !drawsFromLedger.getAsBoolean()) {
             return;
         }
         asked = true;
@@ -150,7 +171,7 @@
         }
         borrowing = true;
         long total = waiting.stream().mapToLong(Waiting::tokens).sum();
-        long ahead = (long) (demand.tokensPerS() * LOAN_AHEAD_S);
+        long ahead = drawsFromLedger.getAsBoolean() ? (long) (demand.tokensPerS() * LOAN_AHEAD_S) : 0;
         loans.borrow(total - wallet.freeTokens() + ahead, this::borrowed);
     }
 
@@ -159,12 +180,22 @@
         borrowedTokens += tokens;
         updateWallet();
         serveWaiting();
-        if (!waiting.isEmpty()) {
+        if (waiting.isEmpty()) {
+            return;
+        }
+        boolean ledgerDecided = unavailable || waiting.stream().allMatch(each -> isExhausted(each.tokens()));
+        if (ledgerDecided && (unavailable || isPageFresh())) {
             noLoanAtNs = System.nanoTime();
             refuse(each -> true, refusal());
+        } else {
+            askForWaiting();
         }
     }
 
+    private boolean isPageFresh() {
+        return System.nanoTime() - pageReadAtNs < PAGE_MAX_AGE_NS;
+    }
+
     private ReservationResult refusal() {
         return unavailable ? ReservationResult.UNAVAILABLE : ReservationResult.EXHAUSTED;
     }
@@ -229,7 +260,8 @@
     }
 
     private void askAhead() {
-        if (asked || wallet.freeTokens() >= freeAfterReading * LOW_WATER) {
+        boolean enough = wallet.freeTokens() >= freeAfterReading * LOW_WATER;
+        if (asked || enough || !drawsFromLedger.getAsBoolean()) {
             return;
         }
         ask(0);
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetDesk.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetDesk.java
@@ -107,8 +107,7 @@
             return CompletableFuture.failedFuture(new PeerException("only loans are answered"));
         }
         Borrow borrow = request.getBorrow();
-        BudgetAccount account = accounts.get(borrow.getOrganisation());
-        long lent = account == null ? 0 : account.lend(borrow.getTokens());
+        long lent = account(borrow.getOrganisation()).lend(borrow.getTokens());
         log.write(
                 LogKind.BUDGET,
                 "lent",
@@ -151,6 +150,7 @@
                 name -> new BudgetAccount(
                         need -> needs.accept(name, need),
                         this::joinAsking,
-                        (tokens, callback) -> loans.borrow(name, tokens, callback)));
+                        (tokens, callback) -> loans.borrow(name, tokens, callback),
+                        () -> loans.drawsFromLedger(name)));
     }
 }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/PeerLoans.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/PeerLoans.java
@@ -65,10 +65,25 @@
         return Math.min(Math.max(0, askedTokens), spare);
     }
 
+    /**
+     * Tells whether this router takes tokens of a budget ahead from the ledger.
+     *
+     * @param organisation the organisation
+     * @return true if it is among the holders of the budget, or does not know the others
+     */
+    boolean drawsFromLedger(String organisation) {
+        List<RouterAddress> all = routers.get();
+        boolean isKnown = all.stream().anyMatch(router -> router.vmName().equals(vmName));
+        return !isKnown
+                || BudgetHolders.of(organisation, all).stream()
+                        .anyMatch(router -> router.vmName().equals(vmName));
+    }
+
     void borrow(String organisation, long tokens, LongConsumer callback) {
         List<RouterAddress> peers = new ArrayList<>(routers.get());
         long nowNs = System.nanoTime();
         peers.removeIf(peer -> peer.vmName().equals(vmName) || isSilent(peer, nowNs));
+        peers = new ArrayList<>(BudgetHolders.of(organisation, peers));
         Collections.shuffle(peers, ThreadLocalRandom.current());
         List<RouterAddress> asked = peers.subList(0, Math.min(MAX_PEERS, peers.size()));
         askNext(organisation, tokens, 0, List.copyOf(asked), callback);
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlPlane.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlPlane.java
@@ -22,7 +22,7 @@
     /** Each renewal is a call; silent connections are found by keep-alive probes. */
     private static final int WATCH_WAIT_MS = 15_000;
     /** More pages mean fewer conflicts between routers and more calls. */
-    private static final int LEDGER_PAGES = 1;
+    private static final int LEDGER_PAGES = 2;
 
     private static final long EXPIRY_CHECK_MS = 250;
 
