Trace a request from collected logs, and borrow when the ledger is silent

Change: a request that waits 80 ms for the ledger also asks other routers. jayheadctl trace REQUEST LOGS prints the lines that decided a request and its cause. Tests: aRouterBorrowsBeforeItKnowsThatTheStoreIsSilent, TraceTest.

--- a/jayhead-ctl/src/main/java/io/jayhead/ctl/command/Command.java
+++ b/jayhead-ctl/src/main/java/io/jayhead/ctl/command/Command.java
@@ -55,6 +55,13 @@
         public ExitCode run(Session session) {
             return QueryCommands.explain(session);
         }
+    },
+    /** Explains a request from collected log files. */
+    TRACE("REQUEST LOGS", Set.of()) {
+        @Override
+        public ExitCode run(Session session) {
+            return TraceCommand.run(session);
+        }
     };
 
     private final String operands;
--- /dev/null
+++ b/jayhead-ctl/src/main/java/io/jayhead/ctl/command/RequestCause.java
@@ -0,0 +1,42 @@
+package io.jayhead.ctl.command;
+
+import java.util.Arrays;
+
+/** Says in words what the last line of a request means. */
+enum RequestCause {
+    SERVED("served", "the upstream's whole answer reached the caller"),
+    BUDGET_EXHAUSTED(
+            "BUDGET_EXHAUSTED",
+            "the prepaid budget did not cover the request, here, in the ledger and at other routers"),
+    BUDGET_UNAVAILABLE(
+            "BUDGET_UNAVAILABLE",
+            "the ledger did not answer and no router had tokens to lend; the request did not run"),
+    OVERLOADED("OVERLOADED", "all upstreams that were tried rejected the request; it did not run"),
+    NO_UPSTREAM("NO_UPSTREAM", "no upstream could be reached in time; the request did not run"),
+    NOT_CONFIGURED("NOT_CONFIGURED", "the router had just started and had no configuration yet"),
+    STOPPING("STOPPING", "the router was being stopped"),
+    NO_ROUTE("NO_ROUTE", "no route of the configuration in force leads to the host and path"),
+    UNKNOWN_KEY("UNKNOWN_KEY", "the key is not in the configuration in force"),
+    OUTCOME_UNKNOWN("OUTCOME_UNKNOWN", "the request was sent and its answer did not arrive whole; it may have run"),
+    TIMED_OUT("TIMED_OUT", "the time limit of the route or the caller passed after the request was sent"),
+    BROKEN_OFF("broken off", "the stream ended before its last event and could not go on elsewhere"),
+    UPSTREAM_FAILURE("upstream failure", "the upstream answered with a failure of its own"),
+    CALLER_CLOSED("caller closed", "the caller left before the answer was complete"),
+    UNKNOWN("", "see the lines above");
+
+    private final String event;
+    private final String meaning;
+
+    RequestCause(String event, String meaning) {
+        this.event = event;
+        this.meaning = meaning;
+    }
+
+    static String of(LogLine last) {
+        return Arrays.stream(values())
+                .filter(cause -> last.field("event").startsWith(cause.event))
+                .findFirst()
+                .orElse(UNKNOWN)
+                .meaning;
+    }
+}
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetAccount.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetAccount.java
@@ -26,6 +26,8 @@
     /** A loan covers this much demand beyond the requests that wait. */
     private static final double LOAN_AHEAD_S = 1.0;
 
+    /** A request that waits longer than this for the ledger also asks other routers. */
+    private static final long LEDGER_PATIENCE_NS = 80_000_000L;
     /** A lender that runs dry asks the ledger again after this time. */
     private static final long LENDER_REFRESH_NS = 2_000_000_000L;
 
@@ -87,7 +89,8 @@
             callback.accept(refusal());
             return;
         }
-        waiting.add(new Waiting(tokens, System.nanoTime() + waitMs * 1_000_000, callback));
+        long nowNs = System.nanoTime();
+        waiting.add(new Waiting(tokens, nowNs, nowNs + waitMs * 1_000_000, callback));
         if (decided || unavailable || !drawsFromLedger.getAsBoolean()) {
             borrow();
         } else {
@@ -149,6 +152,9 @@
     void tick() {
         long nowNs = System.nanoTime();
         refuse(each -> each.untilNs() - nowNs <= 0, ReservationResult.UNAVAILABLE);
+        if (waiting.stream().anyMatch(each -> nowNs - each.sinceNs() > LEDGER_PATIENCE_NS)) {
+            borrow();
+        }
         returnScarce();
     }
 
@@ -187,7 +193,7 @@
         if (ledgerDecided && (unavailable || isPageFresh())) {
             noLoanAtNs = System.nanoTime();
             refuse(each -> true, refusal());
-        } else {
+        } else if (!asked) {
             askForWaiting();
         }
     }
@@ -278,5 +284,5 @@
     }
 
     /** A request that waits for tokens. */
-    private record Waiting(long tokens, long untilNs, Consumer<ReservationResult> callback) {}
+    private record Waiting(long tokens, long sinceNs, long untilNs, Consumer<ReservationResult> callback) {}
 }
