--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetAccount.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetAccount.java
@@ -178,14 +178,17 @@
         borrowing = true;
         long total = waiting.stream().mapToLong(Waiting::tokens).sum();
         long ahead = drawsFromLedger.getAsBoolean() ? (long) (demand.tokensPerS() * LOAN_AHEAD_S) : 0;
-        loans.borrow(total - wallet.freeTokens() + ahead, this::borrowed);
+        loans.borrow(total - wallet.freeTokens() + ahead, this::credit, this::loansDone);
     }
 
-    private void borrowed(long tokens) {
-        borrowing = false;
+    private void credit(long tokens) {
         borrowedTokens += tokens;
         updateWallet();
         serveWaiting();
+    }
+
+    private void loansDone() {
+        borrowing = false;
         if (waiting.isEmpty()) {
             return;
         }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetDesk.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetDesk.java
@@ -150,7 +150,7 @@
                 name -> new BudgetAccount(
                         need -> needs.accept(name, need),
                         this::joinAsking,
-                        (tokens, callback) -> loans.borrow(name, tokens, callback),
+                        (tokens, onLoan, onDone) -> loans.borrow(name, tokens, onLoan, onDone),
                         () -> loans.drawsFromLedger(name)));
     }
 }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/LoanSource.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/LoanSource.java
@@ -10,7 +10,8 @@
      * Asks for a loan.
      *
      * @param tokens the tokens that are needed
-     * @param callback receives the tokens that other routers have given up, 0 if none; called on the traffic thread
+     * @param onLoan receives the tokens of each loan, also of one that arrives late; called on the traffic thread
+     * @param onDone is called once when no further loan is waited for
      */
-    void borrow(long tokens, LongConsumer callback);
+    void borrow(long tokens, LongConsumer onLoan, Runnable onDone);
 }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/PeerLoans.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/PeerLoans.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
 import java.util.function.LongConsumer;
 import java.util.function.Supplier;
 
@@ -24,8 +25,10 @@
  */
 final class PeerLoans {
 
-    /** Other routers answer within a few milliseconds. */
-    private static final long ANSWER_TIMEOUT_MS = 80;
+    /** Other routers answer within a few milliseconds; the next one is asked after this time. */
+    private static final long ANSWER_WAIT_MS = 80;
+    /** Tokens of a loan that arrives within this time are still credited; those of a later one are lost. */
+    private static final long ANSWER_TIMEOUT_MS = 5_000;
     /** A router that did not answer is not asked again for this time. */
     private static final long SILENT_PEER_NS = 2_000_000_000L;
     /** Bounds the time that a request waits for loans. */
@@ -79,24 +82,48 @@
                         .anyMatch(router -> router.vmName().equals(vmName));
     }
 
-    void borrow(String organisation, long tokens, LongConsumer callback) {
+    void borrow(String organisation, long tokens, LongConsumer onLoan, Runnable onDone) {
         List<RouterAddress> peers = new ArrayList<>(routers.get());
         long nowNs = System.nanoTime();
         peers.removeIf(peer -> peer.vmName().equals(vmName) || isSilent(peer, nowNs));
         peers = new ArrayList<>(BudgetHolders.of(organisation, peers));
         Collections.shuffle(peers, ThreadLocalRandom.current());
         List<RouterAddress> asked = peers.subList(0, Math.min(MAX_PEERS, peers.size()));
-        askNext(organisation, tokens, 0, List.copyOf(asked), callback);
+        askNext(organisation, tokens, List.copyOf(asked), onLoan, onDone);
     }
 
     private void askNext(
-            String organisation, long missing, long received, List<RouterAddress> peers, LongConsumer callback) {
+            String organisation, long missing, List<RouterAddress> peers, LongConsumer onLoan, Runnable onDone) {
         if (missing <= 0 || peers.isEmpty()) {
-            log.write(LogKind.BUDGET, "loan", "organisation", organisation, "received", received, "missing", missing);
-            callback.accept(received);
+            onDone.run();
             return;
         }
         RouterAddress peer = peers.get(0);
+        List<RouterAddress> rest = peers.subList(1, peers.size());
+        LoanRequest request = new LoanRequest(
+                tokens -> {
+                    log.write(
+                            LogKind.BUDGET,
+                            "loan",
+                            "organisation",
+                            organisation,
+                            "from",
+                            peer.vmName(),
+                            "asked",
+                            missing,
+                            "received",
+                            tokens);
+                    onLoan.accept(tokens);
+                },
+                tokens -> askNext(organisation, missing - tokens, rest, onLoan, onDone));
+        traffic.schedule(
+                () -> {
+                    if (request.giveUpWaiting()) {
+                        silentSinceNs.put(peer.vmName(), System.nanoTime());
+                    }
+                },
+                ANSWER_WAIT_MS,
+                TimeUnit.MILLISECONDS);
         Borrow borrow = Borrow.newBuilder()
                 .setVm(vmName)
                 .setOrganisation(organisation)
@@ -104,18 +131,8 @@
                 .setTokens(missing)
                 .build();
         client.request(peer.address(), Frame.newBuilder().setBorrow(borrow).build(), ANSWER_TIMEOUT_MS)
-                .whenComplete((frame, failure) -> traffic.execute(() -> {
-                    long tokens = failure == null ? frame.getBorrowReply().getTokens() : 0;
-                    if (failure != null) {
-                        silentSinceNs.put(peer.vmName(), System.nanoTime());
-                    }
-                    askNext(
-                            organisation,
-                            missing - tokens,
-                            received + tokens,
-                            peers.subList(1, peers.size()),
-                            callback);
-                }));
+                .whenComplete((frame, failure) -> traffic.execute(() -> request.answered(
+                        failure == null ? frame.getBorrowReply().getTokens() : 0)));
     }
 
     private boolean isSilent(RouterAddress peer, long nowNs) {
