--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/WatchLoop.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/WatchLoop.java
@@ -24,6 +24,7 @@
     private final Consumer<C> onChange;
     private final Backoff backoff = new Backoff();
     private boolean mustRead = true;
+    private boolean watched;
     private long revision;
 
     WatchLoop(
@@ -56,11 +57,16 @@
         if (failure != null) {
             health.failed(call, failure);
             mustRead |= !PlatformException.faultOf(failure).isOutage();
-            boolean historyGone = PlatformException.faultOf(failure) == PlatformFault.HISTORY_GONE;
-            loop.schedule(this::run, historyGone ? 0 : backoff.next(), TimeUnit.MILLISECONDS);
+            // A lost history is read again at once, but not again and again when every watch is refused.
+            boolean atOnce = watched && PlatformException.faultOf(failure) == PlatformFault.HISTORY_GONE;
+            watched = false;
+            loop.schedule(this::run, atOnce ? 0 : backoff.next(), TimeUnit.MILLISECONDS);
             return;
         }
-        backoff.reset();
+        if (!mustRead) {
+            watched = true;
+            backoff.reset();
+        }
         health.succeeded(call);
         mustRead = false;
         revision = Math.max(revision, answer.revision());
