--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/AttemptRun.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/AttemptRun.java
@@ -27,6 +27,8 @@
     private boolean ended;
     private boolean streaming;
     private long sentAtNs;
+    private double expectedFirstEventMs;
+    private boolean firstEventSeen;
     private long lastByteNs;
 
     AttemptRun(Exchange exchange, UpstreamHandle upstream, long promptTokens) {
@@ -71,6 +73,7 @@
         connection = ready;
         sent = true;
         sentAtNs = System.nanoTime();
+        expectedFirstEventMs = upstream.expectedFirstEventMs();
         lastByteNs = sentAtNs;
         exchange.send(this, ready);
     }
@@ -109,6 +112,7 @@
         }
         promptRead();
         if (streaming) {
+            recordFirstEvent();
             exchange.streamBytes(this, copy);
             return;
         }
@@ -134,7 +138,9 @@
             finish(AttemptOutcome.FAILED, "failed with " + head.status().code());
             return;
         }
-        upstream.answered((System.nanoTime() - sentAtNs) / 1e6);
+        if (!streaming) {
+            upstream.answered((System.nanoTime() - sentAtNs) / 1e6);
+        }
         end();
         exchange.answered(this, body.toByteArray());
     }
@@ -188,6 +194,13 @@
         return code >= 200 && code < 300;
     }
 
+    private void recordFirstEvent() {
+        if (!firstEventSeen) {
+            firstEventSeen = true;
+            upstream.firstEvent((lastByteNs - sentAtNs) / 1e6, expectedFirstEventMs);
+        }
+    }
+
     private void promptRead() {
         if (promptPending) {
             promptPending = false;
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
@@ -207,7 +207,6 @@
             return;
         }
         answerStarted = true;
-        run.upstream().answered((System.nanoTime() - startNs) / 1e6);
         caller.startStream(run.head().status(), callerHeaders(run));
         record.firstByte(admitted.route().name());
     }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamHandle.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamHandle.java
@@ -73,6 +73,25 @@
         load.answered(answerMs, System.nanoTime());
     }
 
+    /**
+     * Estimates the time to the first event of the request that was started last.
+     *
+     * @return the time in milliseconds at an engine of normal speed
+     */
+    public double expectedFirstEventMs() {
+        return load.expectedFirstEventMs();
+    }
+
+    /**
+     * Records the first event of a generation.
+     *
+     * @param measuredMs the time from the sending of the request
+     * @param expectedMs the time that was expected then
+     */
+    public void firstEvent(double measuredMs, double expectedMs) {
+        load.firstEvent(measuredMs, expectedMs, System.nanoTime());
+    }
+
     /** Records a failure that the upstream reported. */
     public void reportedFailure() {
         load.failed(REPORTED_FAILURE, System.nanoTime());
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamLoad.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamLoad.java
@@ -1,6 +1,7 @@
 package io.jayhead.gateway.upstream;
 
 import io.jayhead.routing.placement.Candidate;
+import io.jayhead.routing.placement.Placement;
 import io.jayhead.routing.registry.Upstream;
 
 /** What this router knows of the load and the health of one upstream; used by the traffic thread. */
@@ -26,13 +27,22 @@
     private double failureRate;
     private long lastFailureNs;
     private double averageAnswerMs;
+    private double slowness = 1;
+    private long slownessAtNs;
     private long lastAnswerNs;
 
     Candidate candidate(Upstream upstream, boolean sameZone, long nowNs) {
         int others = nowNs - reportedAtNs < REPORT_MAX_AGE_NS ? reportedOthers : 0;
         double decay = Math.pow(0.5, (nowNs - lastAnswerNs) / ANSWER_HALF_LIFE_NS);
         return new Candidate(
-                upstream, inFlight, others, pendingPromptTokens, isSuspect(nowNs), sameZone, averageAnswerMs * decay);
+                upstream,
+                inFlight,
+                others,
+                pendingPromptTokens,
+                isSuspect(nowNs),
+                sameZone,
+                averageAnswerMs * decay,
+                slowness(nowNs));
     }
 
     boolean isSuspect(long nowNs) {
@@ -62,6 +72,23 @@
         lastAnswerNs = nowNs;
     }
 
+    double expectedFirstEventMs() {
+        return Placement.expectedFirstEventMs(pendingPromptTokens, inFlight);
+    }
+
+    void firstEvent(double measuredMs, double expectedMs, long nowNs) {
+        failureRate *= 1 - FAILURE_WEIGHT;
+        double ratio = measuredMs / expectedMs;
+        slowness = slowness(nowNs) + ANSWER_WEIGHT * (ratio - slowness(nowNs));
+        slownessAtNs = nowNs;
+    }
+
+    /** An engine without answers is slowly taken for a normal one again. */
+    private double slowness(long nowNs) {
+        double decay = Math.pow(0.5, (nowNs - slownessAtNs) / ANSWER_HALF_LIFE_NS);
+        return 1 + (slowness - 1) * decay;
+    }
+
     void failed(double severity, long nowNs) {
         failureRate += FAILURE_WEIGHT * severity * (1 - failureRate);
         lastFailureNs = nowNs;
--- a/jayhead-routing/src/main/java/io/jayhead/routing/placement/Candidate.java
+++ b/jayhead-routing/src/main/java/io/jayhead/routing/placement/Candidate.java
@@ -11,7 +11,8 @@
  * @param pendingPromptTokens the prompt tokens sent by this router whose first event has not arrived
  * @param suspect whether it recently failed to answer
  * @param sameZone whether it stands in the router's availability zone
- * @param averageAnswerMs the mean time to the first byte of its recent answers; 0 if not known
+ * @param averageAnswerMs the mean time to the first byte of its recent answers to plain calls; 0 if not known
+ * @param slowness the time to the first event of recent generations relative to the expected one; 1 if not known
  */
 public record Candidate(
         Upstream upstream,
@@ -20,4 +21,5 @@
         long pendingPromptTokens,
         boolean suspect,
         boolean sameZone,
-        double averageAnswerMs) {}
+        double averageAnswerMs,
+        double slowness) {}
--- a/jayhead-routing/src/main/java/io/jayhead/routing/placement/Placement.java
+++ b/jayhead-routing/src/main/java/io/jayhead/routing/placement/Placement.java
@@ -17,6 +17,10 @@
     public static final double PROMPT_TOKENS_PER_MS = 56;
     /** The time that one running request adds for the others, in milliseconds of the first token. */
     private static final double RUNNING_REQUEST_MS = 3.0;
+    /** The time of a generation until its first event beside the reading of its prompt. */
+    private static final double FIRST_EVENT_MS = 25;
+    /** Bounds what one slow answer can do. */
+    private static final double MAX_SLOWNESS = 10;
     /** The expected time of a plain call, used per request ahead. */
     private static final double PLAIN_CALL_MS = 20;
     /** A suspect upstream is chosen only when no other is left. */
@@ -51,6 +55,17 @@
                         .thenComparingInt(each -> mix(each.upstream().id(), Integer.toString(request.salt()))));
     }
 
+    /**
+     * Estimates the time until the first event of a generation at an engine of normal speed without cached parts.
+     *
+     * @param promptTokens the tokens of the prompt and of those that are read before it
+     * @param running the requests at the engine
+     * @return the time in milliseconds
+     */
+    public static double expectedFirstEventMs(long promptTokens, int running) {
+        return FIRST_EVENT_MS + promptTokens / PROMPT_TOKENS_PER_MS + RUNNING_REQUEST_MS * running;
+    }
+
     /**
      * Estimates the time until the first byte of an answer.
      *
@@ -71,7 +86,9 @@
         int rank = holders.indexOf(candidate.upstream().id());
         double factor = REREAD_FACTOR_BY_RANK[rank < 0 ? REREAD_FACTOR_BY_RANK.length - 1 : rank];
         double rereadMs = factor * request.sharedTokens() / PROMPT_TOKENS_PER_MS;
-        return base + rereadMs + candidate.pendingPromptTokens() / PROMPT_TOKENS_PER_MS + RUNNING_REQUEST_MS * running;
+        double expectedMs = expectedFirstEventMs(candidate.pendingPromptTokens() + request.promptTokens(), running);
+        double slowness = Math.max(1, Math.min(MAX_SLOWNESS, candidate.slowness()));
+        return base + rereadMs + expectedMs * slowness;
     }
 
     private static List<String> holders(List<Candidate> candidates, String key) {
--- a/jayhead-routing/src/test/java/io/jayhead/routing/placement/PlacementTest.java
+++ b/jayhead-routing/src/test/java/io/jayhead/routing/placement/PlacementTest.java
@@ -58,6 +58,15 @@
         assertEquals("a", chosen(upstreams, plain(Set.of("b@0"))));
     }
 
+    @Test
+    void aSlowEngineGetsNoLongPromptWhileOthersAreFree() {
+        List<Candidate> engines = new ArrayList<>(engines(6, 0, 0));
+        String first = chosen(engines, generation("part", 1));
+        engines.replaceAll(each ->
+                each.upstream().id().equals(first) ? new Candidate(each.upstream(), 0, 0, 0, false, true, 0, 4) : each);
+        assertFalse(chosen(engines, generation("part", 1)).equals(first));
+    }
+
     @Test
     void noUpstreamIsTriedTwice() {
         assertTrue(Placement.choose(engines(1, 0, 0), plain(Set.of("e0@0"))).isEmpty());
@@ -93,6 +102,6 @@
 
     private static Candidate candidate(String id, int inFlight, long pendingTokens, boolean suspect) {
         Upstream upstream = new Upstream(id, 0, "pool", "10.0.0.1", 80, "z1", false, 64);
-        return new Candidate(upstream, inFlight, 0, pendingTokens, suspect, true, 0);
+        return new Candidate(upstream, inFlight, 0, pendingTokens, suspect, true, 0, 1);
     }
 }
