Let one caller probe the platform in an outage, and count lent demand once

Change: the watch of the configuration probes the platform, all other calls wait for its first answer; loans ahead only in an outage; a lender counts only demand of routers that do not draw; one page again.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetAccount.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetAccount.java
@@ -23,7 +23,7 @@
     private static final double SCARCE_KEEP_S = 1.0;
     /** Returns cost a call each, so they are collected for this time. */
     private static final long RETURN_INTERVAL_NS = 1_000_000_000L;
-    /** A loan covers this much demand beyond the requests that wait. */
+    /** In an outage, a loan covers this much demand beyond the requests that wait. */
     private static final double LOAN_AHEAD_S = 1.0;
 
     /** A request that waits longer than this for the ledger also asks other routers. */
@@ -130,20 +130,23 @@
      * Lends tokens to another router.
      *
      * @param tokens the tokens that it needs
+     * @param borrowerDraws whether the other router draws from the ledger itself; if not, its demand counts here
      * @return the tokens that are written off here
      */
-    long lend(long tokens) {
+    long lend(long tokens, boolean borrowerDraws) {
         if (!waiting.isEmpty()) {
             return 0;
         }
-        demand.add(tokens);
+        if (!borrowerDraws) {
+            demand.add(tokens);
+        }
         long lent = PeerLoans.tokensToLend(tokens, wallet.freeTokens());
         lentTokens += lent;
         updateWallet();
         boolean recent = pageRead && System.nanoTime() - pageReadAtNs < LENDER_REFRESH_NS;
         if (lent == tokens) {
             askAhead();
-        } else if (!asked && !recent && drawsFromLedger.getAsBoolean()) {
+        } else if (!borrowerDraws && !asked && !recent && drawsFromLedger.getAsBoolean()) {
             ask(0);
         }
         return lent;
@@ -177,7 +180,8 @@
         }
         borrowing = true;
         long total = waiting.stream().mapToLong(Waiting::tokens).sum();
-        long ahead = drawsFromLedger.getAsBoolean() ? (long) (demand.tokensPerS() * LOAN_AHEAD_S) : 0;
+        boolean wantsAhead = unavailable && drawsFromLedger.getAsBoolean();
+        long ahead = wantsAhead ? (long) (demand.tokensPerS() * LOAN_AHEAD_S) : 0;
         loans.borrow(total - wallet.freeTokens() + ahead, this::credit, this::loansDone);
     }
 
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetDesk.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetDesk.java
@@ -30,6 +30,7 @@
     private final DecisionLog log;
     private final GatewayMetrics metrics;
     private final PeerLoans loans;
+    private final String vmName;
     private final Map<String, BudgetAccount> accounts = new HashMap<>();
 
     /**
@@ -55,6 +56,7 @@
         this.needs = needs;
         this.log = log;
         this.metrics = metrics;
+        this.vmName = vmName;
         this.loans = new PeerLoans(traffic, peers, vmName, routers, log);
     }
 
@@ -107,7 +109,8 @@
             return CompletableFuture.failedFuture(new PeerException("only loans are answered"));
         }
         Borrow borrow = request.getBorrow();
-        long lent = account(borrow.getOrganisation()).lend(borrow.getTokens());
+        boolean borrowerDraws = loans.drawsFromLedger(borrow.getOrganisation(), borrow.getVm());
+        long lent = account(borrow.getOrganisation()).lend(borrow.getTokens(), borrowerDraws);
         log.write(
                 LogKind.BUDGET,
                 "lent",
@@ -151,6 +154,6 @@
                         need -> needs.accept(name, need),
                         this::joinAsking,
                         (tokens, onLoan, onDone) -> loans.borrow(name, tokens, onLoan, onDone),
-                        () -> loans.drawsFromLedger(name)));
+                        () -> loans.drawsFromLedger(name, vmName)));
     }
 }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/PeerLoans.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/PeerLoans.java
@@ -69,17 +69,17 @@
     }
 
     /**
-     * Tells whether this router takes tokens of a budget ahead from the ledger.
+     * Tells whether a router takes tokens of a budget ahead from the ledger.
      *
      * @param organisation the organisation
-     * @return true if it is among the holders of the budget, or does not know the others
+     * @param router the name of the router's VM
+     * @return true if it is among the holders of the budget, or is not known
      */
-    boolean drawsFromLedger(String organisation) {
+    boolean drawsFromLedger(String organisation, String router) {
         List<RouterAddress> all = routers.get();
-        boolean isKnown = all.stream().anyMatch(router -> router.vmName().equals(vmName));
-        return !isKnown
+        return all.stream().noneMatch(each -> each.vmName().equals(router))
                 || BudgetHolders.of(organisation, all).stream()
-                        .anyMatch(router -> router.vmName().equals(vmName));
+                        .anyMatch(each -> each.vmName().equals(router));
     }
 
     void borrow(String organisation, long tokens, LongConsumer onLoan, Runnable onDone) {
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlPlane.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlPlane.java
@@ -22,7 +22,7 @@
     /** Each renewal is a call; silent connections are found by keep-alive probes. */
     private static final int WATCH_WAIT_MS = 15_000;
     /** More pages mean fewer conflicts between routers and more calls. */
-    private static final int LEDGER_PAGES = 2;
+    private static final int LEDGER_PAGES = 1;
 
     private static final long EXPIRY_CHECK_MS = 250;
 
@@ -71,6 +71,7 @@
                 "configuration",
                 loop,
                 health,
+                true,
                 platform::readCatalog,
                 revision -> platform.watchCatalog(revision, WATCH_WAIT_MS),
                 this::catalogRead,
@@ -79,6 +80,7 @@
                 "registry",
                 loop,
                 health,
+                false,
                 platform::listUpstreams,
                 revision -> platform.watchUpstreams(revision, WATCH_WAIT_MS),
                 this::registryListed,
@@ -87,6 +89,7 @@
                 "routers",
                 loop,
                 health,
+                false,
                 platform::listRouters,
                 revision -> platform.watchRouters(revision, WATCH_WAIT_MS),
                 this::routersRead,
@@ -155,6 +158,9 @@
                 return;
             }
             health.failed("announce", failure);
+            if (health.awaitReturn(this::announce)) {
+                return;
+            }
             loop.schedule(this::announce, announceBackoff.next(), TimeUnit.MILLISECONDS);
         });
     }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/LedgerKeeper.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/LedgerKeeper.java
@@ -39,6 +39,7 @@
     private boolean busy;
     private boolean scheduled;
     private boolean refresh = true;
+    private boolean awaitingReturn;
 
     LedgerKeeper(
             String pageName,
@@ -68,6 +69,10 @@
             needs.put(organisation, need);
         }
         asking.add(organisation);
+        if (awaitingReturn) {
+            listener.ledgerUnavailable();
+            return;
+        }
         if (need.requiredTokens() > 0) {
             pump();
         } else {
@@ -76,7 +81,7 @@
     }
 
     void pump() {
-        if (busy) {
+        if (busy || awaitingReturn) {
             return;
         }
         if (!session.isRead()) {
@@ -150,7 +155,15 @@
         health.failed(name, failure);
         refresh = session.isRead();
         listener.ledgerUnavailable();
-        pumpAfter(backoff.next());
+        awaitingReturn = health.awaitReturn(this::platformReturned);
+        if (!awaitingReturn) {
+            pumpAfter(backoff.next());
+        }
+    }
+
+    private void platformReturned() {
+        awaitingReturn = false;
+        pump();
     }
 
     private void pumpAfter(long delayMs) {
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/PlatformHealth.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/PlatformHealth.java
@@ -3,6 +3,8 @@
 import io.jayhead.gateway.log.DecisionLog;
 import io.jayhead.gateway.log.LogKind;
 import io.jayhead.gateway.metrics.GatewayMetrics;
+import java.util.ArrayList;
+import java.util.List;
 
 /** Records whether the platform answers; used by the control thread. */
 final class PlatformHealth {
@@ -10,7 +12,9 @@
     private final DecisionLog log;
     private final GatewayMetrics metrics;
     private final Runnable onReturn;
+    private final List<Runnable> awaitingReturn = new ArrayList<>();
     private boolean away;
+    private boolean probing;
     private long awaySinceNs;
 
     PlatformHealth(DecisionLog log, GatewayMetrics metrics, Runnable onReturn) {
@@ -23,6 +27,32 @@
         return away;
     }
 
+    /**
+     * Lets a call wait for the platform's return, so that one caller probes it instead of all.
+     *
+     * @param repeat repeats the call
+     * @return false if nobody probes the platform; the caller then repeats its call itself
+     */
+    boolean awaitReturn(Runnable repeat) {
+        if (probing) {
+            awaitingReturn.add(repeat);
+        }
+        return probing;
+    }
+
+    /** Records that the probing caller fails and goes on to try. */
+    void probeFailed() {
+        probing = true;
+    }
+
+    /** Records that the probing caller was answered; the calls that wait are repeated. */
+    void probeSucceeded() {
+        probing = false;
+        List<Runnable> repeated = List.copyOf(awaitingReturn);
+        awaitingReturn.clear();
+        repeated.forEach(Runnable::run);
+    }
+
     void succeeded(String call) {
         metrics.platformCall(call, "ok");
         if (!away) {
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/WatchLoop.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/WatchLoop.java
@@ -18,6 +18,7 @@
     private final String name;
     private final EventLoop loop;
     private final PlatformHealth health;
+    private final boolean probes;
     private final Supplier<CompletionStage<Versioned<L>>> read;
     private final LongFunction<CompletionStage<Versioned<C>>> watch;
     private final Consumer<L> onRead;
@@ -27,10 +28,23 @@
     private boolean watched;
     private long revision;
 
+    /**
+     * Creates a loop that has read nothing.
+     *
+     * @param name the kind of object, for log and metrics
+     * @param loop the control thread
+     * @param health records whether the platform answers
+     * @param probes whether this loop probes the platform in an outage; exactly one does
+     * @param read reads all objects
+     * @param watch waits for changes after a revision
+     * @param onRead receives a full reading
+     * @param onChange receives changes
+     */
     WatchLoop(
             String name,
             EventLoop loop,
             PlatformHealth health,
+            boolean probes,
             Supplier<CompletionStage<Versioned<L>>> read,
             LongFunction<CompletionStage<Versioned<C>>> watch,
             Consumer<L> onRead,
@@ -38,6 +52,7 @@
         this.name = name;
         this.loop = loop;
         this.health = health;
+        this.probes = probes;
         this.read = read;
         this.watch = watch;
         this.onRead = onRead;
@@ -57,10 +72,7 @@
         if (failure != null) {
             health.failed(call, failure);
             mustRead |= !PlatformException.faultOf(failure).isOutage();
-            // A lost history is read again at once, but not again and again when every watch is refused.
-            boolean atOnce = watched && PlatformException.faultOf(failure) == PlatformFault.HISTORY_GONE;
-            watched = false;
-            loop.schedule(this::run, atOnce ? 0 : backoff.next(), TimeUnit.MILLISECONDS);
+            retry(PlatformException.faultOf(failure));
             return;
         }
         if (!mustRead) {
@@ -68,6 +80,9 @@
             backoff.reset();
         }
         health.succeeded(call);
+        if (probes) {
+            health.probeSucceeded();
+        }
         mustRead = false;
         revision = Math.max(revision, answer.revision());
         if (answer.value() != null) {
@@ -75,4 +90,19 @@
         }
         loop.execute(this::run);
     }
+
+    private void retry(PlatformFault fault) {
+        // A lost history is read again at once, but not again and again when every watch is refused.
+        boolean atOnce = watched && fault == PlatformFault.HISTORY_GONE;
+        watched = false;
+        if (probes && fault.isOutage()) {
+            health.probeFailed();
+        } else if (probes) {
+            health.probeSucceeded();
+        }
+        if (!probes && fault.isOutage() && health.awaitReturn(this::run)) {
+            return;
+        }
+        loop.schedule(this::run, atOnce ? 0 : backoff.next(), TimeUnit.MILLISECONDS);
+    }
 }
