Merge the two rendezvous hashes and remove what nothing reads

The drain time of the settings and the mark of reused connections were written and never read. No behaviour changes but the order of budget holders in fleets of more than eight routers.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/GatewaySettings.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/GatewaySettings.java
@@ -10,7 +10,6 @@
  * @param callers the address for callers
  * @param status the address of the readiness check and the metrics
  * @param peers the address for other routers
- * @param drainMs how long upstreams that leave go on serving
  * @param stopMs the time between the signal to stop and the end of the process
  */
 public record GatewaySettings(
@@ -19,7 +18,6 @@
         InetSocketAddress callers,
         InetSocketAddress status,
         InetSocketAddress peers,
-        int drainMs,
         long stopMs) {
 
     /** Checks the values. */
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetHolders.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetHolders.java
@@ -1,6 +1,7 @@
 package io.jayhead.gateway.budget;
 
 import io.jayhead.gateway.control.RouterAddress;
+import io.jayhead.model.RendezvousHash;
 import java.util.Comparator;
 import java.util.List;
 
@@ -22,18 +23,8 @@
             return routers;
         }
         return routers.stream()
-                .sorted(Comparator.comparingInt(router -> weight(organisation, router.vmName())))
+                .sorted(Comparator.comparingInt(router -> RendezvousHash.weight(router.vmName(), organisation)))
                 .limit(HOLDERS)
                 .toList();
     }
-
-    /** Mixes the bits of both hashes (the finalizer of MurmurHash3). */
-    private static int weight(String organisation, String vmName) {
-        int hash = organisation.hashCode() * 31 + vmName.hashCode();
-        hash ^= hash >>> 16;
-        hash *= 0x85ebca6b;
-        hash ^= hash >>> 13;
-        hash *= 0xc2b2ae35;
-        return hash ^ hash >>> 16;
-    }
 }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamConnection.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamConnection.java
@@ -31,7 +31,6 @@
     private ChannelFuture requestWritten;
     private Answer answer = Answer.NONE;
     private boolean reusable = true;
-    private boolean reused;
     private long idleSinceNs;
     private long idleLimitMs;
 
@@ -72,15 +71,6 @@
         channel.config().setAutoRead(reading);
     }
 
-    /**
-     * Tells whether the connection had served an earlier request.
-     *
-     * @return true if it was reused
-     */
-    public boolean isReused() {
-        return reused;
-    }
-
     boolean isUsable(long nowNs) {
         return channel.isActive() && reusable && (nowNs - idleSinceNs) / 1_000_000 < idleLimitMs;
     }
@@ -89,10 +79,6 @@
         channel.close();
     }
 
-    void markReused() {
-        reused = true;
-    }
-
     @Override
     public void handlerAdded(ChannelHandlerContext context) {
         channel = context.channel();
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamConnections.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamConnections.java
@@ -44,7 +44,6 @@
         long nowNs = System.nanoTime();
         for (UpstreamConnection next = idle.pollFirst(); next != null; next = idle.pollFirst()) {
             if (next.isUsable(nowNs)) {
-                next.markReused();
                 listener.connected(next);
                 return;
             }
--- a/jayhead-routing/src/main/java/io/jayhead/routing/placement/Placement.java
+++ b/jayhead-routing/src/main/java/io/jayhead/routing/placement/Placement.java
@@ -1,5 +1,6 @@
 package io.jayhead.routing.placement;
 
+import io.jayhead.model.RendezvousHash;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
@@ -52,7 +53,8 @@
         List<String> holders = holders(open, request.affinityKey());
         return open.stream()
                 .min(Comparator.comparingDouble((Candidate each) -> cost(each, request, holders))
-                        .thenComparingInt(each -> mix(each.upstream().id(), Integer.toString(request.salt()))));
+                        .thenComparingInt(
+                                each -> RendezvousHash.weight(each.upstream().id(), Integer.toString(request.salt()))));
     }
 
     /**
@@ -98,18 +100,8 @@
         return candidates.stream()
                 .filter(each -> !each.suspect())
                 .map(each -> each.upstream().id())
-                .sorted(Comparator.comparingInt(id -> mix(id, key)))
+                .sorted(Comparator.comparingInt(id -> RendezvousHash.weight(id, key)))
                 .limit(REREAD_FACTOR_BY_RANK.length - 1)
                 .toList();
     }
-
-    /** Mixes the bits of two hashes (the finalizer of MurmurHash3). */
-    private static int mix(String left, String right) {
-        int hash = left.hashCode() * 31 + right.hashCode();
-        hash ^= hash >>> 16;
-        hash *= 0x85ebca6b;
-        hash ^= hash >>> 13;
-        hash *= 0xc2b2ae35;
-        return hash ^ hash >>> 16;
-    }
 }
