--- a/jayhead-admission/src/test/java/io/jayhead/admission/prepaid/LedgerWorld.java
+++ b/jayhead-admission/src/test/java/io/jayhead/admission/prepaid/LedgerWorld.java
@@ -99,7 +99,7 @@
         send(router, delivery);
     }
 
-    /** Sends as the keeper of a page does: an open update is read and repeated before another one is made. */
+    /** Sends as the updater of a page does: an open update is read and repeated before another one is made. */
     private void send(int router, Delivery delivery) {
         if (sessions[router].inFlight().isPresent() || !sessions[router].isRead()) {
             sessions[router] = sessions[router].read(stored);
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlPlane.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlPlane.java
@@ -29,7 +29,7 @@
     private final EventLoop loop;
     private final DecisionLog log;
     private final PlatformHealth health;
-    private final List<LedgerKeeper> ledgers = new ArrayList<>();
+    private final List<LedgerUpdater> ledgers = new ArrayList<>();
     private final WatchLoop<Catalog, Catalog> catalogLoop;
     private final WatchLoop<UpstreamListing, UpstreamChanges> registryLoop;
     private final WatchLoop<RouterListing, RouterListing> routersLoop;
@@ -95,7 +95,7 @@
                 this::routersRead,
                 this::routersRead);
         for (int page = 0; page < LEDGER_PAGES; page++) {
-            ledgers.add(new LedgerKeeper("page-" + page, holder, platform, health, loop, log, this::prepaid, budgets));
+            ledgers.add(new LedgerUpdater("page-" + page, holder, platform, health, loop, log, this::prepaid, budgets));
         }
     }
 
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/LedgerKeeper.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/LedgerUpdater.java
@@ -19,7 +19,7 @@
 import java.util.function.Function;
 
 /** Keeps this router's entries of one ledger page; used by the control thread, with one call at a time. */
-final class LedgerKeeper {
+final class LedgerUpdater {
 
     /** Needs that no request waits for are collected for this time, so that one call serves many budgets. */
     private static final long COLLECT_MS = 300;
@@ -41,7 +41,7 @@
     private boolean refresh = true;
     private boolean awaitingReturn;
 
-    LedgerKeeper(
+    LedgerUpdater(
             String pageName,
             Holder holder,
             Platform platform,
