--- a/jayhead-scenarios/src/main/java/io/jayhead/scenarios/language/ProcessSignal.java
+++ b/jayhead-scenarios/src/main/java/io/jayhead/scenarios/language/ProcessSignal.java
@@ -9,5 +9,7 @@
     /** Freezes it. */
     PAUSE,
     /** Wakes it. */
-    RESUME
+    RESUME,
+    /** Asks it to read its settings again. */
+    RELOAD
 }
--- a/jayhead-scenarios/src/main/java/io/jayhead/scenarios/link/Link.java
+++ b/jayhead-scenarios/src/main/java/io/jayhead/scenarios/link/Link.java
@@ -32,10 +32,15 @@
         connections.remove(connection);
     }
 
-    /** Waits while the link is silent. */
-    synchronized void awaitForwarding() throws InterruptedException {
-        while (state == LinkState.SILENCE) {
+    /** Waits while the link forwards nothing in a direction, and for its delay. */
+    void awaitForwarding(boolean towardsTarget) throws InterruptedException {
+        Thread.sleep(awaitOpen(towardsTarget));
+    }
+
+    private synchronized int awaitOpen(boolean towardsTarget) throws InterruptedException {
+        while (state.holds(towardsTarget)) {
             wait();
         }
+        return state.delayMs();
     }
 }
--- a/jayhead-scenarios/src/main/java/io/jayhead/scenarios/link/RelayedConnection.java
+++ b/jayhead-scenarios/src/main/java/io/jayhead/scenarios/link/RelayedConnection.java
@@ -31,14 +31,14 @@
             return;
         }
         try {
-            link.awaitForwarding();
+            link.awaitForwarding(true);
             far.connect(target, CONNECT_TIMEOUT_MS);
             near.setTcpNoDelay(true);
             far.setTcpNoDelay(true);
-            Thread back = new Thread(() -> forward(far, near), "relay-back");
+            Thread back = new Thread(() -> forward(far, near, false), "relay-back");
             back.setDaemon(true);
             back.start();
-            forward(near, far);
+            forward(near, far, true);
         } catch (IOException e) {
             close();
         } catch (InterruptedException e) {
@@ -53,16 +53,16 @@
         reset(far);
     }
 
-    private void forward(Socket from, Socket to) {
+    private void forward(Socket from, Socket to, boolean towardsTarget) {
         byte[] buffer = new byte[BUFFER_BYTES];
         try {
             InputStream input = from.getInputStream();
             OutputStream output = to.getOutputStream();
             for (int count = input.read(buffer); count >= 0; count = input.read(buffer)) {
-                link.awaitForwarding();
+                link.awaitForwarding(towardsTarget);
                 output.write(buffer, 0, count);
             }
-            link.awaitForwarding();
+            link.awaitForwarding(towardsTarget);
             to.shutdownOutput();
         } catch (IOException e) {
             close();
--- a/jayhead-scenarios/src/main/java/io/jayhead/scenarios/process/RunningProcess.java
+++ b/jayhead-scenarios/src/main/java/io/jayhead/scenarios/process/RunningProcess.java
@@ -92,6 +92,7 @@
             case STOP -> process.destroy();
             case PAUSE -> kill("-STOP");
             case RESUME -> kill("-CONT");
+            case RELOAD -> kill("-HUP");
             default -> throw new IllegalArgumentException("unknown signal: " + signal);
         }
     }
--- a/jayhead-scenarios/src/main/java/io/jayhead/scenarios/run/FreePorts.java
+++ b/jayhead-scenarios/src/main/java/io/jayhead/scenarios/run/FreePorts.java
@@ -14,7 +14,7 @@
  * <p>The ports lie below those that the kernel gives to outgoing connections. A port found free above that bound was
  * taken by a connection before the router listened.
  */
-final class FreePorts {
+public final class FreePorts {
 
     private static final int FIRST_PORT = 20_000;
     private static final int END_PORT = 32_000;
@@ -24,12 +24,22 @@
 
     private int next;
 
-    FreePorts(String scenario) {
+    /**
+     * Creates a source of ports.
+     *
+     * @param scenario a text that decides where the search begins
+     */
+    public FreePorts(String scenario) {
         int places = (END_PORT - FIRST_PORT) / PORTS_PER_SCENARIO;
         next = FIRST_PORT + Math.floorMod(scenario.hashCode() + PROCESS, places) * PORTS_PER_SCENARIO;
     }
 
-    String address() {
+    /**
+     * Returns an address that nobody listens on and that was not returned before.
+     *
+     * @return the address, as IP:PORT
+     */
+    public String address() {
         synchronized (TAKEN) {
             while (!isFree(next) || !TAKEN.add(next)) {
                 next = next + 1 < END_PORT ? next + 1 : FIRST_PORT;
