Hold less of a budget ahead soon after the store came back

Cause: a kill of all routers strands what they hold ahead; it often follows an outage of the store, after which the routers had at once taken 12 s of demand again. Change: the demand that may be held ahead grows from 1 s to 12 s with the time that the router has been in touch with the store.

--- a/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/LedgerSession.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/LedgerSession.java
@@ -87,9 +87,11 @@
      *
      * @param needs what the router wants, by organisation
      * @param prepaid returns the size of a budget; empty if the budget has no limit or is unknown
+     * @param aheadLimitS the demand that the router may hold ahead, in seconds
      * @return the update, or empty if the page would not change
      */
-    public Optional<LedgerUpdate> nextUpdate(Map<String, BudgetNeed> needs, Function<String, OptionalLong> prepaid) {
+    public Optional<LedgerUpdate> nextUpdate(
+            Map<String, BudgetNeed> needs, Function<String, OptionalLong> prepaid, double aheadLimitS) {
         LedgerPage page = known.page();
         for (String organisation : pendingReturns.keySet()) {
             page = page.with(organisation, holder.name(), new LedgerEntry(ownTokens(organisation), 0));
@@ -98,7 +100,7 @@
             String organisation = entry.getKey();
             OptionalLong size = prepaid.apply(organisation);
             if (size.isPresent() && !pendingReturns.containsKey(organisation)) {
-                page = withTaken(page, organisation, entry.getValue(), size.getAsLong());
+                page = withTaken(page, organisation, entry.getValue(), size.getAsLong(), aheadLimitS);
             }
         }
         if (page.equals(known.page())) {
@@ -107,10 +109,11 @@
         return Optional.of(new LedgerUpdate(page, known.revision(), pendingReturns));
     }
 
-    private LedgerPage withTaken(LedgerPage page, String organisation, BudgetNeed need, long prepaidTokens) {
+    private LedgerPage withTaken(
+            LedgerPage page, String organisation, BudgetNeed need, long prepaidTokens, double aheadLimitS) {
         long left = leftTokens(organisation, prepaidTokens);
         long others = page.demandOfOthers(organisation, holder.vmName());
-        long tokens = GrantRule.tokensToTake(need, left, others);
+        long tokens = GrantRule.tokensToTake(need, left, others, aheadLimitS);
         if (tokens <= 0) {
             return page;
         }
--- a/jayhead-admission/src/test/java/io/jayhead/admission/prepaid/GrantRuleTest.java
+++ b/jayhead-admission/src/test/java/io/jayhead/admission/prepaid/GrantRuleTest.java
@@ -8,24 +8,33 @@
 
     @Test
     void aWaitingRequestIsCoveredFromAllThatIsLeft() {
-        assertEquals(900, GrantRule.tokensToTake(new BudgetNeed(900, 0, 10, 0), 1_000, 1_000));
+        assertEquals(900, GrantRule.tokensToTake(new BudgetNeed(900, 0, 10, 0), 1_000, 1_000, GrantRule.MAX_AHEAD_S));
     }
 
     @Test
     void aRouterTakesAheadForAnOutageWhileTheBudgetIsLarge() {
-        assertEquals(1_200, GrantRule.tokensToTake(new BudgetNeed(0, 0, 100, 0), 1_000_000, 500));
-        assertEquals(1_000, GrantRule.tokensToTake(new BudgetNeed(0, 200, 100, 0), 1_000_000, 500));
+        assertEquals(
+                1_200, GrantRule.tokensToTake(new BudgetNeed(0, 0, 100, 0), 1_000_000, 500, GrantRule.MAX_AHEAD_S));
+        assertEquals(
+                1_000, GrantRule.tokensToTake(new BudgetNeed(0, 200, 100, 0), 1_000_000, 500, GrantRule.MAX_AHEAD_S));
     }
 
     @Test
     void routersTogetherHoldHalfOfWhatIsLeftSoThatAKillOfAllStrandsNoMore() {
-        long first = GrantRule.tokensToTake(new BudgetNeed(0, 0, 100, 0), 6_000, 500);
+        long first = GrantRule.tokensToTake(new BudgetNeed(0, 0, 100, 0), 6_000, 500, GrantRule.MAX_AHEAD_S);
         assertEquals(500, first);
-        assertEquals(0, GrantRule.tokensToTake(new BudgetNeed(0, first, 100, 0), 6_000, 500));
+        assertEquals(0, GrantRule.tokensToTake(new BudgetNeed(0, first, 100, 0), 6_000, 500, GrantRule.MAX_AHEAD_S));
+    }
+
+    @Test
+    void littleIsHeldAheadSoonAfterAnOutageBecauseRestartsOftenFollow() {
+        assertEquals(
+                200, GrantRule.tokensToTake(new BudgetNeed(0, 0, 100, 0), 1_000_000, 500, GrantRule.aheadLimitS(1)));
+        assertEquals(GrantRule.MAX_AHEAD_S, GrantRule.aheadLimitS(60));
     }
 
     @Test
     void nothingIsTakenFromAnOverdrawnBudget() {
-        assertEquals(0, GrantRule.tokensToTake(new BudgetNeed(100, 0, 0, 0), -5, 2));
+        assertEquals(0, GrantRule.tokensToTake(new BudgetNeed(100, 0, 0, 0), -5, 2, GrantRule.MAX_AHEAD_S));
     }
 }
--- a/jayhead-admission/src/test/java/io/jayhead/admission/prepaid/LedgerWorld.java
+++ b/jayhead-admission/src/test/java/io/jayhead/admission/prepaid/LedgerWorld.java
@@ -107,7 +107,7 @@
         LedgerSession session = sessions[router];
         Optional<LedgerUpdate> update = session.inFlight().isPresent()
                 ? session.inFlight()
-                : session.nextUpdate(needs, organisation -> OptionalLong.of(prepaidTokens));
+                : session.nextUpdate(needs, organisation -> OptionalLong.of(prepaidTokens), GrantRule.MAX_AHEAD_S);
         if (update.isEmpty()) {
             return;
         }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/LedgerUpdater.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/LedgerUpdater.java
@@ -1,6 +1,7 @@
 package io.jayhead.gateway.control;
 
 import io.jayhead.admission.prepaid.BudgetNeed;
+import io.jayhead.admission.prepaid.GrantRule;
 import io.jayhead.admission.prepaid.Holder;
 import io.jayhead.admission.prepaid.LedgerSession;
 import io.jayhead.admission.prepaid.LedgerUpdate;
@@ -92,8 +93,9 @@
             call("read ledger", platform.readLedger(pageName));
             return;
         }
-        Optional<LedgerUpdate> update =
-                session.inFlight().isPresent() ? session.inFlight() : session.nextUpdate(needs, prepaid);
+        Optional<LedgerUpdate> update = session.inFlight().isPresent()
+                ? session.inFlight()
+                : session.nextUpdate(needs, prepaid, GrantRule.aheadLimitS(health.inTouchS()));
         if (update.isPresent()) {
             session = session.sending(update.get());
             call("update ledger", platform.updateLedger(pageName, update.get()));
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/PlatformHealth.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/PlatformHealth.java
@@ -16,6 +16,7 @@
     private boolean away;
     private boolean probing;
     private long awaySinceNs;
+    private long inTouchSinceNs = System.nanoTime();
 
     PlatformHealth(DecisionLog log, GatewayMetrics metrics, Runnable onReturn) {
         this.log = log;
@@ -27,6 +28,15 @@
         return away;
     }
 
+    /**
+     * Returns for how long the platform has answered.
+     *
+     * @return the time since its return or the start of this router, in seconds
+     */
+    double inTouchS() {
+        return away ? 0 : (System.nanoTime() - inTouchSinceNs) / 1e9;
+    }
+
     /**
      * Lets a call wait for the platform's return, so that one caller probes it instead of all.
      *
@@ -59,6 +69,7 @@
             return;
         }
         away = false;
+        inTouchSinceNs = System.nanoTime();
         long awayMs = (System.nanoTime() - awaySinceNs) / 1_000_000;
         log.write(LogKind.DEPENDENCY, "platform regained", "call", call, "away_ms", awayMs);
         onReturn.run();
