Answer needs that change nothing, spread the ledger over pages, let holders ask it for others

Ruled out: backoff after conflicts (a page still serves one update at a time); a page for each organisation chosen by the configuration (routers must agree on it over restarts). Change: such needs are answered; sixteen ledger pages, created at the first need; in fleets of more than eight routers four hold each budget, and a holder asks the ledger on behalf of a borrower; of two routers that lack tokens, the one that lacks less is served; a failed loan is remembered by its size; the registry's watch pauses for 400 ms, that of routers for 1 s. Also: a router whose link is busy takes no new connections and closes open ones (LinkPressure), for callers that all end at one router.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/Gateway.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/Gateway.java
@@ -6,6 +6,7 @@
 import io.jayhead.gateway.control.Platform;
 import io.jayhead.gateway.control.RouterAddress;
 import io.jayhead.gateway.edge.CallerServer;
+import io.jayhead.gateway.edge.LinkMeter;
 import io.jayhead.gateway.edge.StatusServer;
 import io.jayhead.gateway.exchange.DrainState;
 import io.jayhead.gateway.exchange.GatewayContext;
@@ -26,6 +27,7 @@
 /** A router: one control thread, one traffic thread, and the servers for callers and checks. */
 public final class Gateway implements AutoCloseable {
 
+    private static final long LINK_CHECK_MS = 250;
     private static final long SWEEP_MS = 500;
     private static final long DRAIN_CHECK_MS = 50;
     /** The platform's balancer needs two missed checks before it sends no more connections. */
@@ -45,6 +47,7 @@
     private final ControlPlane control;
     private final BudgetDesk budgets;
     private final UpstreamTable upstreams;
+    private final LinkMeter meter;
     private final CallerServer callers;
     private final WireDialect dialect;
     private volatile boolean stopping;
@@ -89,13 +92,25 @@
                 this::snapshotChanged);
         created[0] = control;
         this.upstreams = new UpstreamTable(traffic, dialect, settings.availabilityZone(), metrics::connectionOpened);
-        this.callers = new CallerServer(new GatewayContext(
-                traffic, dialect, control::snapshot, upstreams, budgets, new RetryBudgets(), log, metrics, drain));
+        this.meter = new LinkMeter(settings.linkMbps(), log);
+        GatewayContext context = new GatewayContext(
+                traffic,
+                dialect,
+                control::snapshot,
+                upstreams,
+                budgets,
+                new RetryBudgets(),
+                log,
+                metrics,
+                drain,
+                meter::pressure);
+        this.callers = new CallerServer(context, meter);
     }
 
     /** Starts to serve. */
     public void start() {
         budgets.start();
+        traffic.scheduleWithFixedDelay(this::measureLink, LINK_CHECK_MS, LINK_CHECK_MS, TimeUnit.MILLISECONDS);
         traffic.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
         PeerServer.start(trafficGroup, settings.peers(), budgets::answerPeer, PeerTraffic.NONE);
         callers.listen(trafficGroup, trafficGroup, settings.callers());
@@ -166,7 +181,11 @@
     }
 
     private boolean isReady() {
-        return !stopping && control.snapshot().isComplete();
+        return !stopping && control.snapshot().isComplete() && meter.pressure().takesConnections();
+    }
+
+    private void measureLink() {
+        meter.measure(System.nanoTime() / 1_000_000);
     }
 
     private void snapshotChanged() {
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetAccount.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetAccount.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 import java.util.function.Predicate;
 
 /** The tokens of one budget at this router and the requests that wait for them; used by the traffic thread. */
@@ -23,13 +24,10 @@
     private static final double SCARCE_KEEP_S = 1.0;
     /** Returns cost a call each, so they are collected for this time. */
     private static final long RETURN_INTERVAL_NS = 1_000_000_000L;
-    /** In an outage, a loan covers this much demand beyond the requests that wait. */
-    private static final double LOAN_AHEAD_S = 1.0;
-
+    /** A loan waits this long for the ledger; borrowers turn to another router soon after. */
+    private static final long LOAN_WAIT_NS = 45_000_000L;
     /** A request that waits longer than this for the ledger also asks other routers. */
     private static final long LEDGER_PATIENCE_NS = 80_000_000L;
-    /** A lender that runs dry asks the ledger again after this time. */
-    private static final long LENDER_REFRESH_NS = 2_000_000_000L;
 
     private final Consumer<BudgetNeed> needs;
     private final Runnable onAsk;
@@ -37,6 +35,7 @@
     private final BooleanSupplier drawsFromLedger;
     private final DemandRate demand = new DemandRate();
     private final List<Waiting> waiting = new ArrayList<>();
+    private final List<WaitingLoan> waitingLoans = new ArrayList<>();
     private Wallet wallet = Wallet.empty();
     private long ledgerTokens;
     private long borrowedTokens;
@@ -52,6 +51,7 @@
     private long returnedTokens;
     private long returnedAtNs = System.nanoTime();
     private long noLoanAtNs = System.nanoTime() - NO_LOAN_NS;
+    private long noLoanTokens;
 
     /**
      * Creates an account without tokens.
@@ -73,7 +73,7 @@
     }
 
     void reserve(long prepaid, long tokens, long waitMs, Consumer<ReservationResult> callback) {
-        if (prepaid > prepaidTokens && pageRead) {
+        if (prepaid > prepaidTokens && prepaidTokens > 0 && pageRead) {
             leftTokens += prepaid - prepaidTokens;
         }
         prepaidTokens = prepaid;
@@ -85,7 +85,7 @@
             return;
         }
         boolean decided = isExhausted(tokens) && isPageFresh();
-        if ((decided || unavailable) && System.nanoTime() - noLoanAtNs < NO_LOAN_NS) {
+        if ((decided || unavailable) && isLoanHopeless(tokens)) {
             callback.accept(refusal());
             return;
         }
@@ -112,6 +112,7 @@
         leftTokens = left;
         updateWallet();
         serveWaiting();
+        answerLoans(each -> each.tokens() <= wallet.freeTokens() || isExhausted(each.tokens()));
         freeAfterReading = Math.max(0, wallet.freeTokens());
         if (waiting.stream().anyMatch(each -> isExhausted(each.tokens()))) {
             borrow();
@@ -120,36 +121,76 @@
         }
     }
 
+    /** Takes note that the ledger had nothing to change; what is known of it holds. */
+    void ledgerUnchanged() {
+        asked = false;
+        unavailable = false;
+        freeAfterReading = Math.max(0, wallet.freeTokens());
+        askForWaiting();
+    }
+
     /** Lets the requests that wait ask other routers, since the ledger will not answer in time. */
     void ledgerUnavailable() {
         unavailable = asked;
+        answerLoans(each -> true);
         borrow();
     }
 
     /**
-     * Lends tokens to another router.
+     * Lends tokens to another router; they are written off here before the reply.
      *
      * @param tokens the tokens that it needs
      * @param borrowerDraws whether the other router draws from the ledger itself; if not, its demand counts here
-     * @return the tokens that are written off here
+     * @param reply receives the tokens, at once or after the ledger has answered
      */
-    long lend(long tokens, boolean borrowerDraws) {
-        if (!waiting.isEmpty()) {
-            return 0;
-        }
+    void lend(long tokens, boolean borrowerDraws, LongConsumer reply) {
         if (!borrowerDraws) {
             demand.add(tokens);
         }
-        long lent = PeerLoans.tokensToLend(tokens, wallet.freeTokens());
-        lentTokens += lent;
-        updateWallet();
-        boolean recent = pageRead && System.nanoTime() - pageReadAtNs < LENDER_REFRESH_NS;
-        if (lent == tokens) {
-            askAhead();
-        } else if (!borrowerDraws && !asked && !recent && drawsFromLedger.getAsBoolean()) {
-            ask(0);
+        boolean canAsk = !borrowerDraws && !unavailable && drawsFromLedger.getAsBoolean();
+        long lendable = lendableTokens(tokens);
+        if (lendable < tokens && canAsk && !(isExhausted(tokens) && isPageFresh())) {
+            waitingLoans.add(new WaitingLoan(tokens, System.nanoTime(), reply));
+            askForWaiting();
+            return;
+        }
+        writeOff(lendable);
+        reply.accept(lendable);
+        askAhead();
+    }
+
+    /** Answers the loans that have waited too long with what there is. */
+    void answerLateLoans() {
+        long nowNs = System.nanoTime();
+        answerLoans(each -> nowNs - each.sinceNs() >= LOAN_WAIT_NS);
+    }
+
+    private void answerLoans(Predicate<WaitingLoan> which) {
+        List<WaitingLoan> answered = waitingLoans.stream().filter(which).toList();
+        waitingLoans.removeAll(answered);
+        for (WaitingLoan loan : answered) {
+            long lent = Math.min(loan.tokens(), Math.max(0, wallet.freeTokens()));
+            writeOff(lent);
+            loan.reply().accept(lent);
+        }
+    }
+
+    /** Of two routers that lack tokens, the one that lacks less is served, so that tokens do not lie idle. */
+    private long lendableTokens(long tokens) {
+        if (tokens >= leastMissing()) {
+            return 0;
         }
-        return lent;
+        return PeerLoans.tokensToLend(tokens, wallet.freeTokens());
+    }
+
+    private long leastMissing() {
+        return waiting.stream().mapToLong(Waiting::tokens).min().orElse(Long.MAX_VALUE)
+                - Math.max(0, wallet.freeTokens());
+    }
+
+    private void writeOff(long tokens) {
+        lentTokens += tokens;
+        updateWallet();
     }
 
     void tick() {
@@ -180,9 +221,7 @@
         }
         borrowing = true;
         long total = waiting.stream().mapToLong(Waiting::tokens).sum();
-        boolean wantsAhead = unavailable && drawsFromLedger.getAsBoolean();
-        long ahead = wantsAhead ? (long) (demand.tokensPerS() * LOAN_AHEAD_S) : 0;
-        loans.borrow(total - wallet.freeTokens() + ahead, this::credit, this::loansDone);
+        loans.borrow(total - wallet.freeTokens(), this::credit, this::loansDone);
     }
 
     private void credit(long tokens) {
@@ -199,12 +238,18 @@
         boolean ledgerDecided = unavailable || waiting.stream().allMatch(each -> isExhausted(each.tokens()));
         if (ledgerDecided && (unavailable || isPageFresh())) {
             noLoanAtNs = System.nanoTime();
+            noLoanTokens = leastMissing();
             refuse(each -> true, refusal());
         } else if (!asked) {
             askForWaiting();
         }
     }
 
+    private boolean isLoanHopeless(long tokens) {
+        boolean recent = System.nanoTime() - noLoanAtNs < NO_LOAN_NS;
+        return recent && tokens - wallet.freeTokens() >= noLoanTokens;
+    }
+
     private boolean isPageFresh() {
         return System.nanoTime() - pageReadAtNs < PAGE_MAX_AGE_NS;
     }
@@ -265,10 +310,11 @@
     }
 
     private void askForWaiting() {
-        if (waiting.isEmpty()) {
+        if (waiting.isEmpty() && waitingLoans.isEmpty()) {
             return;
         }
-        long total = waiting.stream().mapToLong(Waiting::tokens).sum();
+        long total = waiting.stream().mapToLong(Waiting::tokens).sum()
+                + waitingLoans.stream().mapToLong(WaitingLoan::tokens).sum();
         ask(Math.max(1, total - wallet.freeTokens()));
     }
 
@@ -290,6 +336,9 @@
         return new BudgetNeed(required, Math.max(0, wallet.freeTokens()), (long) demand.tokensPerS(), 0);
     }
 
+    /** Another router's request for tokens that waits for the ledger. */
+    private record WaitingLoan(long tokens, long sinceNs, LongConsumer reply) {}
+
     /** A request that waits for tokens. */
     private record Waiting(long tokens, long sinceNs, long untilNs, Consumer<ReservationResult> callback) {}
 }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetDesk.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetDesk.java
@@ -1,6 +1,7 @@
 package io.jayhead.gateway.budget;
 
 import io.jayhead.admission.prepaid.BudgetNeed;
+import io.jayhead.admission.prepaid.LedgerPages;
 import io.jayhead.gateway.control.BudgetListener;
 import io.jayhead.gateway.control.RouterAddress;
 import io.jayhead.gateway.log.DecisionLog;
@@ -24,6 +25,8 @@
 public final class BudgetDesk implements BudgetListener {
 
     private static final long TICK_MS = 100;
+    /** Loans that wait for the ledger are looked at again after this time. */
+    private static final long LOAN_CHECK_MS = 50;
 
     private final EventLoop traffic;
     private final BiConsumer<String, BudgetNeed> needs;
@@ -110,7 +113,19 @@
         }
         Borrow borrow = request.getBorrow();
         boolean borrowerDraws = loans.drawsFromLedger(borrow.getOrganisation(), borrow.getVm());
-        long lent = account(borrow.getOrganisation()).lend(borrow.getTokens(), borrowerDraws);
+        BudgetAccount lender = account(borrow.getOrganisation());
+        CompletableFuture<Frame> answer = new CompletableFuture<>();
+        lender.lend(borrow.getTokens(), borrowerDraws, lent -> {
+            logLoan(borrow, lent);
+            answer.complete(PeerLoans.reply(borrow, lent));
+        });
+        if (!answer.isDone()) {
+            traffic.schedule(lender::answerLateLoans, LOAN_CHECK_MS, TimeUnit.MILLISECONDS);
+        }
+        return answer;
+    }
+
+    private void logLoan(Borrow borrow, long lent) {
         log.write(
                 LogKind.BUDGET,
                 "lent",
@@ -122,7 +137,6 @@
                 borrow.getTokens(),
                 "tokens",
                 lent);
-        return CompletableFuture.completedFuture(PeerLoans.reply(borrow, lent));
     }
 
     @Override
@@ -130,6 +144,11 @@
         traffic.execute(() -> account(organisation).ledgerRead(ownTokens, leftTokens, returnedTokens));
     }
 
+    @Override
+    public void budgetUnchanged(String organisation) {
+        traffic.execute(() -> account(organisation).ledgerUnchanged());
+    }
+
     @Override
     public void ledgerUnavailable() {
         traffic.execute(() -> {
@@ -138,9 +157,14 @@
         });
     }
 
-    /** One update serves all budgets, so each call takes along what the others will need soon. */
-    private void joinAsking() {
-        accounts.values().forEach(BudgetAccount::joinAsking);
+    /** One update serves all budgets of a page, so each call takes along what the others will need soon. */
+    private void joinAsking(String organisation) {
+        int page = LedgerPages.indexOf(organisation);
+        accounts.forEach((name, account) -> {
+            if (LedgerPages.indexOf(name) == page) {
+                account.joinAsking();
+            }
+        });
     }
 
     private void tick() {
@@ -152,7 +176,7 @@
                 organisation,
                 name -> new BudgetAccount(
                         need -> needs.accept(name, need),
-                        this::joinAsking,
+                        () -> joinAsking(name),
                         (tokens, onLoan, onDone) -> loans.borrow(name, tokens, onLoan, onDone),
                         () -> loans.drawsFromLedger(name, vmName)));
     }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetHolders.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetHolders.java
@@ -13,13 +13,15 @@
  */
 final class BudgetHolders {
 
-    /** Several holders survive the loss of some; each adds to what is stranded when all are killed. */
-    static final int HOLDERS = 8;
+    /** Up to this size of the fleet, every router sees enough requests of every budget to hold tokens itself. */
+    static final int SMALL_FLEET = 8;
+    /** Several holders survive the loss of some; few of them share a ledger page without conflicts. */
+    static final int HOLDERS = 4;
 
     private BudgetHolders() {}
 
     static List<RouterAddress> of(String organisation, List<RouterAddress> routers) {
-        if (routers.size() <= HOLDERS) {
+        if (routers.size() <= SMALL_FLEET) {
             return routers;
         }
         return routers.stream()
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/BudgetListener.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/BudgetListener.java
@@ -15,4 +15,11 @@
 
     /** Reports that the platform did not answer a call for a ledger page. */
     void ledgerUnavailable();
+
+    /**
+     * Receives the answer to a need for which there was nothing to take or to give back.
+     *
+     * @param organisation the organisation
+     */
+    void budgetUnchanged(String organisation);
 }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlPlane.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlPlane.java
@@ -2,6 +2,7 @@
 
 import io.jayhead.admission.prepaid.BudgetNeed;
 import io.jayhead.admission.prepaid.Holder;
+import io.jayhead.admission.prepaid.LedgerPages;
 import io.jayhead.gateway.log.DecisionLog;
 import io.jayhead.gateway.log.LogKind;
 import io.jayhead.gateway.metrics.GatewayMetrics;
@@ -21,8 +22,10 @@
 
     /** Each renewal is a call; silent connections are found by keep-alive probes. */
     private static final int WATCH_WAIT_MS = 15_000;
-    /** More pages mean fewer conflicts between routers and more calls. */
-    private static final int LEDGER_PAGES = 1;
+    /** Changes of upstreams are collected for this time, so that one answer brings many. */
+    private static final int REGISTRY_PAUSE_MS = 400;
+    /** Routers announce themselves at their first start, many at the same time. */
+    private static final int ROUTERS_PAUSE_MS = 1_000;
 
     private static final long EXPIRY_CHECK_MS = 250;
 
@@ -72,6 +75,7 @@
                 loop,
                 health,
                 true,
+                0,
                 platform::readCatalog,
                 revision -> platform.watchCatalog(revision, WATCH_WAIT_MS),
                 this::catalogRead,
@@ -81,6 +85,7 @@
                 loop,
                 health,
                 false,
+                REGISTRY_PAUSE_MS,
                 platform::listUpstreams,
                 revision -> platform.watchUpstreams(revision, WATCH_WAIT_MS),
                 this::registryListed,
@@ -90,12 +95,14 @@
                 loop,
                 health,
                 false,
+                ROUTERS_PAUSE_MS,
                 platform::listRouters,
                 revision -> platform.watchRouters(revision, WATCH_WAIT_MS),
                 this::routersRead,
                 this::routersRead);
-        for (int page = 0; page < LEDGER_PAGES; page++) {
-            ledgers.add(new LedgerUpdater("page-" + page, holder, platform, health, loop, log, this::prepaid, budgets));
+        for (int page = 0; page < LedgerPages.COUNT; page++) {
+            ledgers.add(new LedgerUpdater(
+                    LedgerPages.name(page), holder, platform, health, loop, log, this::prepaid, budgets));
         }
     }
 
@@ -105,7 +112,6 @@
         loop.execute(registryLoop::run);
         loop.execute(routersLoop::run);
         loop.execute(this::announce);
-        ledgers.forEach(ledger -> loop.execute(ledger::pump));
         loop.scheduleWithFixedDelay(this::expireUpstreams, EXPIRY_CHECK_MS, EXPIRY_CHECK_MS, TimeUnit.MILLISECONDS);
     }
 
@@ -125,7 +131,7 @@
      * @param need the need; it replaces the one before
      */
     public void need(String organisation, BudgetNeed need) {
-        int page = Math.floorMod(organisation.hashCode(), LEDGER_PAGES);
+        int page = LedgerPages.indexOf(organisation);
         loop.execute(() -> ledgers.get(page).need(organisation, need));
     }
 
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/LedgerUpdater.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/LedgerUpdater.java
@@ -103,6 +103,10 @@
             needs.clear();
             refresh = true;
             pump();
+        } else {
+            needs.clear();
+            asking.forEach(listener::budgetUnchanged);
+            asking.clear();
         }
     }
 
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/WatchLoop.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/WatchLoop.java
@@ -19,6 +19,7 @@
     private final EventLoop loop;
     private final PlatformHealth health;
     private final boolean probes;
+    private final int pauseMs;
     private final Supplier<CompletionStage<Versioned<L>>> read;
     private final LongFunction<CompletionStage<Versioned<C>>> watch;
     private final Consumer<L> onRead;
@@ -35,6 +36,7 @@
      * @param loop the control thread
      * @param health records whether the platform answers
      * @param probes whether this loop probes the platform in an outage; exactly one does
+     * @param pauseMs the time between an answer and the next watch, in which changes collect
      * @param read reads all objects
      * @param watch waits for changes after a revision
      * @param onRead receives a full reading
@@ -45,6 +47,7 @@
             EventLoop loop,
             PlatformHealth health,
             boolean probes,
+            int pauseMs,
             Supplier<CompletionStage<Versioned<L>>> read,
             LongFunction<CompletionStage<Versioned<C>>> watch,
             Consumer<L> onRead,
@@ -53,6 +56,7 @@
         this.loop = loop;
         this.health = health;
         this.probes = probes;
+        this.pauseMs = pauseMs;
         this.read = read;
         this.watch = watch;
         this.onRead = onRead;
@@ -88,7 +92,7 @@
         if (answer.value() != null) {
             consumer.accept(answer.value());
         }
-        loop.execute(this::run);
+        loop.schedule(this::run, pauseMs, TimeUnit.MILLISECONDS);
     }
 
     private void retry(PlatformFault fault) {
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/edge/CallerConnection.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/edge/CallerConnection.java
@@ -98,7 +98,7 @@
                 new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(body));
         response.headers().set(headers);
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
-        closeIfDraining(response);
+        closeIfAskedTo(response);
         finish(channel.writeAndFlush(response));
     }
 
@@ -107,7 +107,7 @@
         HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, status);
         response.headers().set(headers);
         response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
-        closeIfDraining(response);
+        closeIfAskedTo(response);
         channel.write(response, channel.voidPromise());
     }
 
@@ -127,8 +127,8 @@
         channel.close();
     }
 
-    private void closeIfDraining(HttpResponse response) {
-        if (context.drain().isDraining()) {
+    private void closeIfAskedTo(HttpResponse response) {
+        if (context.drain().isDraining() || context.link().get().closesConnections()) {
             keepAlive = false;
         }
         if (!keepAlive) {
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/edge/CallerServer.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/edge/CallerServer.java
@@ -26,6 +26,7 @@
     private static final long IDLE_MARGIN_MS = 1_000;
 
     private final GatewayContext context;
+    private final LinkMeter meter;
     private final Set<CallerConnection> connections = new HashSet<>();
     private Channel server;
 
@@ -33,9 +34,11 @@
      * Creates a server that does not listen yet.
      *
      * @param context what exchanges share
+     * @param meter measures the traffic
      */
-    public CallerServer(GatewayContext context) {
+    public CallerServer(GatewayContext context, LinkMeter meter) {
         this.context = context;
+        this.meter = meter;
     }
 
     /**
@@ -69,6 +72,7 @@
         connections.add(connection);
         channel.closeFuture().addListener(closed -> connections.remove(connection));
         channel.pipeline()
+                .addLast(meter)
                 .addLast(new IdleStateHandler(0, 0, limits.idleTimeoutMs() + IDLE_MARGIN_MS, TimeUnit.MILLISECONDS))
                 .addLast(new HttpServerCodec(MAX_LINE_BYTES, limits.maxHeaderBytes(), MAX_CHUNK_BYTES))
                 .addLast(new HttpObjectAggregator(limits.maxBodyBytes()))
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/GatewayContext.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/GatewayContext.java
@@ -1,5 +1,6 @@
 package io.jayhead.gateway.exchange;
 
+import io.jayhead.admission.overload.LinkPressure;
 import io.jayhead.gateway.budget.BudgetDesk;
 import io.jayhead.gateway.control.RoutingSnapshot;
 import io.jayhead.gateway.log.DecisionLog;
@@ -21,6 +22,7 @@
  * @param log the log
  * @param metrics the metrics
  * @param drain the state of a planned stop
+ * @param link returns how busy the link of the VM is
  */
 public record GatewayContext(
         EventLoop loop,
@@ -31,4 +33,5 @@
         RetryBudgets retries,
         DecisionLog log,
         GatewayMetrics metrics,
-        DrainState drain) {}
+        DrainState drain,
+        Supplier<LinkPressure> link) {}
--- /dev/null
+++ b/jayhead-gateway/src/test/java/io/jayhead/gateway/budget/BudgetAccountTest.java
@@ -0,0 +1,100 @@
+package io.jayhead.gateway.budget;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.jayhead.admission.prepaid.BudgetNeed;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.LongConsumer;
+import org.junit.jupiter.api.Test;
+
+/** An account in an outage of the ledger and as a lender. */
+class BudgetAccountTest {
+
+    private static final long PREPAID = 1_000_000;
+    private static final long WAIT_MS = 400;
+
+    private final List<BudgetNeed> needs = new ArrayList<>();
+    private final List<ReservationResult> results = new ArrayList<>();
+    private final List<Long> loansAsked = new ArrayList<>();
+    private final List<Long> lent = new ArrayList<>();
+    private final LoanSource nothingToLend = (tokens, onLoan, onDone) -> {
+        loansAsked.add(tokens);
+        onDone.run();
+    };
+
+    @Test
+    void aLargeRequestThatNobodyCouldCoverDoesNotKeepASmallOneFromAsking() {
+        BudgetAccount account = account(nothingToLend);
+        reserve(account, 50_000);
+        account.ledgerUnavailable();
+        assertEquals(List.of(ReservationResult.UNAVAILABLE), results);
+        reserve(account, 1_000);
+        assertEquals(List.of(50_000L, 1_000L), loansAsked);
+    }
+
+    @Test
+    void aRequestAsLargeAsOneThatNobodyCouldCoverIsRefusedAtOnce() {
+        BudgetAccount account = account(nothingToLend);
+        reserve(account, 50_000);
+        account.ledgerUnavailable();
+        reserve(account, 60_000);
+        assertEquals(List.of(50_000L), loansAsked);
+        assertEquals(2, results.size());
+    }
+
+    @Test
+    void ofTwoRoutersThatLackTokensTheOneThatLacksLessIsServed() {
+        BudgetAccount account = account((tokens, onLoan, onDone) -> {});
+        account.ledgerRead(10_000, 0, 0);
+        reserve(account, 30_000);
+        lend(account, 25_000);
+        lend(account, 2_000);
+        assertEquals(List.of(0L, 2_000L), lent);
+    }
+
+    @Test
+    void aLoanThatTheWalletDoesNotCoverWaitsForTheLedger() {
+        BudgetAccount account = account(nothingToLend);
+        account.ledgerRead(1_000, 500_000, 0);
+        lend(account, 20_000);
+        assertEquals(List.of(), lent);
+        assertEquals(19_000, needs.get(needs.size() - 1).requiredTokens());
+        account.ledgerRead(40_000, 461_000, 0);
+        assertEquals(List.of(20_000L), lent);
+    }
+
+    @Test
+    void aLoanIsAnsweredWithWhatThereIsWhenTheLedgerIsAway() {
+        BudgetAccount account = account(nothingToLend);
+        account.ledgerRead(1_000, 500_000, 0);
+        lend(account, 20_000);
+        account.ledgerUnavailable();
+        assertEquals(List.of(1_000L), lent);
+    }
+
+    @Test
+    void anAccountForWhichThereWasNothingToTakeAsksAgainAfterAnOutage() {
+        BudgetAccount account = account(nothingToLend);
+        account.ledgerRead(1_000, 500_000, 0);
+        reserve(account, 600);
+        account.ledgerUnchanged();
+        account.ledgerUnavailable();
+        needs.clear();
+        reserve(account, 5_000);
+        assertEquals(1, needs.size());
+    }
+
+    private BudgetAccount account(LoanSource loans) {
+        return new BudgetAccount(needs::add, () -> {}, loans, () -> true);
+    }
+
+    private void reserve(BudgetAccount account, long tokens) {
+        account.reserve(PREPAID, tokens, WAIT_MS, results::add);
+    }
+
+    private void lend(BudgetAccount account, long tokens) {
+        LongConsumer reply = lent::add;
+        account.lend(tokens, false, reply);
+    }
+}
