Serve the most urgent requests first when no tokens can be added, and tell callers when to return

Change: while the ledger is away, a request leaves up to a quarter of the wallet, or 4 s of their demand, to more urgent ones; loans carry the rank and lenders decide the same way; a refused caller is asked to return after 1.25 times the age of the outage, 5 s at the most. A peer that answers late is asked again.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetAccount.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetAccount.java
@@ -1,8 +1,10 @@
 package io.jayhead.gateway.budget;
 
 import io.jayhead.admission.prepaid.BudgetNeed;
+import io.jayhead.admission.prepaid.UrgentReserve;
 import io.jayhead.admission.prepaid.Wallet;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -33,7 +35,7 @@
     private final Runnable onAsk;
     private final LoanSource loans;
     private final BooleanSupplier drawsFromLedger;
-    private final DemandRate demand = new DemandRate();
+    private final RankedDemand demand = new RankedDemand();
     private final List<Waiting> waiting = new ArrayList<>();
     private final List<WaitingLoan> waitingLoans = new ArrayList<>();
     private Wallet wallet = Wallet.empty();
@@ -52,6 +54,7 @@
     private long returnedAtNs = System.nanoTime();
     private long noLoanAtNs = System.nanoTime() - NO_LOAN_NS;
     private long noLoanTokens;
+    private int noLoanRank;
 
     /**
      * Creates an account without tokens.
@@ -72,25 +75,25 @@
         return wallet;
     }
 
-    void reserve(long prepaid, long tokens, long waitMs, Consumer<ReservationResult> callback) {
+    void reserve(long prepaid, long tokens, int rank, long waitMs, Consumer<ReservationResult> callback) {
         if (prepaid > prepaidTokens && prepaidTokens > 0 && pageRead) {
             leftTokens += prepaid - prepaidTokens;
         }
         prepaidTokens = prepaid;
-        demand.add(tokens);
-        if (waiting.isEmpty() && tokens <= wallet.freeTokens()) {
+        demand.add(rank, tokens);
+        if (waiting.isEmpty() && missing(tokens, rank) <= 0) {
             wallet = wallet.reserve(tokens);
             callback.accept(ReservationResult.RESERVED);
             askAhead();
             return;
         }
         boolean decided = isExhausted(tokens) && isPageFresh();
-        if ((decided || unavailable) && isLoanHopeless(tokens)) {
+        if ((decided || unavailable) && isLoanHopeless(tokens, rank)) {
             callback.accept(refusal());
             return;
         }
         long nowNs = System.nanoTime();
-        waiting.add(new Waiting(tokens, nowNs, nowNs + waitMs * 1_000_000, callback));
+        waiting.add(new Waiting(tokens, rank, nowNs, nowNs + waitMs * 1_000_000, callback));
         if (decided || unavailable || !drawsFromLedger.getAsBoolean()) {
             borrow();
         } else {
@@ -140,15 +143,16 @@
      * Lends tokens to another router; they are written off here before the reply.
      *
      * @param tokens the tokens that it needs
+     * @param rank how urgent the request is that needs them; 0 is the most urgent
      * @param borrowerDraws whether the other router draws from the ledger itself; if not, its demand counts here
      * @param reply receives the tokens, at once or after the ledger has answered
      */
-    void lend(long tokens, boolean borrowerDraws, LongConsumer reply) {
+    void lend(long tokens, int rank, boolean borrowerDraws, LongConsumer reply) {
         if (!borrowerDraws) {
-            demand.add(tokens);
+            demand.add(rank, tokens);
         }
         boolean canAsk = !borrowerDraws && !unavailable && drawsFromLedger.getAsBoolean();
-        long lendable = lendableTokens(tokens);
+        long lendable = lendableTokens(tokens, rank);
         if (lendable < tokens && canAsk && !(isExhausted(tokens) && isPageFresh())) {
             waitingLoans.add(new WaitingLoan(tokens, System.nanoTime(), reply));
             askForWaiting();
@@ -175,17 +179,21 @@
         }
     }
 
-    /** Of two routers that lack tokens, the one that lacks less is served, so that tokens do not lie idle. */
-    private long lendableTokens(long tokens) {
-        if (tokens >= leastMissing()) {
-            return 0;
-        }
-        return PeerLoans.tokensToLend(tokens, wallet.freeTokens());
+    /** Of two requests that lack tokens, the more urgent or else the smaller is served, so that none lie idle. */
+    private long lendableTokens(long tokens, int rank) {
+        boolean ownFirst = waiting.stream()
+                .anyMatch(
+                        own -> own.rank() < rank || own.rank() == rank && missing(own.tokens(), own.rank()) <= tokens);
+        return ownFirst ? 0 : PeerLoans.tokensToLend(tokens, wallet.freeTokens() - heldBackTokens(rank));
+    }
+
+    /** Returns what lacks for a request; not positive if it can be served. */
+    private long missing(long tokens, int rank) {
+        return tokens + heldBackTokens(rank) - wallet.freeTokens();
     }
 
-    private long leastMissing() {
-        return waiting.stream().mapToLong(Waiting::tokens).min().orElse(Long.MAX_VALUE)
-                - Math.max(0, wallet.freeTokens());
+    private long heldBackTokens(int rank) {
+        return unavailable ? UrgentReserve.tokens(demand.moreUrgentThan(rank), freeAfterReading) : 0;
     }
 
     private void writeOff(long tokens) {
@@ -215,13 +223,22 @@
         needs.accept(need(0));
     }
 
+    /** Borrows for the most urgent requests that wait; the others have their turn after them. */
     private void borrow() {
         if (borrowing || waiting.isEmpty()) {
             return;
         }
         borrowing = true;
-        long total = waiting.stream().mapToLong(Waiting::tokens).sum();
-        loans.borrow(total - wallet.freeTokens(), this::credit, this::loansDone);
+        int rank = mostUrgentRank();
+        long total = waiting.stream()
+                .filter(each -> each.rank() == rank)
+                .mapToLong(Waiting::tokens)
+                .sum();
+        loans.borrow(missing(total, rank), rank, this::credit, () -> loansDone(rank));
+    }
+
+    private int mostUrgentRank() {
+        return waiting.stream().mapToInt(Waiting::rank).min().orElse(0);
     }
 
     private void credit(long tokens) {
@@ -230,24 +247,34 @@
         serveWaiting();
     }
 
-    private void loansDone() {
+    private void loansDone(int rank) {
         borrowing = false;
         if (waiting.isEmpty()) {
             return;
         }
         boolean ledgerDecided = unavailable || waiting.stream().allMatch(each -> isExhausted(each.tokens()));
         if (ledgerDecided && (unavailable || isPageFresh())) {
-            noLoanAtNs = System.nanoTime();
-            noLoanTokens = leastMissing();
-            refuse(each -> true, refusal());
+            refuseWithoutLoan(rank);
+            borrow();
         } else if (!asked) {
             askForWaiting();
         }
     }
 
-    private boolean isLoanHopeless(long tokens) {
+    private void refuseWithoutLoan(int rank) {
+        noLoanAtNs = System.nanoTime();
+        noLoanRank = rank;
+        noLoanTokens = waiting.stream()
+                .filter(each -> each.rank() == rank)
+                .mapToLong(each -> missing(each.tokens(), each.rank()))
+                .min()
+                .orElse(Long.MAX_VALUE);
+        refuse(each -> isLoanHopeless(each.tokens(), each.rank()), refusal());
+    }
+
+    private boolean isLoanHopeless(long tokens, int rank) {
         boolean recent = System.nanoTime() - noLoanAtNs < NO_LOAN_NS;
-        return recent && tokens - wallet.freeTokens() >= noLoanTokens;
+        return recent && rank >= noLoanRank && missing(tokens, rank) >= noLoanTokens;
     }
 
     private boolean isPageFresh() {
@@ -293,8 +320,10 @@
 
     private void serveWaiting() {
         List<Waiting> served = new ArrayList<>();
-        for (Waiting next : waiting) {
-            if (next.tokens() <= wallet.freeTokens()) {
+        List<Waiting> byUrgency = new ArrayList<>(waiting);
+        byUrgency.sort(Comparator.comparingInt(Waiting::rank));
+        for (Waiting next : byUrgency) {
+            if (missing(next.tokens(), next.rank()) <= 0) {
                 wallet = wallet.reserve(next.tokens());
                 served.add(next);
             }
@@ -340,5 +369,5 @@
     private record WaitingLoan(long tokens, long sinceNs, LongConsumer reply) {}
 
     /** A request that waits for tokens. */
-    private record Waiting(long tokens, long sinceNs, long untilNs, Consumer<ReservationResult> callback) {}
+    private record Waiting(long tokens, int rank, long sinceNs, long untilNs, Consumer<ReservationResult> callback) {}
 }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetDesk.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetDesk.java
@@ -35,6 +35,8 @@
     private final PeerLoans loans;
     private final String vmName;
     private final Map<String, BudgetAccount> accounts = new HashMap<>();
+    private boolean ledgerAway;
+    private long ledgerAwaySinceNs;
 
     /**
      * Creates a desk without accounts.
@@ -74,12 +76,18 @@
      * @param organisation the organisation
      * @param prepaidTokens the size of its budget
      * @param tokens the tokens
+     * @param rank how urgent the request is; 0 is the most urgent
      * @param waitMs how long the request can wait for the ledger
      * @param callback receives the result, possibly before this method returns
      */
     public void reserve(
-            String organisation, long prepaidTokens, long tokens, long waitMs, Consumer<ReservationResult> callback) {
-        account(organisation).reserve(prepaidTokens, tokens, waitMs, callback);
+            String organisation,
+            long prepaidTokens,
+            long tokens,
+            int rank,
+            long waitMs,
+            Consumer<ReservationResult> callback) {
+        account(organisation).reserve(prepaidTokens, tokens, rank, waitMs, callback);
     }
 
     /**
@@ -96,6 +104,15 @@
                 organisation, account.wallet().freeTokens(), account.wallet().consumedTokens());
     }
 
+    /**
+     * Returns for how long the ledger has not answered.
+     *
+     * @return the time in milliseconds; 0 while it answers
+     */
+    public long ledgerAwayMs() {
+        return ledgerAway ? (System.nanoTime() - ledgerAwaySinceNs) / 1_000_000 : 0;
+    }
+
     /** Gives all free tokens back, before the process stops. */
     public void returnAll() {
         accounts.values().forEach(BudgetAccount::returnAll);
@@ -115,7 +132,7 @@
         boolean borrowerDraws = loans.drawsFromLedger(borrow.getOrganisation(), borrow.getVm());
         BudgetAccount lender = account(borrow.getOrganisation());
         CompletableFuture<Frame> answer = new CompletableFuture<>();
-        lender.lend(borrow.getTokens(), borrowerDraws, lent -> {
+        lender.lend(borrow.getTokens(), borrow.getRank(), borrowerDraws, lent -> {
             logLoan(borrow, lent);
             answer.complete(PeerLoans.reply(borrow, lent));
         });
@@ -141,7 +158,10 @@
 
     @Override
     public void budgetRead(String organisation, long ownTokens, long leftTokens, long returnedTokens) {
-        traffic.execute(() -> account(organisation).ledgerRead(ownTokens, leftTokens, returnedTokens));
+        traffic.execute(() -> {
+            ledgerAway = false;
+            account(organisation).ledgerRead(ownTokens, leftTokens, returnedTokens);
+        });
     }
 
     @Override
@@ -153,6 +173,8 @@
     public void ledgerUnavailable() {
         traffic.execute(() -> {
             log.write(LogKind.BUDGET, "ledger unavailable", "accounts", accounts.size());
+            ledgerAwaySinceNs = ledgerAway ? ledgerAwaySinceNs : System.nanoTime();
+            ledgerAway = true;
             accounts.values().forEach(BudgetAccount::ledgerUnavailable);
         });
     }
@@ -177,7 +199,7 @@
                 name -> new BudgetAccount(
                         need -> needs.accept(name, need),
                         () -> joinAsking(name),
-                        (tokens, onLoan, onDone) -> loans.borrow(name, tokens, onLoan, onDone),
+                        (tokens, rank, onLoan, onDone) -> loans.borrow(name, tokens, rank, onLoan, onDone),
                         () -> loans.drawsFromLedger(name, vmName)));
     }
 }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/LoanSource.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/LoanSource.java
@@ -10,8 +10,9 @@
      * Asks for a loan.
      *
      * @param tokens the tokens that are needed
+     * @param rank how urgent the requests are that need them; 0 is the most urgent
      * @param onLoan receives the tokens of each loan, also of one that arrives late; called on the traffic thread
      * @param onDone is called once when no further loan is waited for
      */
-    void borrow(long tokens, LongConsumer onLoan, Runnable onDone);
+    void borrow(long tokens, int rank, LongConsumer onLoan, Runnable onDone);
 }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/PeerLoans.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/PeerLoans.java
@@ -82,20 +82,19 @@
                         .anyMatch(each -> each.vmName().equals(router));
     }
 
-    void borrow(String organisation, long tokens, LongConsumer onLoan, Runnable onDone) {
+    void borrow(String organisation, long tokens, int rank, LongConsumer onLoan, Runnable onDone) {
         List<RouterAddress> peers = new ArrayList<>(routers.get());
         long nowNs = System.nanoTime();
         peers.removeIf(peer -> peer.vmName().equals(vmName) || isSilent(peer, nowNs));
         peers = new ArrayList<>(BudgetHolders.of(organisation, peers));
         Collections.shuffle(peers, ThreadLocalRandom.current());
         List<RouterAddress> asked = peers.subList(0, Math.min(MAX_PEERS, peers.size()));
-        askNext(organisation, tokens, List.copyOf(asked), onLoan, onDone);
+        askNext(new Asked(organisation, rank, onLoan, onDone), tokens, List.copyOf(asked));
     }
 
-    private void askNext(
-            String organisation, long missing, List<RouterAddress> peers, LongConsumer onLoan, Runnable onDone) {
+    private void askNext(Asked asked, long missing, List<RouterAddress> peers) {
         if (missing <= 0 || peers.isEmpty()) {
-            onDone.run();
+            asked.onDone().run();
             return;
         }
         RouterAddress peer = peers.get(0);
@@ -106,16 +105,16 @@
                             LogKind.BUDGET,
                             "loan",
                             "organisation",
-                            organisation,
+                            asked.organisation(),
                             "from",
                             peer.vmName(),
                             "asked",
                             missing,
                             "received",
                             tokens);
-                    onLoan.accept(tokens);
+                    asked.onLoan().accept(tokens);
                 },
-                tokens -> askNext(organisation, missing - tokens, rest, onLoan, onDone));
+                tokens -> askNext(asked, missing - tokens, rest));
         traffic.schedule(
                 () -> {
                     if (request.giveUpWaiting()) {
@@ -126,13 +125,18 @@
                 TimeUnit.MILLISECONDS);
         Borrow borrow = Borrow.newBuilder()
                 .setVm(vmName)
-                .setOrganisation(organisation)
+                .setOrganisation(asked.organisation())
                 .setTransferId(Long.toHexString(ThreadLocalRandom.current().nextLong()))
                 .setTokens(missing)
+                .setRank(asked.rank())
                 .build();
         client.request(peer.address(), Frame.newBuilder().setBorrow(borrow).build(), ANSWER_TIMEOUT_MS)
-                .whenComplete((frame, failure) -> traffic.execute(() -> request.answered(
-                        failure == null ? frame.getBorrowReply().getTokens() : 0)));
+                .whenComplete((frame, failure) -> traffic.execute(() -> {
+                    if (failure == null) {
+                        silentSinceNs.remove(peer.vmName());
+                    }
+                    request.answered(failure == null ? frame.getBorrowReply().getTokens() : 0);
+                }));
     }
 
     private boolean isSilent(RouterAddress peer, long nowNs) {
@@ -147,4 +151,7 @@
                         .setTokens(tokens))
                 .build();
     }
+
+    /** What a series of requests for loans is for. */
+    private record Asked(String organisation, int rank, LongConsumer onLoan, Runnable onDone) {}
 }
--- /dev/null
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/RankedDemand.java
@@ -0,0 +1,34 @@
+package io.jayhead.gateway.budget;
+
+/** The demand for tokens by urgency; used by the traffic thread. */
+final class RankedDemand {
+
+    /** Ranks go from 0, the most urgent, to this one. */
+    private static final int MAX_RANK = 9;
+
+    private final DemandRate[] byRank = new DemandRate[MAX_RANK + 1];
+
+    RankedDemand() {
+        for (int rank = 0; rank <= MAX_RANK; rank++) {
+            byRank[rank] = new DemandRate();
+        }
+    }
+
+    void add(int rank, long tokens) {
+        byRank[Math.max(0, Math.min(MAX_RANK, rank))].add(tokens);
+    }
+
+    /** Returns the demand of all requests, in tokens per second. */
+    double tokensPerS() {
+        return moreUrgentThan(MAX_RANK + 1);
+    }
+
+    /** Returns the demand of requests that go before those of a rank, in tokens per second. */
+    double moreUrgentThan(int rank) {
+        double sum = 0;
+        for (int urgent = 0; urgent < Math.min(rank, byRank.length); urgent++) {
+            sum += byRank[urgent].tokensPerS();
+        }
+        return sum;
+    }
+}
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/AdmittedRequest.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/AdmittedRequest.java
@@ -5,6 +5,7 @@
 import io.jayhead.routing.catalog.Route;
 import io.jayhead.routing.catalog.ServiceProfile;
 import java.util.Optional;
+import java.util.OptionalInt;
 
 /**
  * A request that the configuration allows.
@@ -16,10 +17,21 @@
  */
 record AdmittedRequest(CallerFacts facts, Route route, ServiceProfile service, Optional<Organisation> organisation) {
 
+    private static final int MAX_RANK = 9;
+
     boolean isStreaming() {
         return route.kind().isStreaming();
     }
 
+    /** Returns how urgent the request is, from 0, the most urgent; that of the organisation goes before the route's. */
+    int rank() {
+        int rank = organisation
+                .map(Organisation::priority)
+                .orElse(OptionalInt.empty())
+                .orElse(route.priority());
+        return Math.max(0, Math.min(MAX_RANK, rank));
+    }
+
     boolean isGeneration() {
         return facts.size().isPresent();
     }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
@@ -4,6 +4,7 @@
 import io.jayhead.dispatch.forward.ForwardDecision;
 import io.jayhead.dispatch.forward.ForwardRules;
 import io.jayhead.dispatch.forward.ForwardState;
+import io.jayhead.dispatch.forward.ReturnTime;
 import io.jayhead.gateway.budget.ReservationResult;
 import io.jayhead.gateway.control.RoutingSnapshot;
 import io.jayhead.gateway.upstream.UpstreamConnection;
@@ -129,7 +130,8 @@
             noUpstreamLeft();
             return;
         }
-        UpstreamHandle upstream = context.upstreams().handle(chosen.get().upstream());
+        UpstreamHandle upstream =
+                context.upstreams().handle(chosen.get().upstream());
         tried.add(upstream.upstream().incarnation());
         tries++;
         attempt = new AttemptRun(this, upstream, forwarded.promptTokens());
@@ -302,11 +304,12 @@
 
     private void refuse(Refusal refusal) {
         HttpHeaders headers = new DefaultHttpHeaders();
-        if (refusal.retryAfterMs() > 0) {
+        long returnMs = refusal == Refusal.BUDGET_UNAVAILABLE
+                ? ReturnTime.afterOutageMs(context.budgets().ledgerAwayMs())
+                : refusal.retryAfterMs();
+        if (returnMs > 0) {
             double spread = 0.75 + ThreadLocalRandom.current().nextDouble(0.5);
-            headers.set(
-                    HttpHeaderNames.RETRY_AFTER,
-                    String.format(Locale.ROOT, "%.3f", refusal.retryAfterMs() * spread / 1_000));
+            headers.set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", returnMs * spread / 1_000));
         }
         caller.answer(refusal.status(), headers, new byte[0]);
         end(refusal.name(), attempt);
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/ForwardedRequest.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/ForwardedRequest.java
@@ -24,7 +24,6 @@
     private static final int CONNECTION_SHARE = 4;
 
     private static final int MIN_CONNECTIONS = 4;
-    private static final int MAX_PRIORITY = 9;
 
     private final WireDialect dialect;
     private final FullHttpRequest request;
@@ -65,7 +64,7 @@
                 upstreamId,
                 Math.max(1, leftMs),
                 admitted.organisation().map(Organisation::name),
-                admitted.isGeneration() ? OptionalInt.of(priority()) : OptionalInt.empty(),
+                admitted.isGeneration() ? OptionalInt.of(admitted.rank()) : OptionalInt.empty(),
                 resumeAfter);
         dialect.writeForward(request.headers(), facts, forward.headers());
         if (forward.content().isReadable() || request.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
@@ -74,12 +73,4 @@
         }
         return forward;
     }
-
-    private int priority() {
-        int rank = admitted.organisation()
-                .map(Organisation::priority)
-                .orElse(OptionalInt.empty())
-                .orElse(admitted.route().priority());
-        return Math.max(0, Math.min(MAX_PRIORITY, rank));
-    }
 }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Refusal.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Refusal.java
@@ -12,8 +12,8 @@
     UNKNOWN_KEY(HttpResponseStatus.UNAUTHORIZED, 0),
     /** The prepaid budget cannot cover the request. */
     BUDGET_EXHAUSTED(HttpResponseStatus.PAYMENT_REQUIRED, 0),
-    /** The ledger of the budget cannot be reached, so the request is not started. */
-    BUDGET_UNAVAILABLE(HttpResponseStatus.SERVICE_UNAVAILABLE, 300),
+    /** The ledger of the budget cannot be reached, so the request is not started; the return depends on the outage. */
+    BUDGET_UNAVAILABLE(HttpResponseStatus.SERVICE_UNAVAILABLE, 0),
     /** The router has not yet read the configuration. */
     NOT_CONFIGURED(HttpResponseStatus.SERVICE_UNAVAILABLE, 500),
     /** The router is being stopped. */
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/TokenReservation.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/TokenReservation.java
@@ -33,7 +33,7 @@
         }
         long tokens = size.get().maxTokens();
         long prepaidTokens = limited.get().prepaidTokens().getAsLong();
-        budgets.reserve(limited.get().name(), prepaidTokens, tokens, LEDGER_WAIT_MS, result -> {
+        budgets.reserve(limited.get().name(), prepaidTokens, tokens, request.rank(), LEDGER_WAIT_MS, result -> {
             if (result == ReservationResult.RESERVED) {
                 reservedTokens = tokens;
             }
--- a/jayhead-gateway/src/test/java/io/jayhead/gateway/budget/BudgetAccountTest.java
+++ b/jayhead-gateway/src/test/java/io/jayhead/gateway/budget/BudgetAccountTest.java
@@ -13,12 +13,13 @@
 
     private static final long PREPAID = 1_000_000;
     private static final long WAIT_MS = 400;
+    private static final int RANK = 1;
 
     private final List<BudgetNeed> needs = new ArrayList<>();
     private final List<ReservationResult> results = new ArrayList<>();
     private final List<Long> loansAsked = new ArrayList<>();
     private final List<Long> lent = new ArrayList<>();
-    private final LoanSource nothingToLend = (tokens, onLoan, onDone) -> {
+    private final LoanSource nothingToLend = (tokens, rank, onLoan, onDone) -> {
         loansAsked.add(tokens);
         onDone.run();
     };
@@ -45,7 +46,7 @@
 
     @Test
     void ofTwoRoutersThatLackTokensTheOneThatLacksLessIsServed() {
-        BudgetAccount account = account((tokens, onLoan, onDone) -> {});
+        BudgetAccount account = account((tokens, rank, onLoan, onDone) -> {});
         account.ledgerRead(10_000, 0, 0);
         reserve(account, 30_000);
         lend(account, 25_000);
@@ -85,16 +86,33 @@
         assertEquals(1, needs.size());
     }
 
+    @Test
+    void inAnOutageLargeRequestsLeaveTokensToMoreUrgentOnes() {
+        BudgetAccount account = account(nothingToLend);
+        account.ledgerRead(10_000, 500_000, 0);
+        reserve(account, 1_000, 0);
+        reserve(account, 5_000, RANK);
+        account.ledgerUnavailable();
+        results.clear();
+        reserve(account, 3_500, RANK);
+        reserve(account, 1_000, 0);
+        assertEquals(List.of(ReservationResult.UNAVAILABLE, ReservationResult.RESERVED), results);
+    }
+
     private BudgetAccount account(LoanSource loans) {
         return new BudgetAccount(needs::add, () -> {}, loans, () -> true);
     }
 
     private void reserve(BudgetAccount account, long tokens) {
-        account.reserve(PREPAID, tokens, WAIT_MS, results::add);
+        reserve(account, tokens, RANK);
+    }
+
+    private void reserve(BudgetAccount account, long tokens, int rank) {
+        account.reserve(PREPAID, tokens, rank, WAIT_MS, results::add);
     }
 
     private void lend(BudgetAccount account, long tokens) {
         LongConsumer reply = lent::add;
-        account.lend(tokens, false, reply);
+        account.lend(tokens, RANK, false, reply);
     }
 }
--- a/jayhead-peer/src/main/java/io/jayhead/peer/pb/Borrow.java
+++ b/jayhead-peer/src/main/java/io/jayhead/peer/pb/Borrow.java
@@ -218,6 +218,21 @@
     return tokens_;
   }
 
+  public static final int RANK_FIELD_NUMBER = 6;
+  private int rank_ = 0;
+  /**
+   * <pre>
+   * How urgent the request is that needs the tokens; 0 is the most urgent.
+   * </pre>
+   *
+   * <code>uint32 rank = 6;</code>
+   * @return The rank.
+   */
+  @java.lang.Override
+  public int getRank() {
+    return rank_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -247,6 +262,9 @@
     if (tokens_ != 0L) {
       output.writeUInt64(5, tokens_);
     }
+    if (rank_ != 0) {
+      output.writeUInt32(6, rank_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -272,6 +290,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(5, tokens_);
     }
+    if (rank_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(6, rank_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -297,6 +319,8 @@
         .equals(other.getTransferId())) return false;
     if (getTokens()
         != other.getTokens()) return false;
+    if (getRank()
+        != other.getRank()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -319,6 +343,8 @@
     hash = (37 * hash) + TOKENS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getTokens());
+    hash = (37 * hash) + RANK_FIELD_NUMBER;
+    hash = (53 * hash) + getRank();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -459,6 +485,7 @@
       budget_ = "";
       transferId_ = "";
       tokens_ = 0L;
+      rank_ = 0;
       return this;
     }
 
@@ -507,6 +534,9 @@
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.tokens_ = tokens_;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.rank_ = rank_;
+      }
     }
 
     @java.lang.Override
@@ -544,6 +574,9 @@
       if (other.getTokens() != 0L) {
         setTokens(other.getTokens());
       }
+      if (other.getRank() != 0) {
+        setRank(other.getRank());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -595,6 +628,11 @@
               bitField0_ |= 0x00000010;
               break;
             } // case 40
+            case 48: {
+              rank_ = input.readUInt32();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -932,6 +970,50 @@
       return this;
     }
 
+    private int rank_ ;
+    /**
+     * <pre>
+     * How urgent the request is that needs the tokens; 0 is the most urgent.
+     * </pre>
+     *
+     * <code>uint32 rank = 6;</code>
+     * @return The rank.
+     */
+    @java.lang.Override
+    public int getRank() {
+      return rank_;
+    }
+    /**
+     * <pre>
+     * How urgent the request is that needs the tokens; 0 is the most urgent.
+     * </pre>
+     *
+     * <code>uint32 rank = 6;</code>
+     * @param value The rank to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRank(int value) {
+
+      rank_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * How urgent the request is that needs the tokens; 0 is the most urgent.
+     * </pre>
+     *
+     * <code>uint32 rank = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRank() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      rank_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:io.jayhead.peer.Borrow)
   }
 
--- a/jayhead-peer/src/main/java/io/jayhead/peer/pb/BorrowOrBuilder.java
+++ b/jayhead-peer/src/main/java/io/jayhead/peer/pb/BorrowOrBuilder.java
@@ -63,4 +63,14 @@
    * @return The tokens.
    */
   long getTokens();
+
+  /**
+   * <pre>
+   * How urgent the request is that needs the tokens; 0 is the most urgent.
+   * </pre>
+   *
+   * <code>uint32 rank = 6;</code>
+   * @return The rank.
+   */
+  int getRank();
 }
