Count only the prompt tokens that an engine must read when placing requests

Ruled out: weights alone (the estimate of the first event, and with it the slowness of engines, stays wrong). Change: a placement returns the tokens that the chosen engine must read; the cost of reading shared parts again counts 1.5 times at the second engine and 4 times elsewhere.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/AttemptRun.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/AttemptRun.java
@@ -17,7 +17,7 @@
 
     private final Exchange exchange;
     private final UpstreamHandle upstream;
-    private final long promptTokens;
+    private final long tokensToRead;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private UpstreamConnection connection;
     private HttpResponse head;
@@ -31,10 +31,10 @@
     private boolean firstEventSeen;
     private long lastByteNs;
 
-    AttemptRun(Exchange exchange, UpstreamHandle upstream, long promptTokens) {
+    AttemptRun(Exchange exchange, UpstreamHandle upstream, long tokensToRead) {
         this.exchange = exchange;
         this.upstream = upstream;
-        this.promptTokens = promptTokens;
+        this.tokensToRead = tokensToRead;
     }
 
     UpstreamHandle upstream() {
@@ -58,7 +58,7 @@
     }
 
     void start(int maxConnections) {
-        upstream.started(promptTokens);
+        upstream.started(tokensToRead);
         promptPending = true;
         upstream.acquire(maxConnections, this);
     }
@@ -204,7 +204,7 @@
     private void promptRead() {
         if (promptPending) {
             promptPending = false;
-            upstream.promptRead(promptTokens);
+            upstream.promptRead(tokensToRead);
         }
     }
 
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
@@ -15,6 +15,7 @@
 import io.jayhead.routing.catalog.RouteKind;
 import io.jayhead.routing.placement.Candidate;
 import io.jayhead.routing.placement.Placement;
+import io.jayhead.routing.placement.PlacementChoice;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -125,16 +126,16 @@
         RoutingSnapshot snapshot = context.snapshot().get();
         List<Candidate> candidates = context.upstreams()
                 .candidates(snapshot.registry(), admitted.service().name());
-        Optional<Candidate> chosen = Placement.choose(candidates, forwarded.placement(tried));
+        Optional<PlacementChoice> chosen = Placement.choose(candidates, forwarded.placement(tried));
         if (chosen.isEmpty()) {
             noUpstreamLeft();
             return;
         }
         UpstreamHandle upstream =
-                context.upstreams().handle(chosen.get().upstream());
+                context.upstreams().handle(chosen.get().candidate().upstream());
         tried.add(upstream.upstream().incarnation());
         tries++;
-        attempt = new AttemptRun(this, upstream, forwarded.promptTokens());
+        attempt = new AttemptRun(this, upstream, chosen.get().tokensToRead());
         attempt.start(forwarded.maxConnections());
     }
 
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamHandle.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamHandle.java
@@ -44,19 +44,19 @@
     /**
      * Counts a request that is being sent.
      *
-     * @param promptTokens the prompt tokens that the upstream has to read
+     * @param tokensToRead the prompt tokens that the upstream has to read
      */
-    public void started(long promptTokens) {
-        load.started(promptTokens);
+    public void started(long tokensToRead) {
+        load.started(tokensToRead);
     }
 
     /**
      * Counts a prompt that has been read.
      *
-     * @param promptTokens the prompt tokens of the request
+     * @param tokensToRead the prompt tokens of the request
      */
-    public void promptRead(long promptTokens) {
-        load.promptRead(promptTokens);
+    public void promptRead(long tokensToRead) {
+        load.promptRead(tokensToRead);
     }
 
     /** Counts a request that has ended. */
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamLoad.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamLoad.java
@@ -21,7 +21,7 @@
     private static final double ANSWER_HALF_LIFE_NS = 2e9;
 
     private int inFlight;
-    private long pendingPromptTokens;
+    private long pendingTokensToRead;
     private int reportedOthers;
     private long reportedAtNs;
     private double failureRate;
@@ -38,7 +38,7 @@
                 upstream,
                 inFlight,
                 others,
-                pendingPromptTokens,
+                pendingTokensToRead,
                 isSuspect(nowNs),
                 sameZone,
                 averageAnswerMs * decay,
@@ -53,13 +53,13 @@
         return inFlight;
     }
 
-    void started(long promptTokens) {
+    void started(long tokensToRead) {
         inFlight++;
-        pendingPromptTokens += promptTokens;
+        pendingTokensToRead += tokensToRead;
     }
 
-    void promptRead(long promptTokens) {
-        pendingPromptTokens -= promptTokens;
+    void promptRead(long tokensToRead) {
+        pendingTokensToRead -= tokensToRead;
     }
 
     void ended() {
@@ -73,7 +73,7 @@
     }
 
     double expectedFirstEventMs() {
-        return Placement.expectedFirstEventMs(pendingPromptTokens, inFlight);
+        return Placement.expectedFirstEventMs(pendingTokensToRead, inFlight);
     }
 
     void firstEvent(double measuredMs, double expectedMs, long nowNs) {
--- a/jayhead-routing/src/main/java/io/jayhead/routing/placement/Placement.java
+++ b/jayhead-routing/src/main/java/io/jayhead/routing/placement/Placement.java
@@ -32,7 +32,7 @@
      * The cost of reading the shared parts again, by the rank of the engine for them. The first engine keeps them, the
      * second takes what the first cannot; elsewhere they are read in vain, and other requests wait meanwhile.
      */
-    private static final double[] REREAD_FACTOR_BY_RANK = {0, 1.0, 2.5};
+    private static final double[] REREAD_FACTOR_BY_RANK = {0, 1.5, 4};
 
     private Placement() {}
 
@@ -43,7 +43,7 @@
      * @param request the request
      * @return the choice, or empty if no candidate is left
      */
-    public static Optional<Candidate> choose(List<Candidate> candidates, PlacementRequest request) {
+    public static Optional<PlacementChoice> choose(List<Candidate> candidates, PlacementRequest request) {
         List<Candidate> open = candidates.stream()
                 .filter(each -> !request.excluded().contains(each.upstream().incarnation()))
                 .toList();
@@ -54,7 +54,14 @@
         return open.stream()
                 .min(Comparator.comparingDouble((Candidate each) -> cost(each, request, holders))
                         .thenComparingInt(
-                                each -> RendezvousHash.weight(each.upstream().id(), Integer.toString(request.salt()))));
+                                each -> RendezvousHash.weight(each.upstream().id(), Integer.toString(request.salt()))))
+                .map(each -> new PlacementChoice(each, tokensToRead(each, request, holders)));
+    }
+
+    /** The first engine for the shared parts holds them, as every request that shares them prefers it. */
+    private static int tokensToRead(Candidate candidate, PlacementRequest request, List<String> holders) {
+        boolean holds = holders.indexOf(candidate.upstream().id()) == 0;
+        return Math.max(0, request.promptTokens() - (holds ? request.sharedTokens() : 0));
     }
 
     /**
@@ -88,7 +95,7 @@
         int rank = holders.indexOf(candidate.upstream().id());
         double factor = REREAD_FACTOR_BY_RANK[rank < 0 ? REREAD_FACTOR_BY_RANK.length - 1 : rank];
         double rereadMs = factor * request.sharedTokens() / PROMPT_TOKENS_PER_MS;
-        double expectedMs = expectedFirstEventMs(candidate.pendingPromptTokens() + request.promptTokens(), running);
+        double expectedMs = expectedFirstEventMs(candidate.pendingTokensToRead() + request.promptTokens(), running);
         double slowness = Math.max(1, Math.min(MAX_SLOWNESS, candidate.slowness()));
         return base + rereadMs + expectedMs * slowness;
     }
--- a/jayhead-routing/src/test/java/io/jayhead/routing/placement/PlacementTest.java
+++ b/jayhead-routing/src/test/java/io/jayhead/routing/placement/PlacementTest.java
@@ -51,6 +51,18 @@
         assertFalse(holders.contains(chosen(engines, generation("hot", 1))));
     }
 
+    @Test
+    void anEngineThatHoldsTheSharedPartsReadsOnlyTheRest() {
+        List<Candidate> engines = engines(6, 0, 0);
+        PlacementRequest request = generation("part", 1);
+        assertEquals(7_000, Placement.choose(engines, request).get().tokensToRead());
+        String holder = chosen(engines, request);
+        List<Candidate> others = engines.stream()
+                .map(each -> each.upstream().id().equals(holder) ? candidate(holder, 20, 90_000, false) : each)
+                .toList();
+        assertEquals(12_000, Placement.choose(others, request).get().tokensToRead());
+    }
+
     @Test
     void aSuspectUpstreamIsTheLastResort() {
         List<Candidate> upstreams = List.of(candidate("a", 0, 0, true), candidate("b", 50, 0, false));
@@ -81,7 +93,11 @@
     }
 
     private static String chosen(List<Candidate> candidates, PlacementRequest request) {
-        return Placement.choose(candidates, request).get().upstream().id();
+        return Placement.choose(candidates, request)
+                .get()
+                .candidate()
+                .upstream()
+                .id();
     }
 
     private static PlacementRequest generation(String part, int salt) {
