Collect changes of the registry for longer in large fleets and renew watches every 29 s

Ruled out: stale reads for the routers' addresses (a listing behind its revision could lose an announcement for good). Change: the registry's watch pauses for 15 ms a router, between 0.4 and 1 s; the routers' for 2 s; a watch waits for 29 s, the store's limit is 30 s.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlPlane.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlPlane.java
@@ -21,11 +21,15 @@
 public final class ControlPlane {
 
     /** Each renewal is a call; silent connections are found by keep-alive probes. */
-    private static final int WATCH_WAIT_MS = 15_000;
+    private static final int WATCH_WAIT_MS = 29_000;
     /** Changes of upstreams are collected for this time, so that one answer brings many. */
-    private static final int REGISTRY_PAUSE_MS = 400;
+    private static final int REGISTRY_MIN_PAUSE_MS = 400;
+    /** A change must be in force well within the shortest time in which an upstream leaves. */
+    private static final int REGISTRY_MAX_PAUSE_MS = 1_000;
+    /** Each change costs a call of every router, so larger fleets collect for longer. */
+    private static final int REGISTRY_PAUSE_PER_ROUTER_MS = 15;
     /** Routers announce themselves at their first start, many at the same time. */
-    private static final int ROUTERS_PAUSE_MS = 1_000;
+    private static final int ROUTERS_PAUSE_MS = 2_000;
 
     private static final long EXPIRY_CHECK_MS = 250;
 
@@ -75,7 +79,7 @@
                 loop,
                 health,
                 true,
-                0,
+                () -> 0,
                 platform::readCatalog,
                 revision -> platform.watchCatalog(revision, WATCH_WAIT_MS),
                 this::catalogRead,
@@ -85,7 +89,7 @@
                 loop,
                 health,
                 false,
-                REGISTRY_PAUSE_MS,
+                this::registryPauseMs,
                 platform::listUpstreams,
                 revision -> platform.watchUpstreams(revision, WATCH_WAIT_MS),
                 this::registryListed,
@@ -95,7 +99,7 @@
                 loop,
                 health,
                 false,
-                ROUTERS_PAUSE_MS,
+                () -> ROUTERS_PAUSE_MS,
                 platform::listRouters,
                 revision -> platform.watchRouters(revision, WATCH_WAIT_MS),
                 this::routersRead,
@@ -135,6 +139,11 @@
         loop.execute(() -> ledgers.get(page).need(organisation, need));
     }
 
+    private int registryPauseMs() {
+        int pauseMs = REGISTRY_PAUSE_PER_ROUTER_MS * snapshot.routers().size();
+        return Math.max(REGISTRY_MIN_PAUSE_MS, Math.min(REGISTRY_MAX_PAUSE_MS, pauseMs));
+    }
+
     private OptionalLong prepaid(String organisation) {
         return snapshot.catalog()
                 .organisation(organisation)
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/WatchLoop.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/WatchLoop.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.IntSupplier;
 import java.util.function.LongFunction;
 import java.util.function.Supplier;
 
@@ -19,7 +20,7 @@
     private final EventLoop loop;
     private final PlatformHealth health;
     private final boolean probes;
-    private final int pauseMs;
+    private final IntSupplier pauseMs;
     private final Supplier<CompletionStage<Versioned<L>>> read;
     private final LongFunction<CompletionStage<Versioned<C>>> watch;
     private final Consumer<L> onRead;
@@ -36,7 +37,7 @@
      * @param loop the control thread
      * @param health records whether the platform answers
      * @param probes whether this loop probes the platform in an outage; exactly one does
-     * @param pauseMs the time between an answer and the next watch, in which changes collect
+     * @param pauseMs returns the time between an answer and the next watch, in which changes collect
      * @param read reads all objects
      * @param watch waits for changes after a revision
      * @param onRead receives a full reading
@@ -47,7 +48,7 @@
             EventLoop loop,
             PlatformHealth health,
             boolean probes,
-            int pauseMs,
+            IntSupplier pauseMs,
             Supplier<CompletionStage<Versioned<L>>> read,
             LongFunction<CompletionStage<Versioned<C>>> watch,
             Consumer<L> onRead,
@@ -92,7 +93,7 @@
         if (answer.value() != null) {
             consumer.accept(answer.value());
         }
-        loop.schedule(this::run, pauseMs, TimeUnit.MILLISECONDS);
+        loop.schedule(this::run, pauseMs.getAsInt(), TimeUnit.MILLISECONDS);
     }
 
     private void retry(PlatformFault fault) {
