Split the requests that wait for tokens and the memory of failed loans from the account

Change: WaitingRequests, WaitingRequest and FailedLoans; no change of behaviour but one: waiting requests are served once more before loans count as failed. Conclusion: refactoring.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetAccount.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetAccount.java
@@ -4,7 +4,6 @@
 import io.jayhead.admission.prepaid.UrgentReserve;
 import io.jayhead.admission.prepaid.Wallet;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -18,8 +17,6 @@
     private static final double LOW_WATER = 0.65;
     /** A page that was read within this time decides that a budget is exhausted. */
     private static final long PAGE_MAX_AGE_NS = 700_000_000L;
-    /** Other routers are not asked again within this time after they had nothing to lend. */
-    private static final long NO_LOAN_NS = 500_000_000L;
     /** When less than this share of a budget is left, tokens that no request needs go back at once. */
     private static final double SCARCE_SHARE = 0.08;
     /** The demand that is kept when tokens are scarce. */
@@ -36,7 +33,8 @@
     private final LoanSource loans;
     private final BooleanSupplier drawsFromLedger;
     private final RankedDemand demand = new RankedDemand();
-    private final List<Waiting> waiting = new ArrayList<>();
+    private final WaitingRequests waiting = new WaitingRequests();
+    private final FailedLoans failedLoans = new FailedLoans();
     private final List<WaitingLoan> waitingLoans = new ArrayList<>();
     private Wallet wallet = Wallet.empty();
     private long ledgerTokens;
@@ -52,9 +50,6 @@
     private boolean borrowing;
     private long returnedTokens;
     private long returnedAtNs = System.nanoTime();
-    private long noLoanAtNs = System.nanoTime() - NO_LOAN_NS;
-    private long noLoanTokens;
-    private int noLoanRank;
 
     /**
      * Creates an account without tokens.
@@ -88,12 +83,12 @@
             return;
         }
         boolean decided = isExhausted(tokens) && isPageFresh();
-        if ((decided || unavailable) && isLoanHopeless(tokens, rank)) {
+        if ((decided || unavailable) && failedLoans.isHopeless(rank, missing(tokens, rank))) {
             callback.accept(refusal());
             return;
         }
         long nowNs = System.nanoTime();
-        waiting.add(new Waiting(tokens, rank, nowNs, nowNs + waitMs * 1_000_000, callback));
+        waiting.add(new WaitingRequest(tokens, rank, nowNs, nowNs + waitMs * 1_000_000, callback));
         if (decided || unavailable || !drawsFromLedger.getAsBoolean()) {
             borrow();
         } else {
@@ -117,7 +112,7 @@
         serveWaiting();
         answerLoans(each -> each.tokens() <= wallet.freeTokens() || isExhausted(each.tokens()));
         freeAfterReading = Math.max(0, wallet.freeTokens());
-        if (waiting.stream().anyMatch(each -> isExhausted(each.tokens()))) {
+        if (waiting.any(each -> isExhausted(each.tokens()))) {
             borrow();
         } else {
             askForWaiting();
@@ -181,9 +176,8 @@
 
     /** Of two requests that lack tokens, the more urgent or else the smaller is served, so that none lie idle. */
     private long lendableTokens(long tokens, int rank) {
-        boolean ownFirst = waiting.stream()
-                .anyMatch(
-                        own -> own.rank() < rank || own.rank() == rank && missing(own.tokens(), own.rank()) <= tokens);
+        boolean ownFirst = waiting.any(
+                own -> own.rank() < rank || own.rank() == rank && missing(own.tokens(), own.rank()) <= tokens);
         return ownFirst ? 0 : PeerLoans.tokensToLend(tokens, wallet.freeTokens() - heldBackTokens(rank));
     }
 
@@ -203,8 +197,8 @@
 
     void tick() {
         long nowNs = System.nanoTime();
-        refuse(each -> each.untilNs() - nowNs <= 0, ReservationResult.UNAVAILABLE);
-        if (waiting.stream().anyMatch(each -> nowNs - each.sinceNs() > LEDGER_PATIENCE_NS)) {
+        waiting.end(each -> each.untilNs() - nowNs <= 0, ReservationResult.UNAVAILABLE);
+        if (waiting.any(each -> nowNs - each.sinceNs() > LEDGER_PATIENCE_NS)) {
             borrow();
         }
         returnScarce();
@@ -229,16 +223,8 @@
             return;
         }
         borrowing = true;
-        int rank = mostUrgentRank();
-        long total = waiting.stream()
-                .filter(each -> each.rank() == rank)
-                .mapToLong(Waiting::tokens)
-                .sum();
-        loans.borrow(missing(total, rank), rank, this::credit, () -> loansDone(rank));
-    }
-
-    private int mostUrgentRank() {
-        return waiting.stream().mapToInt(Waiting::rank).min().orElse(0);
+        int rank = waiting.mostUrgentRank();
+        loans.borrow(missing(waiting.tokens(rank), rank), rank, this::credit, () -> loansDone(rank));
     }
 
     private void credit(long tokens) {
@@ -249,32 +235,22 @@
 
     private void loansDone(int rank) {
         borrowing = false;
+        serveWaiting();
         if (waiting.isEmpty()) {
             return;
         }
-        boolean ledgerDecided = unavailable || waiting.stream().allMatch(each -> isExhausted(each.tokens()));
+        boolean ledgerDecided = unavailable || waiting.all(each -> isExhausted(each.tokens()));
         if (ledgerDecided && (unavailable || isPageFresh())) {
-            refuseWithoutLoan(rank);
+            failedLoans.failed(rank, waiting.least(rank, this::missing));
+            waiting.end(each -> failedLoans.isHopeless(each.rank(), missing(each)), refusal());
             borrow();
         } else if (!asked) {
             askForWaiting();
         }
     }
 
-    private void refuseWithoutLoan(int rank) {
-        noLoanAtNs = System.nanoTime();
-        noLoanRank = rank;
-        noLoanTokens = waiting.stream()
-                .filter(each -> each.rank() == rank)
-                .mapToLong(each -> missing(each.tokens(), each.rank()))
-                .min()
-                .orElse(Long.MAX_VALUE);
-        refuse(each -> isLoanHopeless(each.tokens(), each.rank()), refusal());
-    }
-
-    private boolean isLoanHopeless(long tokens, int rank) {
-        boolean recent = System.nanoTime() - noLoanAtNs < NO_LOAN_NS;
-        return recent && rank >= noLoanRank && missing(tokens, rank) >= noLoanTokens;
+    private long missing(WaitingRequest request) {
+        return missing(request.tokens(), request.rank());
     }
 
     private boolean isPageFresh() {
@@ -319,30 +295,22 @@
     }
 
     private void serveWaiting() {
-        List<Waiting> served = new ArrayList<>();
-        List<Waiting> byUrgency = new ArrayList<>(waiting);
-        byUrgency.sort(Comparator.comparingInt(Waiting::rank));
-        for (Waiting next : byUrgency) {
-            if (missing(next.tokens(), next.rank()) <= 0) {
+        List<WaitingRequest> served = new ArrayList<>();
+        for (WaitingRequest next : waiting.byUrgency()) {
+            if (missing(next) <= 0) {
                 wallet = wallet.reserve(next.tokens());
                 served.add(next);
             }
         }
-        waiting.removeAll(served);
+        waiting.remove(served);
         served.forEach(each -> each.callback().accept(ReservationResult.RESERVED));
     }
 
-    private void refuse(Predicate<Waiting> which, ReservationResult result) {
-        List<Waiting> refused = waiting.stream().filter(which).toList();
-        waiting.removeAll(refused);
-        refused.forEach(each -> each.callback().accept(result));
-    }
-
     private void askForWaiting() {
         if (waiting.isEmpty() && waitingLoans.isEmpty()) {
             return;
         }
-        long total = waiting.stream().mapToLong(Waiting::tokens).sum()
+        long total = waiting.tokens()
                 + waitingLoans.stream().mapToLong(WaitingLoan::tokens).sum();
         ask(Math.max(1, total - wallet.freeTokens()));
     }
@@ -367,7 +335,4 @@
 
     /** Another router's request for tokens that waits for the ledger. */
     private record WaitingLoan(long tokens, long sinceNs, LongConsumer reply) {}
-
-    /** A request that waits for tokens. */
-    private record Waiting(long tokens, int rank, long sinceNs, long untilNs, Consumer<ReservationResult> callback) {}
 }
--- /dev/null
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/WaitingRequests.java
@@ -0,0 +1,68 @@
+package io.jayhead.gateway.budget;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.function.Predicate;
+import java.util.function.ToLongFunction;
+
+/** The requests of one budget that wait for tokens, in the order of their arrival; used by the traffic thread. */
+final class WaitingRequests {
+
+    private final List<WaitingRequest> requests = new ArrayList<>();
+
+    void add(WaitingRequest request) {
+        requests.add(request);
+    }
+
+    boolean isEmpty() {
+        return requests.isEmpty();
+    }
+
+    boolean any(Predicate<WaitingRequest> condition) {
+        return requests.stream().anyMatch(condition);
+    }
+
+    boolean all(Predicate<WaitingRequest> condition) {
+        return requests.stream().allMatch(condition);
+    }
+
+    int mostUrgentRank() {
+        return requests.stream().mapToInt(WaitingRequest::rank).min().orElse(0);
+    }
+
+    long tokens() {
+        return requests.stream().mapToLong(WaitingRequest::tokens).sum();
+    }
+
+    long tokens(int rank) {
+        return ofRank(rank).stream().mapToLong(WaitingRequest::tokens).sum();
+    }
+
+    /** Returns the least value among the requests of a rank; the greatest number if there is none. */
+    long least(int rank, ToLongFunction<WaitingRequest> value) {
+        return ofRank(rank).stream().mapToLong(value).min().orElse(Long.MAX_VALUE);
+    }
+
+    /** Returns the requests, the most urgent first. */
+    List<WaitingRequest> byUrgency() {
+        return requests.stream()
+                .sorted(Comparator.comparingInt(WaitingRequest::rank))
+                .toList();
+    }
+
+    void remove(List<WaitingRequest> ended) {
+        requests.removeAll(ended);
+    }
+
+    /** Removes requests and tells them their result. */
+    void end(Predicate<WaitingRequest> which, ReservationResult result) {
+        List<WaitingRequest> ended = requests.stream().filter(which).toList();
+        remove(ended);
+        ended.forEach(each -> each.callback().accept(result));
+    }
+
+    private List<WaitingRequest> ofRank(int rank) {
+        return requests.stream().filter(each -> each.rank() == rank).toList();
+    }
+}
