--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetAccount.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetAccount.java
@@ -139,7 +139,8 @@
      *
      * @param tokens the tokens that it needs
      * @param rank how urgent the request is that needs them; 0 is the most urgent
-     * @param borrowerDraws whether the other router draws from the ledger itself; if not, its demand counts here
+     * @param borrowerDraws whether the other router draws from the ledger itself; if not, its demand counts here and
+     *     the ledger is asked for it
      * @param reply receives the tokens, at once or after the ledger has answered
      */
     void lend(long tokens, int rank, boolean borrowerDraws, LongConsumer reply) {
@@ -224,7 +225,8 @@
         }
         borrowing = true;
         int rank = waiting.mostUrgentRank();
-        loans.borrow(missing(waiting.tokens(rank), rank), rank, this::credit, () -> loansDone(rank));
+        long missingTokens = missing(waiting.tokens(rank), rank);
+        loans.borrow(missingTokens, rank, unavailable, this::credit, () -> loansDone(rank));
     }
 
     private void credit(long tokens) {
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetDesk.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetDesk.java
@@ -199,7 +199,8 @@
                 name -> new BudgetAccount(
                         need -> needs.accept(name, need),
                         () -> joinAsking(name),
-                        (tokens, rank, onLoan, onDone) -> loans.borrow(name, tokens, rank, onLoan, onDone),
+                        (tokens, rank, cutOff, onLoan, onDone) ->
+                                loans.borrow(name, tokens, rank, cutOff, onLoan, onDone),
                         () -> loans.drawsFromLedger(name, vmName)));
     }
 }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/PeerLoans.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/PeerLoans.java
@@ -82,14 +82,14 @@
                         .anyMatch(each -> each.vmName().equals(router));
     }
 
-    void borrow(String organisation, long tokens, int rank, LongConsumer onLoan, Runnable onDone) {
+    void borrow(String organisation, long tokens, int rank, boolean cutOff, LongConsumer onLoan, Runnable onDone) {
         List<RouterAddress> peers = new ArrayList<>(routers.get());
         long nowNs = System.nanoTime();
         peers.removeIf(peer -> peer.vmName().equals(vmName) || isSilent(peer, nowNs));
         peers = new ArrayList<>(BudgetHolders.of(organisation, peers));
         Collections.shuffle(peers, ThreadLocalRandom.current());
         List<RouterAddress> asked = peers.subList(0, Math.min(MAX_PEERS, peers.size()));
-        askNext(new Asked(organisation, rank, onLoan, onDone), tokens, List.copyOf(asked));
+        askNext(new Asked(organisation, rank, cutOff, onLoan, onDone), tokens, List.copyOf(asked));
     }
 
     private void askNext(Asked asked, long missing, List<RouterAddress> peers) {
@@ -129,6 +129,7 @@
                 .setTransferId(Long.toHexString(ThreadLocalRandom.current().nextLong()))
                 .setTokens(missing)
                 .setRank(asked.rank())
+                .setCutOff(asked.cutOff())
                 .build();
         client.request(peer.address(), Frame.newBuilder().setBorrow(borrow).build(), ANSWER_TIMEOUT_MS)
                 .whenComplete((frame, failure) -> traffic.execute(() -> {
@@ -153,5 +154,5 @@
     }
 
     /** What a series of requests for loans is for. */
-    private record Asked(String organisation, int rank, LongConsumer onLoan, Runnable onDone) {}
+    private record Asked(String organisation, int rank, boolean cutOff, LongConsumer onLoan, Runnable onDone) {}
 }
--- a/jayhead-gateway/src/test/java/io/jayhead/gateway/budget/BudgetAccountTest.java
+++ b/jayhead-gateway/src/test/java/io/jayhead/gateway/budget/BudgetAccountTest.java
@@ -19,7 +19,7 @@
     private final List<ReservationResult> results = new ArrayList<>();
     private final List<Long> loansAsked = new ArrayList<>();
     private final List<Long> lent = new ArrayList<>();
-    private final LoanSource nothingToLend = (tokens, rank, onLoan, onDone) -> {
+    private final LoanSource nothingToLend = (tokens, rank, cutOff, onLoan, onDone) -> {
         loansAsked.add(tokens);
         onDone.run();
     };
@@ -46,7 +46,7 @@
 
     @Test
     void ofTwoRoutersThatLackTokensTheOneThatLacksLessIsServed() {
-        BudgetAccount account = account((tokens, rank, onLoan, onDone) -> {});
+        BudgetAccount account = account((tokens, rank, cutOff, onLoan, onDone) -> {});
         account.ledgerRead(10_000, 0, 0);
         reserve(account, 30_000);
         lend(account, 25_000);
--- a/jayhead-peer/src/main/java/io/jayhead/peer/pb/Borrow.java
+++ b/jayhead-peer/src/main/java/io/jayhead/peer/pb/Borrow.java
@@ -233,6 +233,21 @@
     return rank_;
   }
 
+  public static final int CUT_OFF_FIELD_NUMBER = 7;
+  private boolean cutOff_ = false;
+  /**
+   * <pre>
+   * Whether the sender cannot reach the ledger, so that the receiver should ask it.
+   * </pre>
+   *
+   * <code>bool cut_off = 7;</code>
+   * @return The cutOff.
+   */
+  @java.lang.Override
+  public boolean getCutOff() {
+    return cutOff_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -265,6 +280,9 @@
     if (rank_ != 0) {
       output.writeUInt32(6, rank_);
     }
+    if (cutOff_ != false) {
+      output.writeBool(7, cutOff_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -294,6 +312,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(6, rank_);
     }
+    if (cutOff_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(7, cutOff_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -321,6 +343,8 @@
         != other.getTokens()) return false;
     if (getRank()
         != other.getRank()) return false;
+    if (getCutOff()
+        != other.getCutOff()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -345,6 +369,9 @@
         getTokens());
     hash = (37 * hash) + RANK_FIELD_NUMBER;
     hash = (53 * hash) + getRank();
+    hash = (37 * hash) + CUT_OFF_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getCutOff());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -486,6 +513,7 @@
       transferId_ = "";
       tokens_ = 0L;
       rank_ = 0;
+      cutOff_ = false;
       return this;
     }
 
@@ -537,6 +565,9 @@
       if (((from_bitField0_ & 0x00000020) != 0)) {
         result.rank_ = rank_;
       }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.cutOff_ = cutOff_;
+      }
     }
 
     @java.lang.Override
@@ -577,6 +608,9 @@
       if (other.getRank() != 0) {
         setRank(other.getRank());
       }
+      if (other.getCutOff() != false) {
+        setCutOff(other.getCutOff());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -633,6 +667,11 @@
               bitField0_ |= 0x00000020;
               break;
             } // case 48
+            case 56: {
+              cutOff_ = input.readBool();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 56
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1014,6 +1053,50 @@
       return this;
     }
 
+    private boolean cutOff_ ;
+    /**
+     * <pre>
+     * Whether the sender cannot reach the ledger, so that the receiver should ask it.
+     * </pre>
+     *
+     * <code>bool cut_off = 7;</code>
+     * @return The cutOff.
+     */
+    @java.lang.Override
+    public boolean getCutOff() {
+      return cutOff_;
+    }
+    /**
+     * <pre>
+     * Whether the sender cannot reach the ledger, so that the receiver should ask it.
+     * </pre>
+     *
+     * <code>bool cut_off = 7;</code>
+     * @param value The cutOff to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCutOff(boolean value) {
+
+      cutOff_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether the sender cannot reach the ledger, so that the receiver should ask it.
+     * </pre>
+     *
+     * <code>bool cut_off = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearCutOff() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      cutOff_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:io.jayhead.peer.Borrow)
   }
 
--- a/jayhead-peer/src/main/java/io/jayhead/peer/pb/BorrowOrBuilder.java
+++ b/jayhead-peer/src/main/java/io/jayhead/peer/pb/BorrowOrBuilder.java
@@ -73,4 +73,14 @@
    * @return The rank.
    */
   int getRank();
+
+  /**
+   * <pre>
+   * Whether the sender cannot reach the ledger, so that the receiver should ask it.
+   * </pre>
+   *
+   * <code>bool cut_off = 7;</code>
+   * @return The cutOff.
+   */
+  boolean getCutOff();
 }
--- a/jayhead-peer/src/main/java/io/jayhead/peer/pb/Peer.java
+++ b/jayhead-peer/src/main/java/io/jayhead/peer/pb/Peer.java
@@ -202,13 +202,13 @@
       "ream_request_id\030\004 \001(\t\"h\n\006Status\022\013\n\007UNKNO" +
       "WN\020\000\022\016\n\nREGISTERED\020\001\022\013\n\007RUNNING\020\002\022\014\n\010FIN" +
       "ISHED\020\003\022\022\n\016DIFFERENT_BODY\020\004\022\022\n\016NOT_REGIS" +
-      "TERED\020\005\"m\n\006Borrow\022\n\n\002vm\030\001 \001(\t\022\024\n\014organis" +
+      "TERED\020\005\"~\n\006Borrow\022\n\n\002vm\030\001 \001(\t\022\024\n\014organis" +
       "ation\030\002 \001(\t\022\016\n\006budget\030\003 \001(\t\022\023\n\013transfer_" +
-      "id\030\004 \001(\t\022\016\n\006tokens\030\005 \001(\004\022\014\n\004rank\030\006 \001(\r\"2" +
-      "\n\013BorrowReply\022\023\n\013transfer_id\030\001 \001(\t\022\016\n\006to" +
-      "kens\030\002 \001(\004\"(\n\007Failure\022\014\n\004code\030\001 \001(\t\022\017\n\007m" +
-      "essage\030\002 \001(\tB\026\n\022io.jayhead.peer.pbP\001b\006pr" +
-      "oto3"
+      "id\030\004 \001(\t\022\016\n\006tokens\030\005 \001(\004\022\014\n\004rank\030\006 \001(\r\022\017" +
+      "\n\007cut_off\030\007 \001(\010\"2\n\013BorrowReply\022\023\n\013transf" +
+      "er_id\030\001 \001(\t\022\016\n\006tokens\030\002 \001(\004\"(\n\007Failure\022\014" +
+      "\n\004code\030\001 \001(\t\022\017\n\007message\030\002 \001(\tB\026\n\022io.jayh" +
+      "ead.peer.pbP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -321,7 +321,7 @@
     internal_static_io_jayhead_peer_Borrow_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_io_jayhead_peer_Borrow_descriptor,
-        new java.lang.String[] { "Vm", "Organisation", "Budget", "TransferId", "Tokens", "Rank", });
+        new java.lang.String[] { "Vm", "Organisation", "Budget", "TransferId", "Tokens", "Rank", "CutOff", });
     internal_static_io_jayhead_peer_BorrowReply_descriptor =
       getDescriptor().getMessageType(18);
     internal_static_io_jayhead_peer_BorrowReply_fieldAccessorTable = new
