Restore the check for cut-off borrowers

Cause: a trial without the check (the test failed, as it should) had not been undone; the test of the change before failed for it. Change: the check is back; BudgetContractTest passes.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetDesk.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetDesk.java
@@ -129,7 +129,7 @@
             return CompletableFuture.failedFuture(new PeerException("only loans are answered"));
         }
         Borrow borrow = request.getBorrow();
-        boolean borrowerDraws = loans.drawsFromLedger(borrow.getOrganisation(), borrow.getVm());
+        boolean borrowerDraws = !borrow.getCutOff() && loans.drawsFromLedger(borrow.getOrganisation(), borrow.getVm());
         BudgetAccount lender = account(borrow.getOrganisation());
         CompletableFuture<Frame> answer = new CompletableFuture<>();
         lender.lend(borrow.getTokens(), borrow.getRank(), borrowerDraws, lent -> {
