Open connections in one place, log each failed ledger call, hold half of what is left again

Change: Connector opens connections; LedgerUpdater logs call, page, fault and waiting organisations; the share is 0.5 as before.

--- a/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/GrantRule.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/GrantRule.java
@@ -13,7 +13,7 @@
     /** The demand that is held ahead at the least, so that one ledger update serves many requests. */
     private static final double MIN_AHEAD_S = 1;
     /** The routers together hold at most this part of the tokens that nobody has taken. */
-    private static final double AHEAD_SHARE = 0.35;
+    private static final double AHEAD_SHARE = 0.5;
 
     private GrantRule() {}
 
--- a/jayhead-admission/src/test/java/io/jayhead/admission/prepaid/GrantRuleTest.java
+++ b/jayhead-admission/src/test/java/io/jayhead/admission/prepaid/GrantRuleTest.java
@@ -20,9 +20,9 @@
     }
 
     @Test
-    void routersTogetherHoldAThirdOfWhatIsLeftSoThatAKillOfAllStrandsNoMore() {
+    void routersTogetherHoldHalfOfWhatIsLeftSoThatAKillOfAllStrandsNoMore() {
         long first = GrantRule.tokensToTake(new BudgetNeed(0, 0, 100, 0), 6_000, 500, GrantRule.MAX_AHEAD_S);
-        assertEquals(350, first);
+        assertEquals(500, first);
         assertEquals(0, GrantRule.tokensToTake(new BudgetNeed(0, first, 100, 0), 6_000, 500, GrantRule.MAX_AHEAD_S));
     }
 
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/LedgerUpdater.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/LedgerUpdater.java
@@ -159,6 +159,19 @@
 
     private void failed(String name, Throwable failure) {
         health.failed(name, failure);
+        log.write(
+                LogKind.BUDGET,
+                "ledger call failed",
+                "call",
+                name,
+                "page",
+                pageName,
+                "fault",
+                PlatformException.faultOf(failure),
+                "organisations",
+                asking,
+                "known_revision",
+                session.known().revision());
         refresh = session.isRead();
         listener.ledgerUnavailable();
         awaitingReturn = health.awaitReturn(this::platformReturned);
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamConnections.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamConnections.java
@@ -2,13 +2,9 @@
 
 import io.jayhead.gateway.wire.WireDialect;
 import io.jayhead.routing.registry.Upstream;
-import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
+import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
 
@@ -20,7 +16,9 @@
     /** Idle connections are closed after this time, before the upstream does. */
     static final long IDLE_LIMIT_MS = 4_000;
 
+    private static final int MAX_LINE_BYTES = 4_096;
     private static final int MAX_HEAD_BYTES = 65_536;
+    private static final int MAX_CHUNK_BYTES = 8_192;
 
     private final Upstream upstream;
     private final EventLoop loop;
@@ -60,26 +58,16 @@
         open++;
         onNewConnection.run();
         UpstreamConnection connection = new UpstreamConnection(dialect, this, IDLE_LIMIT_MS);
-        KeepAliveOptions.apply(new Bootstrap())
-                .group(loop)
-                .channel(NioSocketChannel.class)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
-                .option(ChannelOption.TCP_NODELAY, true)
-                .handler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new HttpClientCodec(4_096, MAX_HEAD_BYTES, 8_192), connection);
-                    }
-                })
-                .connect(upstream.host(), upstream.port())
-                .addListener(connected -> {
-                    if (connected.isSuccess()) {
-                        listener.connected(connection);
-                    } else {
-                        open--;
-                        listener.notConnected();
-                    }
-                });
+        InetSocketAddress address = new InetSocketAddress(upstream.host(), upstream.port());
+        HttpClientCodec codec = new HttpClientCodec(MAX_LINE_BYTES, MAX_HEAD_BYTES, MAX_CHUNK_BYTES);
+        Connector.connect(loop, address, CONNECT_TIMEOUT_MS, codec, connection).addListener(connected -> {
+            if (connected.isSuccess()) {
+                listener.connected(connection);
+            } else {
+                open--;
+                listener.notConnected();
+            }
+        });
     }
 
     void released(UpstreamConnection connection) {
--- a/jayhead-routing/src/main/java/io/jayhead/routing/placement/Candidate.java
+++ b/jayhead-routing/src/main/java/io/jayhead/routing/placement/Candidate.java
@@ -8,8 +8,8 @@
  * @param upstream the upstream
  * @param inFlight the requests that this router has open there
  * @param reportedOthers the requests that the upstream last reported beyond those of this router
- * @param pendingTokensToRead the prompt tokens that the upstream must read for requests of this router whose first event
- *     has not arrived
+ * @param pendingTokensToRead the prompt tokens that the upstream must read for requests of this router whose first
+ *     event has not arrived
  * @param suspect whether it recently failed to answer
  * @param sameZone whether it stands in the router's availability zone
  * @param averageAnswerMs the mean time to the first byte of its recent answers to plain calls; 0 if not known
