Check in the demo what its status read and its repeated generation promise

Cause: the status read was shown as one execution, but only the order's name was checked; the repeated generation did not check its verdict. Change: both are checked.

--- a/jayhead-demo/src/main/java/io/jayhead/demo/DemoMain.java
+++ b/jayhead-demo/src/main/java/io/jayhead/demo/DemoMain.java
@@ -111,7 +111,9 @@
                         "{\"prompt\":\"[exact] a history of seven years of watering and wiring\",\"max_tokens\":120}",
                         "demo-plan-1",
                         "the same answer; it is billed once",
-                        answer -> answer.status() == 200 && answer.body().contains("\"output_tokens\":120")),
+                        answer -> answer.status() == 200
+                                && answer.body().contains("\"output_tokens\":120")
+                                && answer.body().contains("\"verdict\":\"ran\"")),
                 new DemoStep(
                         "one short streamed question",
                         "POST",
@@ -149,7 +151,9 @@
                         "",
                         "demo",
                         "one execution",
-                        answer -> answer.status() == 200 && answer.body().contains("order-17")),
+                        answer -> answer.status() == 200
+                                && answer.body().contains("order-17")
+                                && answer.body().contains("\"executions\":1")),
                 new DemoStep(
                         "one request beyond the budget",
                         "POST",
