--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/edge/StatusServer.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/edge/StatusServer.java
@@ -20,6 +20,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
@@ -85,7 +86,7 @@
 
     private static FullHttpResponse answer(HttpResponseStatus status, String body) {
         return new DefaultFullHttpResponse(
-                HttpVersion.HTTP_1_1, status, Unpooled.copiedBuffer(body, java.nio.charset.StandardCharsets.UTF_8));
+                HttpVersion.HTTP_1_1, status, Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
     }
 
     /** Answers the requests of one connection. */
