--- a/jayhead-demo/src/main/java/io/jayhead/demo/DemoMain.java
+++ b/jayhead-demo/src/main/java/io/jayhead/demo/DemoMain.java
@@ -5,6 +5,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
 import joptsimple.OptionSpec;
@@ -28,6 +29,9 @@
     private final List<String> routers;
     private final String apiKey;
 
+    private static final String LONG_GENERATION =
+            "{\"prompt\":\"[exact] a history of seven years of watering and wiring\",\"max_tokens\":120}";
+
     private DemoMain(List<String> routers, String apiKey) {
         this.routers = List.copyOf(routers);
         this.apiKey = apiKey;
@@ -93,12 +97,18 @@
     }
 
     private static List<DemoStep> steps() {
+        return Stream.of(generations(), bookings(), refusals())
+                .flatMap(List::stream)
+                .toList();
+    }
+
+    private static List<DemoStep> generations() {
         return List.of(
                 new DemoStep(
                         "one long generation",
                         "POST",
                         "/v1/services/plan",
-                        "{\"prompt\":\"[exact] a history of seven years of watering and wiring\",\"max_tokens\":120}",
+                        LONG_GENERATION,
                         "demo-plan-1",
                         "120 output tokens, verdict ran",
                         answer -> answer.status() == 200
@@ -108,7 +118,7 @@
                         "the same generation again through another router",
                         "POST",
                         "/v1/services/plan",
-                        "{\"prompt\":\"[exact] a history of seven years of watering and wiring\",\"max_tokens\":120}",
+                        LONG_GENERATION,
                         "demo-plan-1",
                         "the same answer; it is billed once",
                         answer -> answer.status() == 200
@@ -123,7 +133,11 @@
                         "8 token events and one done event",
                         answer -> answer.status() == 200
                                 && answer.occurrences("event: token") == 8
-                                && answer.occurrences("event: done") == 1),
+                                && answer.occurrences("event: done") == 1));
+    }
+
+    private static List<DemoStep> bookings() {
+        return List.of(
                 new DemoStep(
                         "one booking",
                         "POST",
@@ -153,17 +167,20 @@
                         "one execution",
                         answer -> answer.status() == 200
                                 && answer.body().contains("order-17")
-                                && answer.body().contains("\"executions\":1")),
-                new DemoStep(
-                        "one request beyond the budget",
-                        "POST",
-                        "/v1/services/plan",
-                        "{\"prompt\":\"" + "word ".repeat(400) + "\",\"max_tokens\":400}",
-                        "demo-plan-2",
-                        "refused as budget_exhausted, verdict not_run",
-                        answer -> answer.status() == 402
-                                && answer.body().contains("\"code\":\"budget_exhausted\"")
-                                && answer.body().contains("\"verdict\":\"not_run\"")));
+                                && answer.body().contains("\"executions\":1")));
+    }
+
+    private static List<DemoStep> refusals() {
+        return List.of(new DemoStep(
+                "one request beyond the budget",
+                "POST",
+                "/v1/services/plan",
+                "{\"prompt\":\"" + "word ".repeat(400) + "\",\"max_tokens\":400}",
+                "demo-plan-2",
+                "refused as budget_exhausted, verdict not_run",
+                answer -> answer.status() == 402
+                        && answer.body().contains("\"code\":\"budget_exhausted\"")
+                        && answer.body().contains("\"verdict\":\"not_run\"")));
     }
 
     private static String shortened(String text) {
