--- a/jayhead-demo/src/main/java/io/jayhead/demo/DemoMain.java
+++ b/jayhead-demo/src/main/java/io/jayhead/demo/DemoMain.java
@@ -21,6 +21,8 @@
     private static final MediaType JSON = MediaType.get("application/json");
     private static final int PRINTED_CHARACTERS = 400;
     private static final int TIMEOUT_SECONDS = 60;
+    private static final String LONG_GENERATION =
+            "{\"prompt\":\"[exact] a history of seven years of watering and wiring\",\"max_tokens\":120}";
 
     private final OkHttpClient client = new OkHttpClient.Builder()
             .readTimeout(TIMEOUT_SECONDS, TimeUnit.SECONDS)
@@ -29,9 +31,6 @@
     private final List<String> routers;
     private final String apiKey;
 
-    private static final String LONG_GENERATION =
-            "{\"prompt\":\"[exact] a history of seven years of watering and wiring\",\"max_tokens\":120}";
-
     private DemoMain(List<String> routers, String apiKey) {
         this.routers = List.copyOf(routers);
         this.apiKey = apiKey;
