Read again after each failure of the platform instead of waiting in a watch

A platform that answers again sends nothing until a configuration changes, so the router took the outage to last, its ledger calls waited for the end, and a watch that was sent to a silent platform hid changes for 30 s.

Ruled out: dead connections to the store (keep-alive probes found them within 3 s); the order of versions.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlPlane.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlPlane.java
@@ -209,6 +209,9 @@
 
     private void platformRecovered() {
         tracker = tracker.platformRecovered(nowMs());
+        loop.execute(catalogLoop::restartWaitingWatch);
+        loop.execute(registryLoop::restartWaitingWatch);
+        loop.execute(routersLoop::restartWaitingWatch);
     }
 
     private void expireUpstreams() {
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/WatchLoop.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/WatchLoop.java
@@ -9,8 +9,10 @@
 import java.util.function.Supplier;
 
 /**
- * Follows the objects of one kind: reads all of them, then watches for changes. Reads all again after a failure that is
- * no outage, for example when the platform no longer has the history.
+ * Follows the objects of one kind: reads all of them, then watches for changes.
+ *
+ * <p>Reads all again after each failure, for example when the platform no longer has the history. A watch waits for much
+ * longer than a read, so a watch that is sent to a platform that does not answer would hide its recovery.
  *
  * @param <L> the type of a full listing
  * @param <C> the type of the changes that a watch reports
@@ -30,6 +32,9 @@
     private boolean mustRead = true;
     private boolean watchSucceeded;
     private long revision;
+    /** Increases with each restart; answers to calls of an earlier run are ignored. */
+    private long runNumber;
+    private boolean watchInFlight;
 
     /**
      * Creates a loop that has read nothing.
@@ -66,18 +71,42 @@
     }
 
     void run() {
+        long currentRun = runNumber;
         if (mustRead) {
-            read.get().whenComplete((listing, failure) -> handleAnswer("read " + name, listing, failure, onRead));
-        } else {
-            watch.apply(revision)
-                    .whenComplete((changes, failure) -> handleAnswer("watch " + name, changes, failure, onChange));
+            read.get().whenComplete((listing, failure) -> {
+                if (currentRun == runNumber) {
+                    handleAnswer("read " + name, listing, failure, onRead);
+                }
+            });
+            return;
+        }
+        watchInFlight = true;
+        watch.apply(revision).whenComplete((changes, failure) -> {
+            if (currentRun == runNumber) {
+                watchInFlight = false;
+                handleAnswer("watch " + name, changes, failure, onChange);
+            }
+        });
+    }
+
+    /**
+     * Replaces a watch that is waiting by a new reading. Its answer may have been lost in an outage that other calls
+     * have noticed.
+     */
+    void restartWaitingWatch() {
+        if (!watchInFlight) {
+            return;
         }
+        runNumber++;
+        watchInFlight = false;
+        mustRead = true;
+        run();
     }
 
     private <T> void handleAnswer(String call, Versioned<T> answer, Throwable failure, Consumer<T> consumer) {
         if (failure != null) {
             health.failed(call, failure);
-            mustRead |= !PlatformException.faultOf(failure).isOutage();
+            mustRead = true;
             retry(PlatformException.faultOf(failure));
             return;
         }
