Take the limits for silent attempts from the objectives of the route and from recent answers

Cause: calls were given up after 250 ms, first events after 2.5 s and streams after 900 ms on every deployment. Calls of the large deployment work 86 ms and have an objective of 390 ms, so sound calls were sent twice and their engines counted as failing. Any byte counted as progress, so an upstream that sends a byte now and then was never given up.

Progress is a complete answer or event. A caller that reads slowly no longer counts as silence of the upstream, and silence is checked again after a retry was not allowed. The timer is in a class of its own, SilenceWatch.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/Gateway.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/Gateway.java
@@ -8,6 +8,7 @@
 import io.jayhead.gateway.edge.CallerServer;
 import io.jayhead.gateway.edge.LinkMeter;
 import io.jayhead.gateway.edge.StatusServer;
+import io.jayhead.gateway.exchange.AnswerTimes;
 import io.jayhead.gateway.exchange.DrainState;
 import io.jayhead.gateway.exchange.GatewayContext;
 import io.jayhead.gateway.exchange.RetryBudgets;
@@ -106,6 +107,7 @@
                 upstreams,
                 budgets,
                 new RetryBudgets(),
+                new AnswerTimes(),
                 log,
                 metrics,
                 drain,
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/WatchLoop.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/WatchLoop.java
@@ -34,6 +34,7 @@
     private long revision;
     /** Increases with each restart; answers to calls of an earlier run are ignored. */
     private long runNumber;
+
     private boolean watchInFlight;
 
     /**
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
@@ -5,6 +5,7 @@
 import io.jayhead.dispatch.forward.ForwardRules;
 import io.jayhead.dispatch.forward.ForwardState;
 import io.jayhead.dispatch.forward.RetryDelay;
+import io.jayhead.dispatch.forward.SilenceLimit;
 import io.jayhead.gateway.budget.ReservationResult;
 import io.jayhead.gateway.control.RoutingSnapshot;
 import io.jayhead.gateway.upstream.UpstreamConnection;
@@ -37,12 +38,6 @@
     private static final long DEFAULT_DEADLINE_MS = 15_000;
     /** An answer within this time before the deadline would reach the caller too late. */
     private static final long ANSWER_MARGIN_MS = 20;
-    /** Services answer within tens of milliseconds, so a silent one has probably failed. */
-    private static final long SILENT_CALL_MS = 250;
-    /** Engines send events every few milliseconds, so a stream without an event for this time is stuck. */
-    private static final long SILENT_STREAM_MS = 900;
-    /** The first event may take longer than later events, since it waits for the prefill of other prompts. */
-    private static final long SILENT_FIRST_EVENT_MS = 2_500;
 
     private final GatewayContext context;
     private final CallerChannel caller;
@@ -51,6 +46,7 @@
     private final long startNs = System.nanoTime();
     private final StreamRelay relay;
     private final ExchangeRecorder recorder;
+    private final SilenceWatch silence;
     private final Set<String> triedIncarnations = new HashSet<>();
     private AdmittedRequest admitted;
     private ForwardedRequest forwarded;
@@ -63,7 +59,6 @@
     private boolean ended;
     private boolean callerGone;
     private ScheduledFuture<?> deadlineTimer;
-    private ScheduledFuture<?> silenceTimer;
 
     /**
      * Creates an exchange.
@@ -78,6 +73,7 @@
         this.request = request;
         this.metadata = context.dialect().readCaller(request.headers());
         this.relay = new StreamRelay(caller);
+        this.silence = new SilenceWatch(context.loop(), this::silenceLimitMs, this::silent);
         this.recorder = new ExchangeRecorder(context, metadata.requestId(), startNs);
     }
 
@@ -155,41 +151,44 @@
         mayHaveRun++;
         relay.restart();
         connection.send(message, metadata.requestId(), attempt);
-        watchSilence(attempt, silenceLimitMs());
-    }
-
-    private void watchSilence(UpstreamAttempt attempt, long delayMs) {
-        if (silenceTimer != null) {
-            silenceTimer.cancel(false);
-        }
-        silenceTimer = context.loop().schedule(() -> checkSilence(attempt), delayMs, TimeUnit.MILLISECONDS);
+        silence.start();
     }
 
     private long silenceLimitMs() {
+        Route route = admitted.route();
+        double recentMs = context.answerTimes().recentMs(route.name());
         if (!isStreaming()) {
-            return SILENT_CALL_MS;
+            return SilenceLimit.callMs(route.latencyObjectiveMs(), recentMs);
         }
-        return relay.events() > 0 ? SILENT_STREAM_MS : SILENT_FIRST_EVENT_MS;
+        return relay.events() > 0
+                ? SilenceLimit.eventGapMs(route.eventGapObjectiveMs())
+                : SilenceLimit.firstEventMs(route.latencyObjectiveMs(), recentMs);
     }
 
-    private void checkSilence(UpstreamAttempt attempt) {
-        if (ended || attempt != currentAttempt) {
+    private void silent() {
+        if (ended) {
             return;
         }
-        long remainingMs = silenceLimitMs() - attempt.silentMs(System.nanoTime());
-        if (remainingMs > 0) {
-            watchSilence(attempt, remainingMs);
-        } else if (forwardDecision(AttemptOutcome.UNKNOWN) == ForwardDecision.TRY_ANOTHER) {
-            attempt.abandon();
-        } else {
-            attempt.upstream().answerBroken();
+        boolean callerReadsSlowly = !caller.channel().isWritable();
+        if (!callerReadsSlowly && forwardDecision(AttemptOutcome.UNKNOWN) == ForwardDecision.TRY_ANOTHER) {
+            currentAttempt.abandon();
+            return;
+        }
+        if (!callerReadsSlowly) {
+            currentAttempt.reportSilence();
         }
+        silence.start();
     }
 
     boolean isStreaming() {
         return admitted.isStreaming();
     }
 
+    /** Records the time from sending the request to its answer, or to the first event of its stream. */
+    void recordAnswerTime(double answerMs) {
+        context.answerTimes().record(admitted.route().name(), answerMs);
+    }
+
     boolean isEnded() {
         return ended;
     }
@@ -199,7 +198,9 @@
             return;
         }
         startStream(attempt);
-        relay.add(bytes);
+        if (relay.add(bytes)) {
+            silence.progressed();
+        }
         if (!caller.channel().isWritable()) {
             attempt.setReading(false);
         }
@@ -281,6 +282,7 @@
     }
 
     private void tryAnother(UpstreamAttempt attempt) {
+        silence.stop();
         if (attempt.isSent()) {
             context.retries().recordRetry(admitted.service().name());
         }
@@ -355,9 +357,7 @@
         if (deadlineTimer != null) {
             deadlineTimer.cancel(false);
         }
-        if (silenceTimer != null) {
-            silenceTimer.cancel(false);
-        }
+        silence.stop();
         long consumedTokens = 0;
         if (reservation != null) {
             consumedTokens = reservation.consumedTokens(answerStarted, relay.events());
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/GatewayContext.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/GatewayContext.java
@@ -19,6 +19,7 @@
  * @param upstreams the upstreams with their connections and load
  * @param budgets the prepaid budgets
  * @param retries the retry budgets of the services
+ * @param answerTimes the recent answer times of the routes
  * @param log the log
  * @param metrics the metrics
  * @param drain the state of a planned stop
@@ -31,6 +32,7 @@
         UpstreamTable upstreams,
         BudgetAccounts budgets,
         RetryBudgets retries,
+        AnswerTimes answerTimes,
         StructuredLog log,
         GatewayMetrics metrics,
         DrainState drain,
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/StreamRelay.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/StreamRelay.java
@@ -2,6 +2,7 @@
 
 import io.jayhead.dispatch.forward.EventFramer;
 import io.jayhead.dispatch.forward.StreamEvent;
+import java.util.List;
 import java.util.OptionalLong;
 
 /**
@@ -25,8 +26,10 @@
         framer = new EventFramer();
     }
 
-    void add(byte[] bytes) {
-        for (StreamEvent event : framer.add(bytes)) {
+    /** Forwards the events that the bytes complete; returns whether there were any. */
+    boolean add(byte[] bytes) {
+        List<StreamEvent> complete = framer.add(bytes);
+        for (StreamEvent event : complete) {
             if (isRepeated(event)) {
                 continue;
             }
@@ -37,6 +40,7 @@
                 lastNumericId = event.numericId();
             }
         }
+        return !complete.isEmpty();
     }
 
     void end() {
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamAttempt.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamAttempt.java
@@ -29,7 +29,7 @@
     private long sentAtNs;
     private double expectedFirstEventMs;
     private boolean firstEventSeen;
-    private long lastByteNs;
+    private boolean silenceReported;
 
     UpstreamAttempt(Exchange exchange, UpstreamHandle upstream, long tokensToRead) {
         this.exchange = exchange;
@@ -53,10 +53,6 @@
         return head;
     }
 
-    long silentMs(long nowNs) {
-        return (nowNs - lastByteNs) / 1_000_000;
-    }
-
     void start(int maxConnections) {
         upstream.started(tokensToRead);
         promptPending = true;
@@ -74,7 +70,6 @@
         sent = true;
         sentAtNs = System.nanoTime();
         expectedFirstEventMs = upstream.expectedFirstEventMs();
-        lastByteNs = sentAtNs;
         exchange.send(this, acquired);
     }
 
@@ -91,7 +86,6 @@
     public void head(HttpResponse answer, AnswerMetadata answerMetadata) {
         head = answer;
         metadata = answerMetadata;
-        lastByteNs = System.nanoTime();
         metadata.load().ifPresent(upstream::loadReported);
         if (isSuccess() && (!metadata.sealed() || metadata.encoded())) {
             upstream.answerBroken();
@@ -104,7 +98,6 @@
 
     @Override
     public void content(ByteBuf bytes) {
-        lastByteNs = System.nanoTime();
         byte[] copy = new byte[bytes.readableBytes()];
         bytes.readBytes(copy);
         if (ended) {
@@ -139,7 +132,8 @@
             return;
         }
         if (!streaming) {
-            upstream.answered((System.nanoTime() - sentAtNs) / 1e6);
+            upstream.answered(msSinceSent());
+            exchange.recordAnswerTime(msSinceSent());
         }
         end();
         exchange.answered(this, body.toByteArray());
@@ -183,6 +177,14 @@
         finish(sent ? AttemptOutcome.UNKNOWN : AttemptOutcome.NOT_SENT, "no answer in time");
     }
 
+    /** Records once that the upstream is silent; the attempt goes on. */
+    void reportSilence() {
+        if (!silenceReported) {
+            silenceReported = true;
+            upstream.answerBroken();
+        }
+    }
+
     void setReading(boolean reading) {
         if (connection != null && !ended) {
             connection.setReading(reading);
@@ -197,10 +199,15 @@
     private void recordFirstEvent() {
         if (!firstEventSeen) {
             firstEventSeen = true;
-            upstream.firstEvent((lastByteNs - sentAtNs) / 1e6, expectedFirstEventMs);
+            upstream.firstEvent(msSinceSent(), expectedFirstEventMs);
+            exchange.recordAnswerTime(msSinceSent());
         }
     }
 
+    private double msSinceSent() {
+        return (System.nanoTime() - sentAtNs) / 1e6;
+    }
+
     private void promptRead() {
         if (promptPending) {
             promptPending = false;
