Refuse requests whose size cannot be billed

Cause: a negative Token-Count was reserved as it stood, which added tokens to the wallet, and a count that is no number or too large for an int was served without a reservation. Either way more than the prepaid budget could be consumed. A lone comma ended the connection with an exception. Found by reading for malformed messages.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/RequestAdmission.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/RequestAdmission.java
@@ -46,7 +46,7 @@
         if (needsKey && organisation.isEmpty()) {
             return Either.left(Refusal.UNKNOWN_KEY);
         }
-        if (metadata.requestId().isEmpty()) {
+        if (metadata.requestId().isEmpty() || metadata.malformedSize()) {
             return Either.left(Refusal.MALFORMED);
         }
         String service = route.serviceFor(metadata.requestId().hashCode());
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/wire/CallerMetadata.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/wire/CallerMetadata.java
@@ -11,6 +11,7 @@
  * @param deadlineMs the milliseconds for which the caller waits; empty if not named
  * @param key the caller's API key; empty if missing
  * @param size the tokens of a generation; empty for other requests
+ * @param malformedSize whether the request names a size that could not be read, so that it could not be billed
  * @param promptParts the parts of the prompt; empty for other requests
  */
 public record CallerMetadata(
@@ -18,6 +19,7 @@
         OptionalLong deadlineMs,
         Optional<String> key,
         Optional<GenerationSize> size,
+        boolean malformedSize,
         List<PromptPart> promptParts) {
 
     /** Makes an immutable copy of the parts. */
