Keep periodic tasks and watches running after an unexpected error

Cause: an event loop cancels a periodic task after its first exception without a log line, and a watch whose value could not be taken over was never renewed, so a router would have kept its configuration for good.

Change: periodic tasks run as GuardedTask, which logs the failure and goes on; a watch reads all again after a value that could not be taken over; unexpected errors on a caller's connection are logged.

Test: WatchLoopTest failed before (1 reading in 5 s).

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetAccounts.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetAccounts.java
@@ -4,6 +4,7 @@
 import io.jayhead.admission.prepaid.LedgerPages;
 import io.jayhead.gateway.control.BudgetListener;
 import io.jayhead.gateway.control.RouterAddress;
+import io.jayhead.gateway.log.GuardedTask;
 import io.jayhead.gateway.log.LogKind;
 import io.jayhead.gateway.log.StructuredLog;
 import io.jayhead.gateway.metrics.GatewayMetrics;
@@ -70,7 +71,8 @@
 
     /** Starts the periodic work: ends expired waits, borrows for slow ones and returns surplus tokens. */
     public void start() {
-        traffic.scheduleWithFixedDelay(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+        GuardedTask guarded = new GuardedTask("check budgets", log, this::tick);
+        traffic.scheduleWithFixedDelay(guarded, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
     }
 
     /**
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlPlane.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlPlane.java
@@ -3,6 +3,7 @@
 import io.jayhead.admission.prepaid.BudgetNeed;
 import io.jayhead.admission.prepaid.Holder;
 import io.jayhead.admission.prepaid.LedgerPages;
+import io.jayhead.gateway.log.GuardedTask;
 import io.jayhead.gateway.log.LogKind;
 import io.jayhead.gateway.log.StructuredLog;
 import io.jayhead.gateway.metrics.GatewayMetrics;
@@ -122,7 +123,8 @@
         loop.execute(registryLoop::run);
         loop.execute(routersLoop::run);
         loop.execute(this::announce);
-        loop.scheduleWithFixedDelay(this::expireUpstreams, EXPIRY_CHECK_MS, EXPIRY_CHECK_MS, TimeUnit.MILLISECONDS);
+        GuardedTask expiry = new GuardedTask("expire upstreams", log, this::expireUpstreams);
+        loop.scheduleWithFixedDelay(expiry, EXPIRY_CHECK_MS, EXPIRY_CHECK_MS, TimeUnit.MILLISECONDS);
     }
 
     /**
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/WatchLoop.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/WatchLoop.java
@@ -121,12 +121,25 @@
         }
         mustRead = false;
         revision = Math.max(revision, answer.revision());
-        if (answer.value() != null) {
-            consumer.accept(answer.value());
+        if (answer.value() != null && !consume(call, answer.value(), consumer)) {
+            mustRead = true;
+            loop.schedule(this::run, backoff.next(), TimeUnit.MILLISECONDS);
+            return;
         }
         loop.schedule(this::run, pauseMs.getAsInt(), TimeUnit.MILLISECONDS);
     }
 
+    /** Passes a value on; returns false if that failed, so that all must be read again. */
+    private <T> boolean consume(String call, T value, Consumer<T> consumer) {
+        try {
+            consumer.accept(value);
+            return true;
+        } catch (RuntimeException failure) {
+            health.failed(call, failure);
+            return false;
+        }
+    }
+
     private void retry(PlatformFault fault) {
         // Reads again at once if the history is gone, but backs off if no watch has succeeded since the last failure.
         boolean atOnce = watchSucceeded && fault == PlatformFault.HISTORY_GONE;
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/edge/CallerConnection.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/edge/CallerConnection.java
@@ -3,6 +3,8 @@
 import io.jayhead.gateway.exchange.CallerChannel;
 import io.jayhead.gateway.exchange.Exchange;
 import io.jayhead.gateway.exchange.GatewayContext;
+import io.jayhead.gateway.log.GuardedTask;
+import io.jayhead.gateway.log.LogKind;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -26,6 +28,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 
@@ -177,6 +180,9 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext handler, Throwable cause) {
+        if (!(cause instanceof IOException)) {
+            context.log().write(LogKind.FAILED, "caller connection failed", "cause", GuardedTask.describe(cause));
+        }
         channel.close();
     }
 
--- /dev/null
+++ b/jayhead-gateway/src/test/java/io/jayhead/gateway/control/WatchLoopTest.java
@@ -0,0 +1,49 @@
+package io.jayhead.gateway.control;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.jayhead.gateway.log.StructuredLog;
+import io.jayhead.gateway.metrics.GatewayMetrics;
+import io.netty.channel.DefaultEventLoop;
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a watch that ends for good after an unexpected error, so that later changes go unnoticed. */
+class WatchLoopTest {
+
+    private final DefaultEventLoop loop = new DefaultEventLoop();
+    private final StructuredLog log = new StructuredLog(new PrintStream(new ByteArrayOutputStream()));
+    private final PlatformHealth health = new PlatformHealth(log, new GatewayMetrics(), () -> {});
+    private final AtomicInteger reads = new AtomicInteger();
+    private final CountDownLatch readAgain = new CountDownLatch(3);
+
+    @AfterEach
+    void stop() {
+        loop.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+    }
+
+    @Test
+    void allIsReadAgainAfterAValueThatCouldNotBeTakenOver() throws Exception {
+        WatchLoop<Integer, Integer> watch = new WatchLoop<>(
+                "numbers",
+                loop,
+                health,
+                true,
+                () -> 0,
+                () -> CompletableFuture.completedFuture(new Versioned<>(reads.incrementAndGet(), 1)),
+                revision -> new CompletableFuture<>(),
+                value -> {
+                    readAgain.countDown();
+                    throw new IllegalStateException("unexpected value " + value);
+                },
+                value -> {});
+        loop.execute(watch::run);
+        assertTrue(readAgain.await(5, TimeUnit.SECONDS), "reads: " + reads.get());
+    }
+}
