Bound what upstreams can send, and let bookings end whose callers have left

Causes, each seen with a test that failed before: - Informational answers other than 100 counted as the final answer, and answers to other requests were skipped without end; an event without end was buffered until the deadline; answers together had no memory limit. - A router that had all its connections to an upstream in use took the upstream for unreachable. - A booking whose caller had left no longer counted as open, so a planned stop cut it off, and it had no time limit.

Changes: at most 16 answers are ignored on a connection; events have at most 64 KiB; collected answers share a fifth of the heap; a success must name its request; the connection limit has an outcome of its own; a booking without a caller counts as open until its deadline.

--- a/jayhead-dispatch/src/main/java/io/jayhead/dispatch/forward/EventFramer.java
+++ b/jayhead-dispatch/src/main/java/io/jayhead/dispatch/forward/EventFramer.java
@@ -8,17 +8,21 @@
 /**
  * Splits the bytes of a stream into complete events in the server-sent events format (WHATWG HTML).
  *
- * <p>The framer buffers the bytes of an incomplete event. It is not thread-safe.
+ * <p>The framer buffers the bytes of an incomplete event, up to a limit. It is not thread-safe.
  */
 public final class EventFramer {
 
+    /** The longest event that is accepted; an event holds a few tokens. */
+    public static final int MAX_EVENT_BYTES = 65_536;
+
     private static final String ID_FIELD = "id:";
 
     private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
     private boolean lineIsEmpty = true;
+    private boolean tooLong;
 
     /**
-     * Adds bytes and returns the events that they complete.
+     * Adds bytes and returns the events that they complete. Bytes after an event that is too long are discarded.
      *
      * @param bytes the next bytes of the stream
      * @return the complete events in the order of the stream; empty if none was completed
@@ -26,6 +30,10 @@
     public List<StreamEvent> add(byte[] bytes) {
         List<StreamEvent> events = new ArrayList<>();
         for (byte next : bytes) {
+            if (pending.size() >= MAX_EVENT_BYTES) {
+                tooLong = true;
+                return events;
+            }
             pending.write(next);
             if (next == '\r') {
                 continue;
@@ -44,6 +52,15 @@
         return events;
     }
 
+    /**
+     * Tells whether an event was longer than {@link #MAX_EVENT_BYTES}, so that the stream cannot be read on.
+     *
+     * @return true once an event was too long
+     */
+    public boolean isTooLong() {
+        return tooLong;
+    }
+
     /**
      * Returns the buffered bytes of the incomplete event.
      *
--- a/jayhead-dispatch/src/test/java/io/jayhead/dispatch/forward/EventFramerTest.java
+++ b/jayhead-dispatch/src/test/java/io/jayhead/dispatch/forward/EventFramerTest.java
@@ -1,6 +1,7 @@
 package io.jayhead.dispatch.forward;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -45,4 +46,15 @@
         assertEquals("a7", event.id());
         assertEquals(true, event.numericId().isEmpty());
     }
+
+    @Test
+    void anEventWithoutEndIsNotKeptBeyondTheLimit() {
+        EventFramer framer = new EventFramer();
+        byte[] piece = new byte[8_192];
+        for (int index = 0; index < 100; index++) {
+            framer.add(piece);
+        }
+        assertTrue(framer.isTooLong());
+        assertEquals(EventFramer.MAX_EVENT_BYTES, framer.incompleteEvent().length);
+    }
 }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/Gateway.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/Gateway.java
@@ -8,10 +8,12 @@
 import io.jayhead.gateway.edge.CallerServer;
 import io.jayhead.gateway.edge.LinkMeter;
 import io.jayhead.gateway.edge.StatusServer;
+import io.jayhead.gateway.exchange.AnswerBuffers;
 import io.jayhead.gateway.exchange.AnswerTimes;
 import io.jayhead.gateway.exchange.DrainState;
 import io.jayhead.gateway.exchange.GatewayContext;
 import io.jayhead.gateway.exchange.RetryBudgets;
+import io.jayhead.gateway.log.GuardedTask;
 import io.jayhead.gateway.log.LogKind;
 import io.jayhead.gateway.log.StructuredLog;
 import io.jayhead.gateway.metrics.GatewayMetrics;
@@ -108,6 +110,7 @@
                 budgets,
                 new RetryBudgets(),
                 new AnswerTimes(),
+                new AnswerBuffers(),
                 log,
                 metrics,
                 drain,
@@ -118,8 +121,8 @@
     /** Starts the periodic tasks, the servers and the control plane. */
     public void start() {
         budgets.start();
-        traffic.scheduleWithFixedDelay(this::measureLink, LINK_CHECK_MS, LINK_CHECK_MS, TimeUnit.MILLISECONDS);
-        traffic.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+        repeat("measure link", this::measureLink, LINK_CHECK_MS);
+        repeat("sweep connections", this::sweep, SWEEP_MS);
         PeerServer.start(trafficGroup, settings.peersAddress(), budgets::answerPeer, PeerTrafficListener.NONE);
         callers.listen(trafficGroup, trafficGroup, settings.callersAddress());
         new StatusServer(dialect.readinessPath(), this::isReady, () -> metrics.text(log.droppedLines()))
@@ -138,6 +141,11 @@
                 settings.statusAddress());
     }
 
+    private void repeat(String name, Runnable task, long periodMs) {
+        GuardedTask guarded = new GuardedTask(name, log, task);
+        traffic.scheduleWithFixedDelay(guarded, periodMs, periodMs, TimeUnit.MILLISECONDS);
+    }
+
     /**
      * Starts a planned stop, which finishes open requests within the stop time; later calls do nothing.
      *
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
@@ -58,6 +58,7 @@
     private boolean answerStarted;
     private boolean ended;
     private boolean callerGone;
+    private boolean runsWithoutCaller;
     private ScheduledFuture<?> deadlineTimer;
 
     /**
@@ -171,7 +172,7 @@
         }
         boolean callerReadsSlowly = !caller.channel().isWritable();
         if (!callerReadsSlowly && forwardDecision(AttemptOutcome.UNKNOWN) == ForwardDecision.TRY_ANOTHER) {
-            currentAttempt.abandon();
+            currentAttempt.giveUp("no answer in time");
             return;
         }
         if (!callerReadsSlowly) {
@@ -189,6 +190,10 @@
         context.answerTimes().record(admitted.route().name(), answerMs);
     }
 
+    AnswerBuffers buffers() {
+        return context.buffers();
+    }
+
     boolean isEnded() {
         return ended;
     }
@@ -201,6 +206,10 @@
         if (relay.add(bytes)) {
             silence.progressed();
         }
+        if (relay.isTooLong()) {
+            attempt.giveUp("an event is too long");
+            return;
+        }
         if (!caller.channel().isWritable()) {
             attempt.setReading(false);
         }
@@ -224,6 +233,7 @@
 
     void answered(UpstreamAttempt attempt, byte[] body) {
         if (ended) {
+            endRunWithoutCaller();
             return;
         }
         if (isStreaming() && attempt.isSuccess()) {
@@ -252,6 +262,7 @@
             mayHaveRun--;
         }
         if (ended) {
+            endRunWithoutCaller();
             return;
         }
         ForwardDecision decision = forwardDecision(outcome);
@@ -348,7 +359,23 @@
         if (currentAttempt != null && mayStop) {
             currentAttempt.abort();
         }
+        runsWithoutCaller = !mayStop;
         end("caller closed", currentAttempt);
+        if (runsWithoutCaller) {
+            context.drain().opened();
+            long leftMs = Math.max(1, leftMs());
+            context.loop().schedule(this::endRunWithoutCaller, leftMs, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Ends a request that ran on after its caller had closed the connection, at the latest at its deadline. */
+    private void endRunWithoutCaller() {
+        if (!runsWithoutCaller) {
+            return;
+        }
+        runsWithoutCaller = false;
+        context.drain().closed();
+        currentAttempt.abort();
     }
 
     private void end(String outcome, UpstreamAttempt lastAttempt) {
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/GatewayContext.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/GatewayContext.java
@@ -20,6 +20,7 @@
  * @param budgets the prepaid budgets
  * @param retries the retry budgets of the services
  * @param answerTimes the recent answer times of the routes
+ * @param buffers the memory for answers that are being collected
  * @param log the log
  * @param metrics the metrics
  * @param drain the state of a planned stop
@@ -33,6 +34,7 @@
         BudgetAccounts budgets,
         RetryBudgets retries,
         AnswerTimes answerTimes,
+        AnswerBuffers buffers,
         StructuredLog log,
         GatewayMetrics metrics,
         DrainState drain,
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/StreamRelay.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/StreamRelay.java
@@ -51,6 +51,11 @@
         caller.endStream();
     }
 
+    /** Tells whether the stream has an event that is too long to be buffered. */
+    boolean isTooLong() {
+        return framer.isTooLong();
+    }
+
     int events() {
         return events;
     }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamAttempt.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamAttempt.java
@@ -13,7 +13,7 @@
 /** Sends the request of an exchange to one upstream and receives the answer; used by the traffic thread. */
 final class UpstreamAttempt implements AttemptListener {
 
-    private static final int MAX_BUFFERED_BYTES = 16 * 1024 * 1024;
+    private static final int MAX_ANSWER_BYTES = 16 * 1024 * 1024;
 
     private final Exchange exchange;
     private final UpstreamHandle upstream;
@@ -82,15 +82,20 @@
         finish(AttemptOutcome.NOT_SENT, "not connected");
     }
 
+    @Override
+    public void allConnectionsInUse() {
+        if (!ended) {
+            finish(AttemptOutcome.NOT_SENT, "all connections in use");
+        }
+    }
+
     @Override
     public void head(HttpResponse answer, AnswerMetadata answerMetadata) {
         head = answer;
         metadata = answerMetadata;
         metadata.load().ifPresent(upstream::loadReported);
-        if (isSuccess() && (!metadata.sealed() || metadata.encoded())) {
-            upstream.answerBroken();
-            connection.abort();
-            finish(AttemptOutcome.UNKNOWN, "answer without a seal or with an encoded body");
+        if (isSuccess() && !isGenuine()) {
+            giveUp("answer without a request id or a seal, or with an encoded body");
             return;
         }
         streaming = isSuccess() && exchange.isStreaming();
@@ -109,11 +114,11 @@
             exchange.streamBytes(this, copy);
             return;
         }
-        body.writeBytes(copy);
-        if (body.size() > MAX_BUFFERED_BYTES) {
-            connection.abort();
-            finish(AttemptOutcome.UNKNOWN, "answer is too large");
+        if (body.size() + copy.length > MAX_ANSWER_BYTES || !exchange.buffers().reserve(copy.length)) {
+            giveUp("answer is too large");
+            return;
         }
+        body.writeBytes(copy);
     }
 
     @Override
@@ -168,13 +173,13 @@
         }
     }
 
-    /** Ends the attempt as failed because the upstream is silent, and lets the exchange decide how to continue. */
-    void abandon() {
+    /** Ends the attempt as failed by the upstream, and lets the exchange decide how to continue. */
+    void giveUp(String reason) {
         upstream.answerBroken();
         if (connection != null) {
             connection.abort();
         }
-        finish(sent ? AttemptOutcome.UNKNOWN : AttemptOutcome.NOT_SENT, "no answer in time");
+        finish(sent ? AttemptOutcome.UNKNOWN : AttemptOutcome.NOT_SENT, reason);
     }
 
     /** Records once that the upstream is silent; the attempt goes on. */
@@ -196,6 +201,10 @@
         return code >= 200 && code < 300;
     }
 
+    private boolean isGenuine() {
+        return metadata.requestId().isPresent() && metadata.sealed() && !metadata.encoded();
+    }
+
     private void recordFirstEvent() {
         if (!firstEventSeen) {
             firstEventSeen = true;
@@ -225,6 +234,7 @@
             return;
         }
         ended = true;
+        exchange.buffers().release(body.size());
         promptRead();
         upstream.ended();
     }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/AttemptListener.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/AttemptListener.java
@@ -17,6 +17,9 @@
     /** Reports that no connection could be opened, so that nothing was sent. */
     void notConnected();
 
+    /** Reports that this router has as many connections to the upstream as it may have, and all are in use. */
+    void allConnectionsInUse();
+
     /**
      * Receives the status and headers of the answer.
      *
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamConnection.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamConnection.java
@@ -10,7 +10,7 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 
@@ -22,6 +22,9 @@
  */
 public final class UpstreamConnection extends SimpleChannelInboundHandler<HttpObject> {
 
+    /** More informational answers, or answers to other requests, than this before the answer indicate a fault. */
+    private static final int MAX_IGNORED_ANSWERS = 16;
+
     private final WireDialect dialect;
     private final UpstreamConnectionPool pool;
     private final long defaultIdleLimitMs;
@@ -30,6 +33,7 @@
     private String requestId = "";
     private ChannelFuture requestWritten;
     private AnswerState answerState = AnswerState.NONE;
+    private int ignoredAnswers;
     private boolean reusable = true;
     private long idleSinceNs;
     private long idleLimitMs;
@@ -52,6 +56,7 @@
         listener = attempt;
         requestId = id;
         answerState = AnswerState.AWAITED;
+        ignoredAnswers = 0;
         requestWritten = channel.writeAndFlush(request);
     }
 
@@ -104,13 +109,16 @@
             abort();
             return;
         }
-        if (head.status().code() == HttpResponseStatus.CONTINUE.code()) {
-            answerState = AnswerState.INTERIM;
-            return;
-        }
         AnswerMetadata metadata = dialect.readAnswer(head);
-        if (metadata.requestId().isPresent() && !metadata.requestId().get().equals(requestId)) {
-            answerState = AnswerState.SKIPPED;
+        boolean interim = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+        boolean ofOtherRequest =
+                metadata.requestId().isPresent() && !metadata.requestId().get().equals(requestId);
+        if (interim || ofOtherRequest) {
+            answerState = interim ? AnswerState.INTERIM : AnswerState.SKIPPED;
+            ignoredAnswers++;
+            if (ignoredAnswers > MAX_IGNORED_ANSWERS) {
+                fail("too many answers that are not the one to the request");
+            }
             return;
         }
         answerState = AnswerState.OPEN;
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamConnectionPool.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamConnectionPool.java
@@ -57,7 +57,7 @@
             next.close();
         }
         if (openConnections >= maxConnections) {
-            listener.notConnected();
+            listener.allConnectionsInUse();
             return;
         }
         connect(listener);
