Move the retry delay and the run without a caller out of Exchange

No change of behaviour: RetryAfter computes the header, RunWithoutCaller keeps a booking open whose caller has left. The contract tests pass as before.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
@@ -4,7 +4,6 @@
 import io.jayhead.dispatch.forward.ForwardDecision;
 import io.jayhead.dispatch.forward.ForwardRules;
 import io.jayhead.dispatch.forward.ForwardState;
-import io.jayhead.dispatch.forward.RetryDelay;
 import io.jayhead.dispatch.forward.SilenceLimit;
 import io.jayhead.gateway.budget.ReservationResult;
 import io.jayhead.gateway.control.RoutingSnapshot;
@@ -24,11 +23,9 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
 /** Handles one request of a caller from its arrival to its settlement; used by the traffic thread. */
@@ -59,7 +56,7 @@
     private boolean answerStarted;
     private boolean ended;
     private boolean callerGone;
-    private boolean runsWithoutCaller;
+    private RunWithoutCaller runWithoutCaller;
     private ScheduledFuture<?> deadlineTimer;
 
     /**
@@ -326,20 +323,17 @@
 
     private void refuse(Refusal refusal) {
         HttpHeaders headers = new DefaultHttpHeaders();
-        long retryAfterMs = retryAfterMs(refusal);
-        if (retryAfterMs > 0) {
-            double jitter = 0.75 + ThreadLocalRandom.current().nextDouble(0.5);
-            headers.set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", retryAfterMs * jitter / 1_000));
-        }
+        RetryAfter.of(refusal, causeMs(refusal)).ifPresent(value -> headers.set(HttpHeaderNames.RETRY_AFTER, value));
         caller.answer(refusal.status(), headers, new byte[0]);
         end(refusal.name(), currentAttempt);
     }
 
-    private long retryAfterMs(Refusal refusal) {
+    /** Returns for how long the outage or overload behind a refusal has lasted. */
+    private long causeMs(Refusal refusal) {
         return switch (refusal) {
-            case BUDGET_UNAVAILABLE -> RetryDelay.forOutageMs(context.budgets().ledgerOutageMs());
-            case OVER_LIMIT -> RetryDelay.forOutageMs(pass.overloadedMs());
-            default -> refusal.retryAfterMs();
+            case BUDGET_UNAVAILABLE -> context.budgets().ledgerOutageMs();
+            case OVER_LIMIT -> pass.overloadedMs();
+            default -> 0;
         };
     }
 
@@ -370,23 +364,16 @@
         if (currentAttempt != null && mayStop) {
             currentAttempt.abort();
         }
-        runsWithoutCaller = !mayStop;
         end("caller closed", currentAttempt);
-        if (runsWithoutCaller) {
-            context.drain().opened();
-            long leftMs = Math.max(1, leftMs());
-            context.loop().schedule(this::endRunWithoutCaller, leftMs, TimeUnit.MILLISECONDS);
+        if (!mayStop) {
+            runWithoutCaller = RunWithoutCaller.of(context, currentAttempt, leftMs());
         }
     }
 
-    /** Ends a request that ran on after its caller had closed the connection, at the latest at its deadline. */
     private void endRunWithoutCaller() {
-        if (!runsWithoutCaller) {
-            return;
+        if (runWithoutCaller != null) {
+            runWithoutCaller.end();
         }
-        runsWithoutCaller = false;
-        context.drain().closed();
-        currentAttempt.abort();
     }
 
     private void end(String outcome, UpstreamAttempt lastAttempt) {
