--- a/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/GrantRule.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/GrantRule.java
@@ -16,11 +16,6 @@
     /** The share of the tokens left in the budget that the routers together prefetch at most. */
     private static final double PREFETCH_SHARE = 0.5;
 
-    /** A surplus is returned once it exceeds this share of what the router may hold. */
-    private static final double SURPLUS_SHARE = 0.5;
-    /** Smaller shares of a budget are not worth a call to the ledger. */
-    private static final double MIN_RETURNED_SHARE = 0.003;
-
     private GrantRule() {}
 
     /**
@@ -52,31 +47,4 @@
         long prefetchTokens = (long) (need.tokensPerS() * prefetchS) - need.freeTokens();
         return Math.min(Math.max(need.requiredTokens(), prefetchTokens), availableTokens);
     }
-
-    /**
-     * Returns the tokens that a router should return, because less is left in the budget than when it took them.
-     *
-     * <p>All tokens that routers hold are lost if the routers are killed, and requests are refused for the lack of them
-     * while the ledger has none left.
-     *
-     * @param freeTokens the tokens that new requests at the router can still reserve
-     * @param tokensPerS the demand of the router in tokens per second
-     * @param leftTokens the tokens that no router has taken
-     * @param othersTokensPerS the demand of the other routers in tokens per second
-     * @param prepaidTokens the size of the budget
-     * @return the tokens to return; 0 if the surplus is not worth a call to the ledger
-     */
-    public static long surplusTokens(
-            long freeTokens, double tokensPerS, long leftTokens, long othersTokensPerS, long prepaidTokens) {
-        double allTokensPerS = Math.max(1.0, othersTokensPerS + tokensPerS);
-        double heldS = Math.min(MAX_PREFETCH_S, PREFETCH_SHARE * Math.max(0, leftTokens) / allTokensPerS);
-        if (heldS >= MAX_PREFETCH_S) {
-            return 0;
-        }
-        long keptTokens = (long) (tokensPerS * Math.max(MIN_PREFETCH_S, heldS));
-        long surplusTokens = freeTokens - keptTokens;
-        boolean large =
-                surplusTokens > SURPLUS_SHARE * keptTokens && surplusTokens > MIN_RETURNED_SHARE * prepaidTokens;
-        return large ? surplusTokens : 0;
-    }
 }
--- a/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/LedgerSession.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/LedgerSession.java
@@ -70,16 +70,6 @@
         return prepaidTokens - latestPage.page().totalTakenTokens(organisation);
     }
 
-    /**
-     * Returns the demand of the other routers in the latest page.
-     *
-     * @param organisation the organisation
-     * @return the demand in tokens per second
-     */
-    public long othersTokensPerS(String organisation) {
-        return latestPage.page().otherVmsTokensPerS(organisation, holder.vmName());
-    }
-
     /**
      * Deducts tokens that the next update will return.
      *
@@ -123,7 +113,8 @@
     private LedgerPage withTaken(
             LedgerPage page, String organisation, BudgetNeed need, long prepaidTokens, double prefetchLimitS) {
         long leftTokens = leftTokens(organisation, prepaidTokens);
-        long tokens = GrantRule.tokensToTake(need, leftTokens, othersTokensPerS(organisation), prefetchLimitS);
+        long otherTokensPerS = page.otherVmsTokensPerS(organisation, holder.vmName());
+        long tokens = GrantRule.tokensToTake(need, leftTokens, otherTokensPerS, prefetchLimitS);
         if (tokens <= 0) {
             return page;
         }
--- a/jayhead-admission/src/test/java/io/jayhead/admission/prepaid/GrantRuleTest.java
+++ b/jayhead-admission/src/test/java/io/jayhead/admission/prepaid/GrantRuleTest.java
@@ -43,18 +43,4 @@
     void nothingIsTakenFromAnOverdrawnBudget() {
         assertEquals(0, GrantRule.tokensToTake(new BudgetNeed(100, 0, 0, 0), -5, 2, GrantRule.MAX_PREFETCH_S));
     }
-
-    @Test
-    void aRouterThatTookTokensEarlyReturnsThemAsTheBudgetRunsOut() {
-        long held = GrantRule.tokensToTake(new BudgetNeed(0, 0, 1_000, 0), 1_000_000, 7_000, 12);
-        assertEquals(12_000, held);
-        assertEquals(0, GrantRule.surplusTokens(held, 1_000, 1_000_000, 7_000, 1_000_000));
-        assertEquals(9_500, GrantRule.surplusTokens(held, 1_000, 40_000, 7_000, 1_000_000));
-    }
-
-    @Test
-    void aSmallSurplusIsNotWorthACall() {
-        assertEquals(0, GrantRule.surplusTokens(3_500, 1_000, 40_000, 7_000, 1_000_000));
-        assertEquals(0, GrantRule.surplusTokens(2_000, 0, 40_000, 0, 1_000_000));
-    }
 }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetAccount.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetAccount.java
@@ -1,7 +1,6 @@
 package io.jayhead.gateway.budget;
 
 import io.jayhead.admission.prepaid.BudgetNeed;
-import io.jayhead.admission.prepaid.GrantRule;
 import io.jayhead.admission.prepaid.UrgentReserve;
 import io.jayhead.admission.prepaid.Wallet;
 import java.util.ArrayList;
@@ -123,16 +122,6 @@
         }
     }
 
-    /** Returns tokens if less is left in the budget than when this account took them. */
-    void ledgerObserved(long left, long othersTokensPerS) {
-        boolean recent = System.nanoTime() - returnedAtNs < RETURN_INTERVAL_NS;
-        if (ledgerCallPending || ledgerOutage || recent || !waiting.isEmpty()) {
-            return;
-        }
-        returnTokens(GrantRule.surplusTokens(
-                wallet.freeTokens(), demand.tokensPerS(), left, othersTokensPerS, prepaidTokens));
-    }
-
     /** Ends a ledger call that changed nothing; the values of the last page remain valid. */
     void ledgerUnchanged() {
         ledgerCallPending = false;
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetAccounts.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetAccounts.java
@@ -170,11 +170,6 @@
         });
     }
 
-    @Override
-    public void budgetObserved(String organisation, long leftTokens, long othersTokensPerS) {
-        traffic.execute(() -> account(organisation).ledgerObserved(leftTokens, othersTokensPerS));
-    }
-
     @Override
     public void budgetUnchanged(String organisation) {
         traffic.execute(() -> account(organisation).ledgerUnchanged());
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/BudgetListener.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/BudgetListener.java
@@ -14,15 +14,6 @@
      */
     void budgetRead(String organisation, long ownTokens, long leftTokens, long returnedTokens);
 
-    /**
-     * Reports how much of a budget was left a short time ago; the own tokens of this router may have changed since.
-     *
-     * @param organisation the organisation that owns the budget
-     * @param leftTokens the tokens of the budget that no router had taken
-     * @param othersTokensPerS the demand of the other routers in tokens per second
-     */
-    void budgetObserved(String organisation, long leftTokens, long othersTokensPerS);
-
     /** Reports that a ledger page cannot be read or updated: a call failed, or the platform has not recovered yet. */
     void ledgerUnavailable();
 
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlPlane.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlPlane.java
@@ -38,7 +38,6 @@
     private static final int ROUTERS_PAUSE_MS = 2_000;
 
     private static final long EXPIRY_CHECK_MS = 250;
-    private static final long OBSERVATION_MS = 500;
 
     private final EventLoop loop;
     private final StructuredLog log;
@@ -125,8 +124,6 @@
         loop.execute(routersLoop::run);
         loop.execute(this::announce);
         GuardedTask expiry = new GuardedTask("expire upstreams", log, this::expireUpstreams);
-        GuardedTask observation = new GuardedTask("observe ledger", log, () -> ledgers.forEach(LedgerUpdater::observe));
-        loop.scheduleWithFixedDelay(observation, OBSERVATION_MS, OBSERVATION_MS, TimeUnit.MILLISECONDS);
         loop.scheduleWithFixedDelay(expiry, EXPIRY_CHECK_MS, EXPIRY_CHECK_MS, TimeUnit.MILLISECONDS);
     }
 
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/LedgerUpdater.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/LedgerUpdater.java
@@ -18,7 +18,6 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
-import java.util.stream.Collectors;
 
 /** Updates this router's entries in one ledger page; used by the control thread, with one call at a time. */
 final class LedgerUpdater {
@@ -26,9 +25,6 @@
     /** Needs without waiting requests are collected for this time, so that one call serves several budgets. */
     private static final long COLLECT_MS = 300;
 
-    /** A page is observed again after this time, in which the demand changes little. */
-    private static final long OBSERVE_AFTER_NS = 1_500_000_000L;
-
     private final String pageName;
     private final PlatformClient platform;
     private final PlatformHealth health;
@@ -45,7 +41,6 @@
     private boolean callScheduled;
     private boolean readRequired = true;
     private boolean awaitingRecovery;
-    private long readAtNs = System.nanoTime();
 
     LedgerUpdater(
             String pageName,
@@ -115,48 +110,6 @@
         }
     }
 
-    /**
-     * Observes what is left of the budgets of which this router holds tokens, unless a call has shown it recently.
-     */
-    void observe() {
-        boolean recent = System.nanoTime() - readAtNs < OBSERVE_AFTER_NS;
-        if (recent
-                || callInFlight
-                || awaitingRecovery
-                || !session.isRead()
-                || heldOrganisations().isEmpty()) {
-            return;
-        }
-        readAtNs = System.nanoTime();
-        platform.readLedgerLoosely(pageName).whenComplete((page, failure) -> {
-            if (failure != null) {
-                health.failed("observe ledger", failure);
-                return;
-            }
-            health.succeeded("observe ledger");
-            observed(page);
-        });
-    }
-
-    private void observed(VersionedPage page) {
-        if (!callInFlight && session.inFlight().isEmpty()) {
-            session = session.withPage(page);
-        }
-        for (String organisation : heldOrganisations()) {
-            listener.budgetObserved(
-                    organisation,
-                    session.leftTokens(
-                            organisation, prepaidTokens.apply(organisation).orElse(0)),
-                    session.othersTokensPerS(organisation));
-        }
-    }
-
-    private Set<String> heldOrganisations() {
-        return session.latestPage().page().entries().keySet().stream()
-                .filter(organisation -> session.ownTokens(organisation) > 0)
-                .collect(Collectors.toSet());
-    }
-
     private void call(String name, CompletionStage<VersionedPage> stage) {
         callInFlight = true;
         stage.whenComplete((page, failure) -> {
@@ -170,7 +123,6 @@
     }
 
     private void succeeded(String name, VersionedPage page) {
-        readAtNs = System.nanoTime();
         health.succeeded(name);
         backoff.reset();
         readRequired = false;
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/PlatformClient.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/PlatformClient.java
@@ -76,14 +76,6 @@
      */
     CompletionStage<VersionedPage> readLedger(String name);
 
-    /**
-     * Reads a ledger page that may be some seconds old, at a lower cost.
-     *
-     * @param name the name of the page
-     * @return the page with the revision that it had then
-     */
-    CompletionStage<VersionedPage> readLedgerLoosely(String name);
-
     /**
      * Creates an empty ledger page unless it exists.
      *
--- a/jayhead-gateway/src/test/java/io/jayhead/gateway/budget/BudgetAccountTest.java
+++ b/jayhead-gateway/src/test/java/io/jayhead/gateway/budget/BudgetAccountTest.java
@@ -1,7 +1,6 @@
 package io.jayhead.gateway.budget;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.jayhead.admission.prepaid.BudgetNeed;
 import java.util.ArrayList;
@@ -19,7 +18,6 @@
     private static final long PREPAID = 1_000_000;
     private static final long WAIT_MS = 400;
     private static final int RANK = 1;
-    private static final long RETURN_INTERVAL_MS = 1_000;
 
     private final List<BudgetNeed> needs = new ArrayList<>();
     private final List<ReservationResult> results = new ArrayList<>();
@@ -105,20 +103,6 @@
         assertEquals(List.of(ReservationResult.UNAVAILABLE, ReservationResult.RESERVED), results);
     }
 
-    @Test
-    void tokensThatWereTakenEarlyAreReturnedWhenLittleIsLeft() throws InterruptedException {
-        BudgetAccount account = account(noLoans);
-        account.ledgerRead(200_000, 500_000, 0);
-        reserve(account, 60_000);
-        account.ledgerUnchanged();
-        Thread.sleep(RETURN_INTERVAL_MS);
-        needs.clear();
-        account.ledgerObserved(5_000_000, 1_000);
-        assertEquals(List.of(), needs, "enough is left");
-        account.ledgerObserved(4_000, 1_000);
-        assertTrue(needs.get(0).returnedTokens() > 80_000, "returned " + needs);
-    }
-
     private BudgetAccount account(LoanSource loans) {
         return new BudgetAccount(needs::add, () -> {}, loans, () -> true);
     }
