Record the decision on a generation before its answer is written

Change: the line is recorded first, for answers and failures. The order can no longer be observed from outside.

--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/request/GenerationRun.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/request/GenerationRun.java
@@ -64,12 +64,13 @@
             recordTokenTime();
             answerWriter.token(token.index(), token.text());
         } else if (command instanceof DispatchCommand.DeliverEnd end) {
-            answerWriter.end(end.usage());
+            // Recorded first, so that whoever has the answer also finds its line.
             recordAnswer("ok", Verdict.ran());
+            answerWriter.end(end.usage());
         } else if (command instanceof DispatchCommand.FailCaller fail) {
+            recordAnswer(fail.code().code(), fail.verdict());
             answerWriter.fail(
                     fail.code(), fail.verdict(), fail.broken() ? "the answer was broken off" : "the request failed");
-            recordAnswer(fail.code().code(), fail.verdict());
         }
     }
 
