Probe a platform that has answered nothing for a while

Cause: a router whose only calls are watches that wait does not notice that the platform has become silent; a watch that the platform will never answer hides changes until it times out after 30 s. In large fleets most routers hold no budget and make no other calls.

Ruled out: shorter watches, each of which costs a whole call; keep-alive probes, which a silent platform still answers.

The end of an outage that the probe has seen replaces the waiting watches.

Test: aRouterThatOnlyWatchesNoticesASilentOutage fails without the probe and passes with it.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlPlane.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlPlane.java
@@ -38,6 +38,7 @@
     private static final int ROUTERS_PAUSE_MS = 2_000;
 
     private static final long EXPIRY_CHECK_MS = 250;
+    private static final long PROBE_CHECK_MS = 250;
 
     private final EventLoop loop;
     private final StructuredLog log;
@@ -124,6 +125,8 @@
         loop.execute(routersLoop::run);
         loop.execute(this::announce);
         GuardedTask expiry = new GuardedTask("expire upstreams", log, this::expireUpstreams);
+        GuardedTask probe = new GuardedTask("probe platform", log, new LivenessProbe(platform, health, self)::check);
+        loop.scheduleWithFixedDelay(probe, PROBE_CHECK_MS, PROBE_CHECK_MS, TimeUnit.MILLISECONDS);
         loop.scheduleWithFixedDelay(expiry, EXPIRY_CHECK_MS, EXPIRY_CHECK_MS, TimeUnit.MILLISECONDS);
     }
 
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/PlatformClient.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/PlatformClient.java
@@ -52,6 +52,14 @@
      */
     CompletionStage<Void> announce(RouterAddress router);
 
+    /**
+     * Checks that the platform answers, with the cheapest call there is.
+     *
+     * @param router the name and address of this router
+     * @return a stage that completes with any answer of the platform that is no refusal
+     */
+    CompletionStage<Void> probe(RouterAddress router);
+
     /**
      * Reads the announced routers.
      *
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/PlatformHealth.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/PlatformHealth.java
@@ -17,6 +17,7 @@
     private boolean probing;
     private long unavailableSinceNs;
     private long reachableSinceNs = System.nanoTime();
+    private long answeredAtNs = System.nanoTime();
 
     PlatformHealth(StructuredLog log, GatewayMetrics metrics, Runnable onRecovery) {
         this.log = log;
@@ -28,6 +29,16 @@
         return unavailable;
     }
 
+    /** Tells whether a caller probes the platform until it answers. */
+    boolean isProbing() {
+        return probing;
+    }
+
+    /** Returns the nanoseconds since the platform last answered a call. */
+    long quietNs() {
+        return System.nanoTime() - answeredAtNs;
+    }
+
     /**
      * Returns for how long the platform has been reachable.
      *
@@ -66,6 +77,7 @@
 
     void succeeded(String call) {
         metrics.platformCall(call, "ok");
+        answeredAtNs = System.nanoTime();
         if (!unavailable) {
             return;
         }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamConnectionPool.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamConnectionPool.java
@@ -40,6 +40,7 @@
     private final Deque<UpstreamConnection> idle = new ArrayDeque<>();
     /** The attempts that wait for a connection, because all that this router may have are in use. */
     private final Deque<AttemptListener> waiting = new ArrayDeque<>();
+
     private int openConnections;
 
     UpstreamConnectionPool(Upstream upstream, EventLoop loop, WireDialect dialect, Runnable onNewConnection) {
