Mend the linter's findings: lines over 120 characters and a file over 400 lines

The limit of silence moves from Exchange to AnswerTimes, which knows the recent answers. No change of behaviour; the linter and formatter pass on all modules.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/AnswerTimes.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/AnswerTimes.java
@@ -1,6 +1,8 @@
 package io.jayhead.gateway.exchange;
 
+import io.jayhead.dispatch.forward.SilenceLimit;
 import io.jayhead.routing.DecayedMean;
+import io.jayhead.routing.catalog.Route;
 import java.util.HashMap;
 import java.util.Map;
 
@@ -22,13 +24,20 @@
     }
 
     /**
-     * Returns the mean time of recent answers.
+     * Returns for how long an attempt may make no progress.
      *
-     * @param route the name of the route
-     * @return the time in milliseconds, which falls towards 0 while no answers arrive
+     * @param route the route of the request
+     * @param events the events of the answer so far; 0 before the first and for calls that are no stream
+     * @return the limit in milliseconds
      */
-    public double recentMs(String route) {
-        return mean(route).blend(0, 1, nowMs(), HALF_LIFE_MS);
+    public long silenceLimitMs(Route route, int events) {
+        double recentMs = mean(route.name()).blend(0, 1, nowMs(), HALF_LIFE_MS);
+        if (!route.kind().isStreaming()) {
+            return SilenceLimit.callMs(route.latencyObjectiveMs(), recentMs);
+        }
+        return events > 0
+                ? SilenceLimit.eventGapMs(route.eventGapObjectiveMs())
+                : SilenceLimit.firstEventMs(route.latencyObjectiveMs(), recentMs);
     }
 
     private DecayedMean mean(String route) {
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
@@ -4,7 +4,6 @@
 import io.jayhead.dispatch.forward.ForwardDecision;
 import io.jayhead.dispatch.forward.ForwardRules;
 import io.jayhead.dispatch.forward.ForwardState;
-import io.jayhead.dispatch.forward.SilenceLimit;
 import io.jayhead.gateway.budget.ReservationResult;
 import io.jayhead.gateway.control.RoutingSnapshot;
 import io.jayhead.gateway.upstream.UpstreamConnection;
@@ -157,14 +156,7 @@
     }
 
     private long silenceLimitMs() {
-        Route route = admitted.route();
-        double recentMs = context.answerTimes().recentMs(route.name());
-        if (!isStreaming()) {
-            return SilenceLimit.callMs(route.latencyObjectiveMs(), recentMs);
-        }
-        return relay.events() > 0
-                ? SilenceLimit.eventGapMs(route.eventGapObjectiveMs())
-                : SilenceLimit.firstEventMs(route.latencyObjectiveMs(), recentMs);
+        return context.answerTimes().silenceLimitMs(admitted.route(), relay.events());
     }
 
     private void silent() {
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Refusal.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Refusal.java
@@ -26,7 +26,8 @@
     /** The upstreams that were tried are too busy to accept the request. */
     OVERLOADED(HttpResponseStatus.SERVICE_UNAVAILABLE, 700),
     /**
-     * More requests are in flight than the service answers in time; the retry delay depends on how long this has lasted.
+     * More requests are in flight than the service answers in time; the retry delay depends on how long this has
+     * lasted.
      */
     OVER_LIMIT(HttpResponseStatus.SERVICE_UNAVAILABLE, 0),
     /** The request was sent to an upstream and its outcome is unknown. */
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/RunWithoutCaller.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/RunWithoutCaller.java
@@ -3,8 +3,8 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Lets an at-most-once request run on after its caller has closed the connection, at the latest until its deadline; used
- * by the traffic thread. Until then the request counts as open, so that a planned stop waits for it.
+ * Lets an at-most-once request run on after its caller has closed the connection, at the latest until its deadline;
+ * used by the traffic thread. Until then the request counts as open, so that a planned stop waits for it.
  */
 final class RunWithoutCaller {
 
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/ServiceGate.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/ServiceGate.java
@@ -15,8 +15,8 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Admits the requests of this router to one service: at once below the learned limit, after a short wait in a fair queue
- * if a place is expected to become free in time, and not at all otherwise; used by the traffic thread.
+ * Admits the requests of this router to one service: at once below the learned limit, after a short wait in a fair
+ * queue if a place is expected to become free in time, and not at all otherwise; used by the traffic thread.
  */
 final class ServiceGate {
 
