--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
@@ -72,7 +72,7 @@
         this.metadata = context.dialect().readCaller(request.headers());
         this.relay = new StreamRelay(caller);
         this.silence = new SilenceWatch(context.loop(), this::silenceLimitMs, this::silent);
-        this.recorder = new ExchangeRecorder(context, metadata.requestId(), startNs);
+        this.recorder = new ExchangeRecorder(context, metadata, startNs);
     }
 
     /** Admits the request, reserves its tokens and sends it to an upstream, or refuses it. */
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/ExchangeRecorder.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/ExchangeRecorder.java
@@ -3,8 +3,11 @@
 import io.jayhead.dispatch.forward.AttemptOutcome;
 import io.jayhead.dispatch.forward.ForwardDecision;
 import io.jayhead.gateway.log.LogKind;
+import io.jayhead.gateway.wire.CallerMetadata;
+import io.jayhead.gateway.wire.PromptPart;
 import io.jayhead.routing.catalog.Organisation;
 import java.util.Optional;
+import java.util.stream.Collectors;
 
 /** Writes the log lines and metrics of one exchange. */
 final class ExchangeRecorder {
@@ -14,12 +17,12 @@
     private static final double NS_PER_S = 1e9;
 
     private final GatewayContext context;
-    private final String requestId;
+    private final CallerMetadata metadata;
     private final long startNs;
 
-    ExchangeRecorder(GatewayContext context, String requestId, long startNs) {
+    ExchangeRecorder(GatewayContext context, CallerMetadata metadata, long startNs) {
         this.context = context;
-        this.requestId = requestId;
+        this.metadata = metadata;
         this.startNs = startNs;
     }
 
@@ -35,9 +38,11 @@
                         LogKind.ATTEMPT,
                         "attempt ended",
                         "request_id",
-                        requestId,
+                        metadata.requestId(),
                         "upstream",
                         upstream(attempt),
+                        "shared_parts",
+                        sharedParts(),
                         "outcome",
                         outcome,
                         "reason",
@@ -56,7 +61,7 @@
                         outcome.equals(SERVED) ? LogKind.SERVED : LogKind.FAILED,
                         outcome,
                         "request_id",
-                        requestId,
+                        metadata.requestId(),
                         "route",
                         route,
                         "organisation",
@@ -79,6 +84,10 @@
                         (System.nanoTime() - startNs) / 1_000_000);
     }
 
+    private String sharedParts() {
+        return metadata.sharedParts().stream().map(PromptPart::id).collect(Collectors.joining(","));
+    }
+
     private static String upstream(UpstreamAttempt attempt) {
         return attempt == null ? "" : attempt.upstream().upstream().incarnation();
     }
