Block prompt parts under which several upstreams ended

Callers saw streams that broke off and 502, since each request with one prompt part ended the engine that began to answer it, and the routers sent the next one to the engines that were left.

Cause: each end was blamed on the engine and never on the request.

Ruled out: a block of the caller's key or of whole prompts (sound requests share key and first part, and no two prompts are alike); blocks of each router for itself (every router would end engines of its own).

Change: an upstream that closes a connection before the first event and accepts no new one has ended. The shared parts of such prompts go on record in the store, kind crashes. The parts that explain three ends are blocked, in the order of the ends that they explain; an answer under a part removes its record. Blocked requests are refused at once and never sent.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/Gateway.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/Gateway.java
@@ -18,6 +18,7 @@
 import io.jayhead.gateway.log.LogKind;
 import io.jayhead.gateway.log.StructuredLog;
 import io.jayhead.gateway.metrics.GatewayMetrics;
+import io.jayhead.gateway.quarantine.PromptGuard;
 import io.jayhead.gateway.upstream.UpstreamTable;
 import io.jayhead.gateway.wire.WireDialect;
 import io.jayhead.peer.PeerClient;
@@ -116,6 +117,7 @@
                 log,
                 metrics,
                 drain,
+                new PromptGuard(traffic, control::snapshot, control, log),
                 meter::pressure);
         this.callers = new CallerServer(context, meter);
     }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlPlane.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlPlane.java
@@ -3,10 +3,12 @@
 import io.jayhead.admission.prepaid.BudgetNeed;
 import io.jayhead.admission.prepaid.Holder;
 import io.jayhead.admission.prepaid.LedgerPages;
+import io.jayhead.admission.quarantine.PartCrashes;
 import io.jayhead.gateway.log.GuardedTask;
 import io.jayhead.gateway.log.LogKind;
 import io.jayhead.gateway.log.StructuredLog;
 import io.jayhead.gateway.metrics.GatewayMetrics;
+import io.jayhead.gateway.quarantine.CrashListener;
 import io.jayhead.routing.catalog.Catalog;
 import io.jayhead.routing.catalog.Organisation;
 import io.jayhead.routing.registry.RegistryTracker;
@@ -22,7 +24,7 @@
  * Follows the platform, publishes routing snapshots and updates the ledger of prepaid tokens. Its state is confined to
  * the control thread; other threads read the immutable snapshots.
  */
-public final class ControlPlane {
+public final class ControlPlane implements CrashListener {
 
     /** Long waits save calls, since each renewal of a watch is a call; keep-alive probes detect silent connections. */
     private static final int WATCH_WAIT_MS = 29_000;
@@ -37,6 +39,9 @@
      */
     private static final int ROUTERS_PAUSE_MS = 2_000;
 
+    /** Collects the changes of several ends at once; requests under the same part go on until then. */
+    private static final int CRASHES_PAUSE_MS = 50;
+
     private static final long EXPIRY_CHECK_MS = 250;
     private static final long PROBE_CHECK_MS = 250;
 
@@ -47,6 +52,8 @@
     private final WatchLoop<Catalog, Catalog> catalogLoop;
     private final WatchLoop<UpstreamListing, UpstreamChanges> registryLoop;
     private final WatchLoop<RouterListing, RouterListing> routersLoop;
+    private final WatchLoop<CrashListing, CrashChanges> crashesLoop;
+    private final QuarantineUpdater quarantine;
     private final PlatformClient platform;
     private final RouterAddress self;
     private final Backoff announceBackoff = new Backoff();
@@ -112,6 +119,18 @@
                 revision -> platform.watchRouters(revision, WATCH_WAIT_MS),
                 this::routersRead,
                 this::routersRead);
+        this.quarantine = new QuarantineUpdater(
+                platform, health, loop, log, newest -> snapshot = snapshot.withQuarantine(newest));
+        this.crashesLoop = new WatchLoop<>(
+                "crashes",
+                loop,
+                health,
+                false,
+                () -> CRASHES_PAUSE_MS,
+                platform::listCrashes,
+                revision -> platform.watchCrashes(revision, WATCH_WAIT_MS),
+                quarantine::listed,
+                quarantine::changed);
         for (int page = 0; page < LedgerPages.COUNT; page++) {
             ledgers.add(new LedgerUpdater(
                     LedgerPages.name(page), holder, platform, health, loop, log, this::prepaidTokens, budgets));
@@ -123,8 +142,9 @@
         loop.execute(catalogLoop::run);
         loop.execute(registryLoop::run);
         loop.execute(routersLoop::run);
+        loop.execute(crashesLoop::run);
         loop.execute(this::announce);
-        GuardedTask expiry = new GuardedTask("expire upstreams", log, this::expireUpstreams);
+        GuardedTask expiry = new GuardedTask("expire entries", log, this::expireEntries);
         GuardedTask probe = new GuardedTask("probe platform", log, new LivenessProbe(platform, health, self)::check);
         loop.scheduleWithFixedDelay(probe, PROBE_CHECK_MS, PROBE_CHECK_MS, TimeUnit.MILLISECONDS);
         loop.scheduleWithFixedDelay(expiry, EXPIRY_CHECK_MS, EXPIRY_CHECK_MS, TimeUnit.MILLISECONDS);
@@ -217,6 +237,24 @@
         loop.execute(catalogLoop::restartWaitingWatch);
         loop.execute(registryLoop::restartWaitingWatch);
         loop.execute(routersLoop::restartWaitingWatch);
+        loop.execute(crashesLoop::restartWaitingWatch);
+    }
+
+    @Override
+    public void crashed(List<PartCrashes> crashes) {
+        loop.execute(() -> quarantine.crashed(crashes));
+    }
+
+    @Override
+    public void answered(String part) {
+        loop.execute(() -> quarantine.answered(part));
+    }
+
+    private void expireEntries() {
+        boolean firstRouter =
+                snapshot.routers().stream().noneMatch(router -> router.vmName().compareTo(self.vmName()) < 0);
+        quarantine.expire(firstRouter);
+        expireUpstreams();
     }
 
     private void expireUpstreams() {
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/PlatformClient.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/PlatformClient.java
@@ -2,11 +2,12 @@
 
 import io.jayhead.admission.prepaid.LedgerUpdate;
 import io.jayhead.admission.prepaid.VersionedPage;
+import io.jayhead.admission.quarantine.PartCrashes;
 import io.jayhead.routing.catalog.Catalog;
 import java.util.concurrent.CompletionStage;
 
 /**
- * Calls the platform's store of configuration, registry, router addresses and ledger pages.
+ * Calls the platform's store of configuration, registry, router addresses, ledger pages and ended upstreams.
  *
  * <p>All stages complete on the control thread; failed stages complete with a {@link PlatformException}.
  */
@@ -100,4 +101,37 @@
      * @return the stored page, whether or not the update was applied
      */
     CompletionStage<VersionedPage> updateLedger(String name, LedgerUpdate update);
+
+    /**
+     * Reads the recorded parts of prompts under which upstreams ended.
+     *
+     * @return all records and the revision from which to watch
+     */
+    CompletionStage<Versioned<CrashListing>> listCrashes();
+
+    /**
+     * Waits for changes of the recorded parts of prompts.
+     *
+     * @param revision the revision after which changes are reported
+     * @param waitMs the longest time in milliseconds for which the platform waits for a change
+     * @return the changes in the order in which they were made; the value is null if there was no change
+     */
+    CompletionStage<Versioned<CrashChanges>> watchCrashes(long revision, int waitMs);
+
+    /**
+     * Adds upstreams to the record of a part of prompts, and creates the record if there is none.
+     *
+     * @param crashes the part and the upstreams that ended under it
+     * @return the stored record
+     */
+    CompletionStage<StoredCrashes> recordCrashes(PartCrashes crashes);
+
+    /**
+     * Removes the record of a part of prompts if it has not changed.
+     *
+     * @param part the part
+     * @param revision the revision that the record must have
+     * @return true if there is no record any more; false if it has another revision
+     */
+    CompletionStage<Boolean> removeCrashes(String part, long revision);
 }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/RoutingSnapshot.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/RoutingSnapshot.java
@@ -1,5 +1,6 @@
 package io.jayhead.gateway.control;
 
+import io.jayhead.admission.quarantine.PromptQuarantine;
 import io.jayhead.routing.catalog.Catalog;
 import io.jayhead.routing.registry.UpstreamRegistry;
 import java.util.List;
@@ -11,9 +12,14 @@
  * @param registry the upstreams that may be used
  * @param registryKnown whether the registry was read at least once
  * @param routers the routers of the fleet, this one included
+ * @param quarantine the parts of prompts that are not sent to upstreams
  */
 public record RoutingSnapshot(
-        Catalog catalog, UpstreamRegistry registry, boolean registryKnown, List<RouterAddress> routers) {
+        Catalog catalog,
+        UpstreamRegistry registry,
+        boolean registryKnown,
+        List<RouterAddress> routers,
+        PromptQuarantine quarantine) {
 
     /** Makes an immutable copy of the list. */
     public RoutingSnapshot {
@@ -26,19 +32,24 @@
      * @return a snapshot without configuration, upstreams and routers
      */
     public static RoutingSnapshot empty() {
-        return new RoutingSnapshot(Catalog.empty(), UpstreamRegistry.empty(), false, List.of());
+        return new RoutingSnapshot(
+                Catalog.empty(), UpstreamRegistry.empty(), false, List.of(), PromptQuarantine.empty());
     }
 
     RoutingSnapshot withCatalog(Catalog newest) {
-        return new RoutingSnapshot(newest, registry, registryKnown, routers);
+        return new RoutingSnapshot(newest, registry, registryKnown, routers, quarantine);
     }
 
     RoutingSnapshot withRegistry(UpstreamRegistry newest) {
-        return new RoutingSnapshot(catalog, newest, true, routers);
+        return new RoutingSnapshot(catalog, newest, true, routers, quarantine);
     }
 
     RoutingSnapshot withRouters(List<RouterAddress> newest) {
-        return new RoutingSnapshot(catalog, registry, registryKnown, newest);
+        return new RoutingSnapshot(catalog, registry, registryKnown, newest, quarantine);
+    }
+
+    RoutingSnapshot withQuarantine(PromptQuarantine newest) {
+        return new RoutingSnapshot(catalog, registry, registryKnown, routers, newest);
     }
 
     /**
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/AdmittedRequest.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/AdmittedRequest.java
@@ -19,6 +19,15 @@
         CallerMetadata metadata, Route route, ServiceProfile service, Optional<Organisation> organisation) {
 
     private static final int MAX_RANK = 9;
+    /** The deadline of requests whose caller sets none. */
+    private static final long DEFAULT_DEADLINE_MS = 15_000;
+
+    /** Returns the time from the arrival of the request to the end of its answer, in milliseconds. */
+    long limitMs() {
+        long deadlineMs = metadata.deadlineMs().orElse(DEFAULT_DEADLINE_MS);
+        int timeoutMs = route.timeoutMs();
+        return timeoutMs > 0 ? Math.min(deadlineMs, timeoutMs) : deadlineMs;
+    }
 
     boolean isStreaming() {
         return route.kind().isStreaming();
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
@@ -24,17 +24,10 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.ScheduledFuture;
-import java.util.concurrent.TimeUnit;
 
 /** Handles one request of a caller from its arrival to its settlement; used by the traffic thread. */
 public final class Exchange {
 
-    /** The deadline of requests whose caller sets none. */
-    private static final long DEFAULT_DEADLINE_MS = 15_000;
-    /** An answer within this time before the deadline would reach the caller too late. */
-    private static final long ANSWER_MARGIN_MS = 20;
-
     private final GatewayContext context;
     private final CallerChannel caller;
     private final FullHttpRequest request;
@@ -48,7 +41,7 @@
     private ForwardedRequest forwarded;
     private TokenReservation reservation;
     private GatePass pass;
-    private long deadlineNs;
+    private ExchangeDeadline deadline;
     private UpstreamAttempt currentAttempt;
     private int tries;
     private int mayHaveRun;
@@ -56,7 +49,6 @@
     private boolean ended;
     private boolean callerGone;
     private RunWithoutCaller runWithoutCaller;
-    private ScheduledFuture<?> deadlineTimer;
 
     /**
      * Creates an exchange.
@@ -89,20 +81,11 @@
         admitted = decision.get();
         context.retries().recordRequest(admitted.service().name());
         forwarded = new ForwardedRequest(context.dialect(), request, admitted);
-        startDeadline();
+        deadline = new ExchangeDeadline(context.loop(), startNs, admitted.limitMs(), this::deadlinePassed);
         reservation = new TokenReservation(context.budgets(), admitted);
         reservation.reserve(this::reserved);
     }
 
-    private void startDeadline() {
-        long deadlineMs = metadata.deadlineMs().orElse(DEFAULT_DEADLINE_MS);
-        int timeoutMs = admitted.route().timeoutMs();
-        long limitMs = timeoutMs > 0 ? Math.min(deadlineMs, timeoutMs) : deadlineMs;
-        deadlineNs = startNs + limitMs * 1_000_000;
-        long timerMs = Math.max(1, limitMs - ANSWER_MARGIN_MS);
-        deadlineTimer = context.loop().schedule(this::deadlinePassed, timerMs, TimeUnit.MILLISECONDS);
-    }
-
     private void reserved(ReservationResult result) {
         if (ended) {
             reservation.settle(0);
@@ -121,11 +104,15 @@
 
     private void dispatch() {
         RoutingSnapshot snapshot = context.snapshot().get();
+        if (snapshot.quarantine().blocks(metadata.sharedPartIds())) {
+            endUnsent(Refusal.PROMPT_BLOCKED);
+            return;
+        }
         List<PlacementCandidate> candidates = context.upstreams()
                 .candidates(snapshot.registry(), admitted.service().name());
         Optional<PlacementChoice> chosen = Placement.choose(candidates, forwarded.placement(triedIncarnations));
         if (chosen.isEmpty()) {
-            noUpstreamLeft();
+            endUnsent(Refusal.NO_UPSTREAM);
             return;
         }
         UpstreamHandle upstream =
@@ -136,19 +123,18 @@
         currentAttempt.start(forwarded.maxConnections());
     }
 
-    private void noUpstreamLeft() {
+    /** Ends a request that is not sent again; the refusal applies if it has not run before. */
+    private void endUnsent(Refusal refusal) {
         if (answerStarted) {
-            breakOff("no upstream left");
-        } else if (mayHaveRun > 0) {
-            refuse(Refusal.OUTCOME_UNKNOWN);
+            breakOff("not sent again: " + refusal);
         } else {
-            refuse(Refusal.NO_UPSTREAM);
+            refuse(mayHaveRun > 0 ? Refusal.OUTCOME_UNKNOWN : refusal);
         }
     }
 
     void send(UpstreamAttempt attempt, UpstreamConnection connection) {
         Optional<String> resumeAfter = relay.events() > 0 ? Optional.of(relay.lastId()) : Optional.empty();
-        FullHttpRequest message = forwarded.build(attempt.upstream().upstream().id(), leftMs(), resumeAfter);
+        FullHttpRequest message = forwarded.build(attempt.upstream().upstream().id(), deadline.leftMs(), resumeAfter);
         mayHaveRun++;
         relay.restart();
         connection.send(message, metadata.requestId(), attempt);
@@ -184,6 +170,14 @@
         pass.answered(answerMs);
     }
 
+    void promptAnswered() {
+        context.promptGuard().answered(metadata.sharedParts());
+    }
+
+    void closedBeforeAnswer(UpstreamHandle upstream) {
+        context.promptGuard().closedBeforeAnswer(metadata.requestId(), metadata.sharedParts(), upstream);
+    }
+
     AnswerBuffers buffers() {
         return context.buffers();
     }
@@ -260,7 +254,7 @@
             return;
         }
         ForwardDecision decision = forwardDecision(outcome);
-        recorder.attemptEnded(attempt, outcome, reason, decision, leftMs());
+        recorder.attemptEnded(attempt, outcome, reason, decision, deadline.leftMs());
         switch (decision) {
             case TRY_ANOTHER -> tryAnother(attempt);
             case ANSWER_NOT_RUN ->
@@ -282,7 +276,7 @@
                 answerStarted,
                 route.resumable() && !relay.lastId().isEmpty(),
                 context.retries().allowsRetry(admitted.service().name()),
-                callerGone ? 0 : leftMs());
+                callerGone ? 0 : deadline.leftMs());
         return ForwardRules.decide(state, outcome);
     }
 
@@ -358,7 +352,7 @@
         }
         end("caller closed", currentAttempt);
         if (!mayStop) {
-            runWithoutCaller = RunWithoutCaller.of(context, currentAttempt, leftMs());
+            runWithoutCaller = RunWithoutCaller.of(context, currentAttempt, deadline.leftMs());
         }
     }
 
@@ -371,8 +365,8 @@
     private void end(String outcome, UpstreamAttempt lastAttempt) {
         ended = true;
         context.drain().closed();
-        if (deadlineTimer != null) {
-            deadlineTimer.cancel(false);
+        if (deadline != null) {
+            deadline.cancel();
         }
         silence.stop();
         if (pass != null) {
@@ -390,8 +384,4 @@
                 lastAttempt,
                 new ExchangeCounts(tries, mayHaveRun, relay.events(), consumedTokens));
     }
-
-    private long leftMs() {
-        return (deadlineNs - System.nanoTime()) / 1_000_000;
-    }
 }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/ExchangeRecorder.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/ExchangeRecorder.java
@@ -4,10 +4,8 @@
 import io.jayhead.dispatch.forward.ForwardDecision;
 import io.jayhead.gateway.log.LogKind;
 import io.jayhead.gateway.wire.CallerMetadata;
-import io.jayhead.gateway.wire.PromptPart;
 import io.jayhead.routing.catalog.Organisation;
 import java.util.Optional;
-import java.util.stream.Collectors;
 
 /** Writes the log lines and metrics of one exchange. */
 final class ExchangeRecorder {
@@ -42,7 +40,7 @@
                         "upstream",
                         upstream(attempt),
                         "shared_parts",
-                        sharedParts(),
+                        metadata.sharedPartIds(),
                         "outcome",
                         outcome,
                         "reason",
@@ -84,10 +82,6 @@
                         (System.nanoTime() - startNs) / 1_000_000);
     }
 
-    private String sharedParts() {
-        return metadata.sharedParts().stream().map(PromptPart::id).collect(Collectors.joining(","));
-    }
-
     private static String upstream(UpstreamAttempt attempt) {
         return attempt == null ? "" : attempt.upstream().upstream().incarnation();
     }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/GatewayContext.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/GatewayContext.java
@@ -5,6 +5,7 @@
 import io.jayhead.gateway.control.RoutingSnapshot;
 import io.jayhead.gateway.log.StructuredLog;
 import io.jayhead.gateway.metrics.GatewayMetrics;
+import io.jayhead.gateway.quarantine.PromptGuard;
 import io.jayhead.gateway.upstream.UpstreamTable;
 import io.jayhead.gateway.wire.WireDialect;
 import io.netty.channel.EventLoop;
@@ -25,6 +26,7 @@
  * @param log the log
  * @param metrics the metrics
  * @param drain the state of a planned stop
+ * @param promptGuard watches the attempts for parts of prompts under which upstreams end
  * @param link returns the utilisation of the network link of the VM and whether it counts as high
  */
 public record GatewayContext(
@@ -40,4 +42,5 @@
         StructuredLog log,
         GatewayMetrics metrics,
         DrainState drain,
+        PromptGuard promptGuard,
         Supplier<LinkPressure> link) {}
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Refusal.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Refusal.java
@@ -30,6 +30,8 @@
      * lasted.
      */
     OVER_LIMIT(HttpResponseStatus.SERVICE_UNAVAILABLE, 0),
+    /** Upstreams ended under a part of the prompt. */
+    PROMPT_BLOCKED(HttpResponseStatus.SERVICE_UNAVAILABLE, 60_000),
     /** The request was sent to an upstream and its outcome is unknown. */
     OUTCOME_UNKNOWN(HttpResponseStatus.BAD_GATEWAY, 0),
     /** The caller's deadline or the time limit of the route passed after the request was sent. */
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamAttempt.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamAttempt.java
@@ -150,6 +150,9 @@
             return;
         }
         upstream.answerBroken();
+        if (!firstEventSeen) {
+            exchange.closedBeforeAnswer(upstream);
+        }
         finish(AttemptOutcome.UNKNOWN, reason);
     }
 
@@ -209,6 +212,7 @@
         if (!firstEventSeen) {
             firstEventSeen = true;
             upstream.firstEvent(msSinceSent(), expectedFirstEventMs);
+            exchange.promptAnswered();
             exchange.recordAnswerTime(msSinceSent());
         }
     }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamConnectionPool.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamConnectionPool.java
@@ -8,6 +8,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /**
  * Pools the connections of this router to one incarnation of an upstream. Used by the thread of its event loop, the
@@ -70,7 +71,16 @@
         connect(listener);
     }
 
+    /** Opens a connection, which stays in the pool, and runs the action if that fails. */
+    void ifNotListening(Runnable action) {
+        connect(this::released, action);
+    }
+
     private void connect(AttemptListener listener) {
+        connect(listener::connected, listener::notConnected);
+    }
+
+    private void connect(Consumer<UpstreamConnection> onConnected, Runnable onFailure) {
         openConnections++;
         onNewConnection.run();
         UpstreamConnection connection = new UpstreamConnection(dialect, this, IDLE_LIMIT_MS);
@@ -78,10 +88,10 @@
         HttpClientCodec codec = new HttpClientCodec(MAX_LINE_BYTES, MAX_HEAD_BYTES, MAX_CHUNK_BYTES);
         Connector.connect(loop, address, CONNECT_TIMEOUT_MS, codec, connection).addListener(future -> {
             if (future.isSuccess()) {
-                listener.connected(connection);
+                onConnected.accept(connection);
             } else {
                 openConnections--;
-                listener.notConnected();
+                onFailure.run();
             }
         });
     }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamHandle.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamHandle.java
@@ -47,6 +47,15 @@
         pool.acquire(maxConnections, listener);
     }
 
+    /**
+     * Opens a connection to find out whether the upstream still accepts any.
+     *
+     * @param action runs if the upstream accepts no connection
+     */
+    public void ifNotListening(Runnable action) {
+        pool.ifNotListening(action);
+    }
+
     /**
      * Counts a request that is being sent.
      *
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/wire/CallerMetadata.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/wire/CallerMetadata.java
@@ -35,4 +35,13 @@
     public List<PromptPart> sharedParts() {
         return promptParts.size() < 2 ? List.of() : promptParts.subList(0, promptParts.size() - 1);
     }
+
+    /**
+     * Returns the identities of the leading parts of the prompt, which other requests may share.
+     *
+     * @return the identities in the order of the parts
+     */
+    public List<String> sharedPartIds() {
+        return sharedParts().stream().map(PromptPart::id).toList();
+    }
 }
