Treat an unframed stream that ends inside an event as broken off

Callers got a stream that looked complete although its engine had broken it off: an answer with neither length nor chunks ends with its connection, and so does one whose engine ends.

Change: such a stream counts as complete only after an event; otherwise it goes on at another engine, or is cut so that it does not look complete. A framed stream names its end and is passed on as before.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
@@ -203,6 +203,10 @@
         }
     }
 
+    boolean streamEndsAfterEvent() {
+        return relay.endsAfterEvent();
+    }
+
     private void startStream(UpstreamAttempt attempt) {
         if (answerStarted) {
             return;
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/StreamRelay.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/StreamRelay.java
@@ -51,6 +51,11 @@
         caller.endStream();
     }
 
+    /** Tells whether there was an event, and no bytes of another one after it. */
+    boolean endsAfterEvent() {
+        return events > 0 && framer.incompleteEvent().length == 0;
+    }
+
     /** Tells whether the stream has an event that is too long to be buffered. */
     boolean isTooLong() {
         return framer.isTooLong();
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamAttempt.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamAttempt.java
@@ -8,6 +8,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
 import java.io.ByteArrayOutputStream;
 
 /** Sends the request of an exchange to one upstream and receives the answer; used by the traffic thread. */
@@ -136,6 +137,10 @@
             finish(AttemptOutcome.FAILED, "failed with " + head.status().code());
             return;
         }
+        if (streaming && !isFramed() && !exchange.streamEndsAfterEvent()) {
+            broken("stream ended inside an event");
+            return;
+        }
         if (!streaming) {
             upstream.answered(msSinceSent());
             exchange.recordAnswerTime(msSinceSent());
@@ -204,6 +209,11 @@
         return code >= 200 && code < 300;
     }
 
+    /** Tells whether the answer names its end; otherwise the end of the connection ends it, as a crash does too. */
+    private boolean isFramed() {
+        return HttpUtil.isTransferEncodingChunked(head) || HttpUtil.isContentLengthSet(head);
+    }
+
     private boolean isGenuine() {
         return metadata.requestId().isPresent() && metadata.sealed() && !metadata.encoded();
     }
