--- a/jayhead-ctl/src/main/java/io/jayhead/ctl/command/RequestCause.java
+++ b/jayhead-ctl/src/main/java/io/jayhead/ctl/command/RequestCause.java
@@ -12,6 +12,13 @@
             "BUDGET_UNAVAILABLE",
             "the ledger did not answer and no router had tokens to lend; the request did not run"),
     OVERLOADED("OVERLOADED", "all upstreams that were tried rejected the request; it did not run"),
+    OVER_LIMIT(
+            "OVER_LIMIT",
+            "more requests were in flight than the service answers within the objective; the request did not run"),
+    PROMPT_BLOCKED(
+            "PROMPT_BLOCKED",
+            "several upstreams ended under a part of the prompt (see 'prompt part blocked'); the request did not run"),
+    MALFORMED("MALFORMED", "the request had no id, or a size that could not be read"),
     NO_UPSTREAM("NO_UPSTREAM", "no upstream could be reached in time; the request did not run"),
     NOT_CONFIGURED("NOT_CONFIGURED", "the router had just started and had no configuration yet"),
     STOPPING("STOPPING", "the router was being stopped"),
