Share one connection attempt among the requests of an upstream that ended

Each request that had no answer when its upstream ended opened a connection of its own to see whether the upstream listens. One attempt at a time answers all of them. The contract tests of the quarantine pass; no figure was measured.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamConnectionPool.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamConnectionPool.java
@@ -6,7 +6,9 @@
 import io.netty.handler.codec.http.HttpClientCodec;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -42,6 +44,9 @@
     /** The attempts that wait for a connection, because all that this router may have are in use. */
     private final Deque<AttemptListener> waiting = new ArrayDeque<>();
 
+    /** The actions that wait for the connection that shows whether the upstream is listening. */
+    private final List<Runnable> whenNotListening = new ArrayList<>();
+
     private int openConnections;
 
     UpstreamConnectionPool(Upstream upstream, EventLoop loop, WireDialect dialect, Runnable onNewConnection) {
@@ -73,7 +78,21 @@
 
     /** Opens a connection, which stays in the pool, and runs the action if that fails. */
     void ifNotListening(Runnable action) {
-        connect(this::released, action);
+        whenNotListening.add(action);
+        if (whenNotListening.size() == 1) {
+            connect(this::listening, this::notListening);
+        }
+    }
+
+    private void listening(UpstreamConnection connection) {
+        whenNotListening.clear();
+        released(connection);
+    }
+
+    private void notListening() {
+        List<Runnable> actions = List.copyOf(whenNotListening);
+        whenNotListening.clear();
+        actions.forEach(Runnable::run);
     }
 
     private void connect(AttemptListener listener) {
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamHandle.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamHandle.java
@@ -48,7 +48,7 @@
     }
 
     /**
-     * Opens a connection to find out whether the upstream still accepts any.
+     * Opens a connection to find out whether the upstream still accepts any; calls meanwhile share it.
      *
      * @param action runs if the upstream accepts no connection
      */
