--- a/jayhead-admission/src/main/java/io/jayhead/admission/quarantine/PromptQuarantine.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/quarantine/PromptQuarantine.java
@@ -11,9 +11,9 @@
 /**
  * Holds the parts of prompts under which upstreams ended, and blocks those that explain several ends; immutable.
  *
- * <p>An upstream that ends fails all requests that it was about to answer, so most recorded parts are sound. The blocked
- * parts are a greedy cover of the ends (Chvatal 1979): the part under which most upstreams ended is blocked first, and
- * these upstreams no longer count against other parts.
+ * <p>An upstream that ends fails all requests that it was about to answer, so most recorded parts are sound. The
+ * blocked parts are a greedy cover of the ends (Chvatal 1979): the part under which most upstreams ended is blocked
+ * first, and these upstreams no longer count against other parts.
  */
 public final class PromptQuarantine {
 
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/QuarantineUpdater.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/QuarantineUpdater.java
@@ -133,8 +133,8 @@
     }
 
     /**
-     * Records one part at a time, the deepest first: whenever a part that many prompts share is blamed for an end, so is
-     * the part that came with it and that fewer prompts share.
+     * Records one part at a time, the deepest first: whenever a part that many prompts share is blamed for an end, so
+     * is the part that came with it and that fewer prompts share.
      */
     private void recordNext() {
         Optional<PartCrashes> deepest = unrecorded.values().stream().max(Comparator.comparingInt(PartCrashes::depth));
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/quarantine/PartHistory.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/quarantine/PartHistory.java
@@ -7,8 +7,8 @@
 import java.util.Set;
 
 /**
- * Remembers, for the parts of recent prompts, whether this router saw an answer and which upstreams ended since; used by
- * the traffic thread.
+ * Remembers, for the parts of recent prompts, whether this router saw an answer and which upstreams ended since; used
+ * by the traffic thread.
  */
 final class PartHistory {
 
