Count an end right after the first event as an end under the prompt

A part that ends engines would have gone on reaching them if an engine sends bytes of its first event before it ends.

Cause: the first bytes of an answer counted as proof that the part is sound, and cleared its record.

Change: only a whole answer or its second event is proof, also for answers that are no streams; an end before that is recorded.

Test: anEngineThatEndsAfterItsFirstEventHasNotAnswered failed before (12 of 12 requests reached engines), passes now.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
@@ -203,6 +203,10 @@
         }
     }
 
+    int eventsOfAttempt() {
+        return relay.eventsOfAttempt();
+    }
+
     boolean streamEndsAfterEvent() {
         return relay.endsAfterEvent();
     }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/StreamRelay.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/StreamRelay.java
@@ -16,6 +16,7 @@
     private String lastId = "";
     private OptionalLong lastNumericId = OptionalLong.empty();
     private int events;
+    private int eventsOfAttempt;
 
     StreamRelay(CallerChannel caller) {
         this.caller = caller;
@@ -24,11 +25,13 @@
     /** Starts to read the stream of another attempt; discards the bytes of an incomplete event. */
     void restart() {
         framer = new EventFramer();
+        eventsOfAttempt = 0;
     }
 
     /** Forwards the events that the bytes complete; returns whether there were any. */
     boolean add(byte[] bytes) {
         List<StreamEvent> complete = framer.add(bytes);
+        eventsOfAttempt += complete.size();
         for (StreamEvent event : complete) {
             if (isRepeated(event)) {
                 continue;
@@ -65,6 +68,11 @@
         return events;
     }
 
+    /** Returns the complete events of the current attempt, including those that the caller had received before. */
+    int eventsOfAttempt() {
+        return eventsOfAttempt;
+    }
+
     String lastId() {
         return lastId;
     }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamAttempt.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamAttempt.java
@@ -14,6 +14,9 @@
 /** Sends the request of an exchange to one upstream and receives the answer; used by the traffic thread. */
 final class UpstreamAttempt implements AttemptListener {
 
+    /** An upstream that goes on after its first event did not end under the prompt. */
+    private static final int ANSWERING_EVENTS = 2;
+
     private static final int MAX_ANSWER_BYTES = 16 * 1024 * 1024;
 
     private final Exchange exchange;
@@ -30,6 +33,7 @@
     private long sentAtNs;
     private double expectedFirstEventMs;
     private boolean firstEventSeen;
+    private boolean promptAnswered;
     private boolean silenceReported;
 
     UpstreamAttempt(Exchange exchange, UpstreamHandle upstream, long tokensToRead) {
@@ -113,6 +117,9 @@
         if (streaming) {
             recordFirstEvent();
             exchange.streamBytes(this, copy);
+            if (exchange.eventsOfAttempt() >= ANSWERING_EVENTS) {
+                promptAnswered();
+            }
             return;
         }
         if (body.size() + copy.length > MAX_ANSWER_BYTES || !exchange.buffers().reserve(copy.length)) {
@@ -146,6 +153,9 @@
             exchange.recordAnswerTime(msSinceSent());
         }
         end();
+        if (isSuccess()) {
+            promptAnswered();
+        }
         exchange.answered(this, body.toByteArray());
     }
 
@@ -155,7 +165,7 @@
             return;
         }
         upstream.answerBroken();
-        if (!firstEventSeen) {
+        if (!promptAnswered) {
             exchange.closedBeforeAnswer(upstream);
         }
         finish(AttemptOutcome.UNKNOWN, reason);
@@ -218,11 +228,17 @@
         return metadata.requestId().isPresent() && metadata.sealed() && !metadata.encoded();
     }
 
+    private void promptAnswered() {
+        if (!promptAnswered) {
+            promptAnswered = true;
+            exchange.promptAnswered();
+        }
+    }
+
     private void recordFirstEvent() {
         if (!firstEventSeen) {
             firstEventSeen = true;
             upstream.firstEvent(msSinceSent(), expectedFirstEventMs);
-            exchange.promptAnswered();
             exchange.recordAnswerTime(msSinceSent());
         }
     }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/quarantine/PartHistory.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/quarantine/PartHistory.java
@@ -23,7 +23,7 @@
         }
     };
 
-    /** Records the first event of an answer to a prompt with a part. */
+    /** Records an answer to a prompt with a part. */
     void answered(String part) {
         entries.put(part, Entry.ANSWERED);
     }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/quarantine/PromptGuard.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/quarantine/PromptGuard.java
@@ -17,8 +17,8 @@
 /**
  * Watches the attempts of this router for parts of prompts under which upstreams end; used by the traffic thread.
  *
- * <p>An upstream has ended if it closes the connection before the first event and accepts no new connection. One that
- * resets single connections goes on listening.
+ * <p>An upstream has ended if it closes the connection before the second event of its answer and accepts no new one.
+ * One that resets single connections goes on listening.
  */
 public final class PromptGuard {
 
@@ -49,7 +49,7 @@
     }
 
     /**
-     * Records the first event of an answer.
+     * Records a whole answer, or the second event of one.
      *
      * @param sharedParts the parts of the prompt that other prompts may share
      */
@@ -74,7 +74,7 @@
     }
 
     /**
-     * Records a connection that the upstream closed before the first event of its answer.
+     * Records a connection that the upstream closed before the second event of its answer.
      *
      * @param requestId the request
      * @param sharedParts the parts of its prompt that other prompts may share
