Require an event of the resumed attempt before an unframed stream counts as complete

Callers could get a stream that looked complete although two upstreams had broken it off: the first one inside an event, the one that resumed it before its first event, in an answer with neither length nor chunks.

After a resumption the events of the broken attempt made an empty answer look whole.

Change: the current attempt must have forwarded an event.

Test: UnframedStreamContractTest.aResumedStreamThatEndsWithoutAnotherEventNeverLooksComplete failed before (the caller got a complete 200), passes now; the four older cases pass.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/StreamRelay.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/StreamRelay.java
@@ -17,6 +17,7 @@
     private OptionalLong lastNumericId = OptionalLong.empty();
     private int events;
     private int eventsOfAttempt;
+    private boolean forwardedInAttempt;
 
     StreamRelay(CallerChannel caller) {
         this.caller = caller;
@@ -26,6 +27,7 @@
     void restart() {
         framer = new EventFramer();
         eventsOfAttempt = 0;
+        forwardedInAttempt = false;
     }
 
     /** Forwards the events that the bytes complete; returns whether there were any. */
@@ -38,6 +40,7 @@
             }
             caller.stream(event.bytes());
             events++;
+            forwardedInAttempt = true;
             if (!event.id().isEmpty()) {
                 lastId = event.id();
                 lastNumericId = event.numericId();
@@ -54,9 +57,9 @@
         caller.endStream();
     }
 
-    /** Tells whether there was an event, and no bytes of another one after it. */
+    /** Tells whether the current attempt brought an event, and no bytes of another one after it. */
     boolean endsAfterEvent() {
-        return events > 0 && framer.incompleteEvent().length == 0;
+        return forwardedInAttempt && framer.incompleteEvent().length == 0;
     }
 
     /** Tells whether the stream has an event that is too long to be buffered. */
