--- a/jayhead-gateway/src/test/java/io/jayhead/gateway/control/WatchLoopTest.java
+++ b/jayhead-gateway/src/test/java/io/jayhead/gateway/control/WatchLoopTest.java
@@ -1,5 +1,6 @@
 package io.jayhead.gateway.control;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.jayhead.gateway.log.StructuredLog;
@@ -46,4 +47,28 @@
         loop.execute(watch::run);
         assertTrue(readAgain.await(5, TimeUnit.SECONDS), "reads: " + reads.get());
     }
+
+    @Test
+    void aWatchStartsFromTheNewestReadingAlthoughRevisionsWentBack() throws Exception {
+        CompletableFuture<Long> watchedAfterReturn = new CompletableFuture<>();
+        WatchLoop<Integer, Integer> watch = new WatchLoop<>(
+                "numbers",
+                loop,
+                health,
+                true,
+                () -> 0,
+                () -> CompletableFuture.completedFuture(new Versioned<>(1, reads.incrementAndGet() == 1 ? 30 : 10)),
+                revision -> {
+                    if (reads.get() == 1) {
+                        return CompletableFuture.failedFuture(
+                                new PlatformException(PlatformFault.HISTORY_GONE, "history is gone"));
+                    }
+                    watchedAfterReturn.complete(revision);
+                    return new CompletableFuture<>();
+                },
+                value -> {},
+                value -> {});
+        loop.execute(watch::run);
+        assertEquals(10, watchedAfterReturn.get(5, TimeUnit.SECONDS));
+    }
 }
