Watch from the newest reading after the platform has gone back to an older copy

Cause: a watch kept the greatest revision that it ever saw, also after a reading anew. After a return from a copy that revision lies in the future: each watch got 410, and once the revision was given out again, the watch reported nothing of what had changed before. Nothing read the era of the store, so answers from before and after the return were mixed.

Ruled out: a registry entry kept as missing (the upstream was listed as draining); the pause between watches, 0.4 s there.

Change: a reading sets the revision from which to watch. The client of the store compares the era of each answer, also of refusals, with the one in which the call was sent; a call that crosses a return fails as RESTORED, and a rise of the era makes all watches read anew. A line (platform restored) and a gauge name the era.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlPlane.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlPlane.java
@@ -47,6 +47,7 @@
 
     private final EventLoop loop;
     private final StructuredLog log;
+    private final GatewayMetrics metrics;
     private final PlatformHealth health;
     private final List<LedgerUpdater> ledgers = new ArrayList<>();
     private final WatchLoop<Catalog, Catalog> catalogLoop;
@@ -85,6 +86,7 @@
             Runnable onChange) {
         this.loop = loop;
         this.log = log;
+        this.metrics = metrics;
         this.platform = platform;
         this.self = self;
         this.onChange = onChange;
@@ -139,6 +141,7 @@
 
     /** Starts watching the platform and announces this router. */
     public void start() {
+        platform.onRestore(this::platformRestored);
         loop.execute(catalogLoop::run);
         loop.execute(registryLoop::run);
         loop.execute(routersLoop::run);
@@ -240,6 +243,17 @@
         loop.execute(crashesLoop::restartWaitingWatch);
     }
 
+    /** Reads all objects anew, since the platform has lost changes and gives out their revisions again. */
+    private void platformRestored(long era) {
+        log.write(LogKind.DEPENDENCY, "platform restored", "era", era);
+        metrics.platformRestored(era);
+        tracker = tracker.platformRecovered(nowMs());
+        loop.execute(catalogLoop::readAnew);
+        loop.execute(registryLoop::readAnew);
+        loop.execute(routersLoop::readAnew);
+        loop.execute(crashesLoop::readAnew);
+    }
+
     @Override
     public void crashed(List<PartCrashes> crashes) {
         loop.execute(() -> quarantine.crashed(crashes));
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/PlatformClient.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/PlatformClient.java
@@ -5,6 +5,7 @@
 import io.jayhead.admission.quarantine.PartCrashes;
 import io.jayhead.routing.catalog.Catalog;
 import java.util.concurrent.CompletionStage;
+import java.util.function.LongConsumer;
 
 /**
  * Calls the platform's store of configuration, registry, router addresses, ledger pages and ended upstreams.
@@ -13,6 +14,14 @@
  */
 public interface PlatformClient {
 
+    /**
+     * Registers who is notified when the platform has gone back to an older copy. Calls that are in flight then fail
+     * with {@link PlatformFault#RESTORED}, so no answer joins revisions from before and after.
+     *
+     * @param listener receives the new era of the platform, on the control thread and before any other answer of it
+     */
+    void onRestore(LongConsumer listener);
+
     /**
      * Reads the newest configuration.
      *
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/PlatformFault.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/PlatformFault.java
@@ -8,6 +8,11 @@
     UNANSWERED,
     /** The platform no longer has the history that a watch needs. */
     HISTORY_GONE,
+    /**
+     * The platform has gone back to an older copy since the call was sent. The call may have been executed, and its
+     * revisions belong to the lost time.
+     */
+    RESTORED,
     /** The object does not exist. */
     MISSING,
     /** The answer could not be read. */
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/WatchLoop.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/WatchLoop.java
@@ -11,7 +11,8 @@
 /**
  * Follows the objects of one kind: reads all of them, then watches for changes.
  *
- * <p>Reads all again after each failure, for example when the platform no longer has the history. A watch waits for
+ * <p>Reads all again after each failure, for example when the platform no longer has the history. A reading also sets
+ * the revision from which to watch, since revisions go back when the platform is restored from an older copy. A watch waits for
  * much longer than a read, so a watch that is sent to a platform that does not answer would hide its recovery.
  *
  * @param <L> the type of a full listing
@@ -32,7 +33,7 @@
     private boolean mustRead = true;
     private boolean watchSucceeded;
     private long revision;
-    /** Increases with each restart; answers to calls of an earlier run are ignored. */
+    /** Increases with each restart; answers to calls and delayed calls of an earlier run are ignored. */
     private long runNumber;
 
     private boolean watchInFlight;
@@ -98,6 +99,11 @@
         if (!watchInFlight) {
             return;
         }
+        readAnew();
+    }
+
+    /** Reads all objects at once and ignores what earlier calls bring, for example because it belongs to a lost time. */
+    void readAnew() {
         runNumber++;
         watchInFlight = false;
         mustRead = true;
@@ -111,7 +117,8 @@
             retry(PlatformException.faultOf(failure));
             return;
         }
-        if (!mustRead) {
+        boolean watched = !mustRead;
+        if (watched) {
             watchSucceeded = true;
             backoff.reset();
         }
@@ -120,13 +127,27 @@
             health.probeSucceeded();
         }
         mustRead = false;
-        revision = Math.max(revision, answer.revision());
+        revision = watched ? Math.max(revision, answer.revision()) : answer.revision();
         if (answer.value() != null && !consume(call, answer.value(), consumer)) {
             mustRead = true;
-            loop.schedule(this::run, backoff.next(), TimeUnit.MILLISECONDS);
+            runAfter(backoff.next());
             return;
         }
-        loop.schedule(this::run, pauseMs.getAsInt(), TimeUnit.MILLISECONDS);
+        runAfter(pauseMs.getAsInt());
+    }
+
+    private void runAfter(long delayMs) {
+        loop.schedule(ofCurrentRun(this::run), delayMs, TimeUnit.MILLISECONDS);
+    }
+
+    /** Returns a task that does nothing once the loop has been restarted. */
+    private Runnable ofCurrentRun(Runnable task) {
+        long currentRun = runNumber;
+        return () -> {
+            if (currentRun == runNumber) {
+                task.run();
+            }
+        };
     }
 
     /** Passes a value on; returns false if that failed, so that all must be read again. */
@@ -142,16 +163,16 @@
 
     private void retry(PlatformFault fault) {
         // Reads again at once if the history is gone, but backs off if no watch has succeeded since the last failure.
-        boolean atOnce = watchSucceeded && fault == PlatformFault.HISTORY_GONE;
+        boolean atOnce = watchSucceeded && (fault == PlatformFault.HISTORY_GONE || fault == PlatformFault.RESTORED);
         watchSucceeded = false;
         if (probes && fault.isOutage()) {
             health.probeFailed();
         } else if (probes) {
             health.probeSucceeded();
         }
-        if (!probes && fault.isOutage() && health.awaitRecovery(this::run)) {
+        if (!probes && fault.isOutage() && health.awaitRecovery(ofCurrentRun(this::run))) {
             return;
         }
-        loop.schedule(this::run, atOnce ? 0 : backoff.next(), TimeUnit.MILLISECONDS);
+        runAfter(atOnce ? 0 : backoff.next());
     }
 }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/metrics/GatewayMetrics.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/metrics/GatewayMetrics.java
@@ -30,6 +30,10 @@
             .help("Calls to the platform by kind and result")
             .labelNames("call", "result")
             .register(registry);
+    private final Gauge platformEra = Gauge.builder()
+            .name("jayhead_platform_era")
+            .help("Era of the platform after its last return from an older copy; 0 if there was none since the start")
+            .register(registry);
     private final Counter connections = Counter.builder()
             .name("jayhead_upstream_connections_total")
             .help("Connections opened to upstreams")
@@ -79,6 +83,15 @@
         platformCalls.labelValues(call, result).inc();
     }
 
+    /**
+     * Records that the platform has come back from an older copy.
+     *
+     * @param era the new era of the platform
+     */
+    public void platformRestored(long era) {
+        platformEra.set(era);
+    }
+
     /** Counts a connection that is opened to an upstream. */
     public void connectionOpened() {
         connections.inc();
