Rebuild the ledger from the reports of all routers after the platform has gone back to an older copy

Cause: a page that came back lacks what routers took since its copy, so the same tokens were left to be taken again. A router whose newest page had a later revision ignored the restored page and repeated its update without end; the refusals for the rate of calls hid the registry as well. Revisions are given out again, so an update from before the return could also match a page by chance.

Change: each era of the platform has its own pages (page-3, then page-3.2), so nothing that was sent before a return can change a page in use. What a router has taken is kept through the return (LedgerSession.restored). With its announcement each router reports what it knows of the ledger; once all known routers have reported, or after 3 s, whoever needs a page creates it from the copy and the reports (FleetReports). Its own entry is what a router reports. Of an incarnation that does not report, the greatest entry that anybody has read counts, and the most that its demand lets it prefetch is written off, unless the copy shows that it had ended before. A router that wakes later corrects its own entry. The line `ledger rebuilt` names the missing routers and the tokens written off.

LedgerRestoreTest (2,000 random runs of 3 routers, several returns) passes; with the copy in place of the rebuilt page it fails (seen).

--- a/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/GrantRule.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/GrantRule.java
@@ -31,6 +31,16 @@
         return Math.min(MAX_PREFETCH_S, MIN_PREFETCH_S + connectedS);
     }
 
+    /**
+     * Returns the most tokens that a router prefetches.
+     *
+     * @param tokensPerS the demand of the router in tokens per second
+     * @return the tokens
+     */
+    public static long mostPrefetchedTokens(long tokensPerS) {
+        return (long) Math.ceil(tokensPerS * MAX_PREFETCH_S);
+    }
+
     /**
      * Returns the tokens to take: the required ones, or more if the prefetch limit allows it.
      *
--- a/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/LedgerPage.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/LedgerPage.java
@@ -34,7 +34,7 @@
      * @return the tokens, 0 if the holder has no entry
      */
     public long takenTokens(String organisation, String holder) {
-        return holders(organisation).getOrDefault(holder, LedgerEntry.NONE).takenTokens();
+        return entry(organisation, holder).takenTokens();
     }
 
     /**
@@ -90,6 +90,34 @@
         return new LedgerPage(organisations);
     }
 
+    /**
+     * Returns the entry of one holder.
+     *
+     * @param organisation the organisation
+     * @param holder the name of the holder
+     * @return the entry; {@link LedgerEntry#NONE} if the holder has none
+     */
+    public LedgerEntry entry(String organisation, String holder) {
+        return holders(organisation).getOrDefault(holder, LedgerEntry.NONE);
+    }
+
+    /**
+     * Returns a page with the entries of two pages.
+     *
+     * @param other the other page
+     * @return the new page; of two entries of one holder for one budget, it has the one with more tokens
+     */
+    public LedgerPage mergeGreatest(LedgerPage other) {
+        Map<String, Map<String, LedgerEntry>> organisations = new HashMap<>();
+        entries.forEach((organisation, holders) -> organisations.put(organisation, new HashMap<>(holders)));
+        other.entries().forEach((organisation, holders) -> {
+            Map<String, LedgerEntry> merged = organisations.computeIfAbsent(organisation, name -> new HashMap<>());
+            holders.forEach((holder, entry) -> merged.merge(
+                    holder, entry, (first, second) -> first.takenTokens() >= second.takenTokens() ? first : second));
+        });
+        return new LedgerPage(organisations);
+    }
+
     private Map<String, LedgerEntry> holders(String organisation) {
         return entries.getOrDefault(organisation, Map.of());
     }
--- a/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/LedgerSession.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/LedgerSession.java
@@ -17,16 +17,23 @@
  * @param latestPage the newest page read, with revision {@link #UNREAD} if there is none
  * @param pendingReturns the tokens to return that are not yet returned in the latest page, by organisation
  * @param inFlight the update that was sent last and may still take effect, empty if there is none
+ * @param carriedTokens the total tokens that this router had taken before the platform came back from an older copy, by
+ *     organisation; they replace its entry in the latest page until a page contains them
  */
 public record LedgerSession(
-        Holder holder, VersionedPage latestPage, Map<String, Long> pendingReturns, Optional<LedgerUpdate> inFlight) {
+        Holder holder,
+        VersionedPage latestPage,
+        Map<String, Long> pendingReturns,
+        Optional<LedgerUpdate> inFlight,
+        Map<String, Long> carriedTokens) {
 
     /** The revision of a session that has not read a page. */
     public static final long UNREAD = -1;
 
-    /** Copies the map. */
+    /** Copies the maps. */
     public LedgerSession {
         pendingReturns = Map.copyOf(pendingReturns);
+        carriedTokens = Map.copyOf(carriedTokens);
     }
 
     /**
@@ -36,7 +43,51 @@
      * @return the session
      */
     public static LedgerSession of(Holder holder) {
-        return new LedgerSession(holder, new VersionedPage(LedgerPage.empty(), UNREAD), Map.of(), Optional.empty());
+        VersionedPage unread = new VersionedPage(LedgerPage.empty(), UNREAD);
+        return new LedgerSession(holder, unread, Map.of(), Optional.empty(), Map.of());
+    }
+
+    /**
+     * Records that the platform came back from an older copy. The router keeps what it has taken; an update in flight
+     * counts as not applied, since its answer is not accepted any more.
+     *
+     * @return a session that must read the page of the new era
+     */
+    public LedgerSession restored() {
+        LedgerPage known = knownPage();
+        Map<String, Long> carried = new HashMap<>();
+        for (String organisation : known.entries().keySet()) {
+            if (known.entries().get(organisation).containsKey(holder.name())) {
+                carried.put(organisation, ownTokens(organisation));
+            }
+        }
+        return new LedgerSession(holder, new VersionedPage(known, UNREAD), Map.of(), Optional.empty(), carried);
+    }
+
+    /**
+     * Returns the latest page with the entries of this router as they should be.
+     *
+     * @return the page, with the carried tokens and without the pending returns
+     */
+    public LedgerPage knownPage() {
+        LedgerPage page = latestPage.page();
+        for (Map.Entry<String, Long> carried : carriedTokens.entrySet()) {
+            long tokensPerS = page.entry(carried.getKey(), holder.name()).tokensPerS();
+            page = page.with(carried.getKey(), holder.name(), new LedgerEntry(carried.getValue(), tokensPerS));
+        }
+        for (String organisation : pendingReturns.keySet()) {
+            page = page.with(organisation, holder.name(), new LedgerEntry(ownTokens(organisation), 0));
+        }
+        return page;
+    }
+
+    /**
+     * Tells whether the stored entries of this router must be corrected.
+     *
+     * @return true if the latest page lacks returned or carried tokens
+     */
+    public boolean needsCorrection() {
+        return !pendingReturns.isEmpty() || !carriedTokens.isEmpty();
     }
 
     /**
@@ -55,8 +106,10 @@
      * @return the tokens taken in the latest page, minus the pending returns
      */
     public long ownTokens(String organisation) {
-        return latestPage.page().takenTokens(organisation, holder.name())
-                - pendingReturns.getOrDefault(organisation, 0L);
+        long takenTokens = carriedTokens.containsKey(organisation)
+                ? carriedTokens.get(organisation)
+                : latestPage.page().takenTokens(organisation, holder.name());
+        return takenTokens - pendingReturns.getOrDefault(organisation, 0L);
     }
 
     /**
@@ -67,7 +120,9 @@
      * @return the tokens left, negative if the budget is overdrawn
      */
     public long leftTokens(String organisation, long prepaidTokens) {
-        return prepaidTokens - latestPage.page().totalTakenTokens(organisation);
+        long uncorrectedTokens = latestPage.page().takenTokens(organisation, holder.name());
+        long carriedBeyond = carriedTokens.getOrDefault(organisation, uncorrectedTokens) - uncorrectedTokens;
+        return prepaidTokens - latestPage.page().totalTakenTokens(organisation) - carriedBeyond;
     }
 
     /**
@@ -80,7 +135,7 @@
     public LedgerSession withReturn(String organisation, long tokens) {
         Map<String, Long> nextReturns = new HashMap<>(pendingReturns);
         nextReturns.merge(organisation, tokens, Long::sum);
-        return new LedgerSession(holder, latestPage, nextReturns, inFlight);
+        return new LedgerSession(holder, latestPage, nextReturns, inFlight, carriedTokens);
     }
 
     /**
@@ -93,10 +148,7 @@
      */
     public Optional<LedgerUpdate> nextUpdate(
             Map<String, BudgetNeed> needs, Function<String, OptionalLong> prepaidTokensOf, double prefetchLimitS) {
-        LedgerPage page = latestPage.page();
-        for (String organisation : pendingReturns.keySet()) {
-            page = page.with(organisation, holder.name(), new LedgerEntry(ownTokens(organisation), 0));
-        }
+        LedgerPage page = knownPage();
         for (Map.Entry<String, BudgetNeed> entry : needs.entrySet()) {
             String organisation = entry.getKey();
             OptionalLong prepaidTokens = prepaidTokensOf.apply(organisation);
@@ -129,7 +181,7 @@
      * @return the new session
      */
     public LedgerSession withInFlight(LedgerUpdate update) {
-        return new LedgerSession(holder, latestPage, pendingReturns, Optional.of(update));
+        return new LedgerSession(holder, latestPage, pendingReturns, Optional.of(update), carriedTokens);
     }
 
     /**
@@ -151,7 +203,16 @@
                             organisation,
                             (name, pendingTokens) -> pendingTokens > tokens ? pendingTokens - tokens : null));
         }
-        return new LedgerSession(holder, versionedPage, remainingReturns, Optional.empty());
+        Map<String, Long> uncorrected = applied ? Map.of() : uncorrectedTokens(versionedPage.page());
+        return new LedgerSession(holder, versionedPage, remainingReturns, Optional.empty(), uncorrected);
+    }
+
+    private Map<String, Long> uncorrectedTokens(LedgerPage page) {
+        Map<String, Long> uncorrected = new HashMap<>(carriedTokens);
+        uncorrected
+                .entrySet()
+                .removeIf(carried -> page.takenTokens(carried.getKey(), holder.name()) == carried.getValue());
+        return uncorrected;
     }
 
     private boolean containsUpdate(LedgerPage page, LedgerUpdate update) {
--- /dev/null
+++ b/jayhead-admission/src/test/java/io/jayhead/admission/prepaid/LedgerRestoreTest.java
@@ -0,0 +1,93 @@
+package io.jayhead.admission.prepaid;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.LongRange;
+
+/**
+ * Guards against overspending a budget over several returns of the store from older copies, when routers report in any
+ * order, late, or after the pages were rebuilt without them.
+ */
+class LedgerRestoreTest {
+
+    private static final String ORGANISATION = "shop";
+    private static final long PREPAID_TOKENS = 10_000;
+    private static final int ROUTERS = 3;
+    private static final int STEPS = 60;
+
+    private final List<LedgerSession> sessions = new ArrayList<>();
+    private VersionedPage stored;
+    private VersionedPage copy;
+    private long era;
+    private FleetReports reports;
+
+    @Property(tries = 2_000)
+    void routersNeverOwnMoreThanThePrepaidTokens(@ForAll @LongRange(min = 0) long seed) {
+        Random random = new Random(seed);
+        start();
+        for (int step = 0; step < STEPS; step++) {
+            int router = random.nextInt(ROUTERS);
+            switch (random.nextInt(8)) {
+                case 0 -> copy = stored;
+                case 1 -> restore(random);
+                case 2 -> sessions.set(router, returnHalf(sessions.get(router)));
+                default -> update(router, 1 + random.nextInt(3_000));
+            }
+            long ownedTokens = sessions.stream()
+                    .mapToLong(session -> session.ownTokens(ORGANISATION))
+                    .sum();
+            assertTrue(ownedTokens <= PREPAID_TOKENS, "owned " + ownedTokens + " after step " + step);
+        }
+    }
+
+    private void start() {
+        sessions.clear();
+        for (int router = 0; router < ROUTERS; router++) {
+            sessions.add(LedgerSession.of(new Holder("vm-" + router, 1, "n")));
+        }
+        stored = new VersionedPage(LedgerPage.empty(), 1);
+        copy = stored;
+        era = 1;
+        reports = FleetReports.empty();
+    }
+
+    /** Goes back to the copy; all routers report in random order, as each notices the return. */
+    private void restore(Random random) {
+        era++;
+        reports = reports.inEra(era);
+        int first = random.nextInt(ROUTERS);
+        for (int index = 0; index < ROUTERS; index++) {
+            int router = (first + index) % ROUTERS;
+            sessions.set(router, sessions.get(router).restored());
+            LedgerSession session = sessions.get(router);
+            String holder = session.holder().name();
+            reports = reports.with(session.holder().vmName(), new LedgerReport(era, holder, session.knownPage()));
+        }
+        stored = new VersionedPage(reports.rebuild(copy.page()).entries(), copy.revision());
+        copy = stored;
+    }
+
+    private void update(int router, long tokens) {
+        LedgerSession session = sessions.get(router).withPage(stored);
+        Map<String, BudgetNeed> needs = Map.of(ORGANISATION, new BudgetNeed(tokens, 0, 100, 0));
+        Optional<LedgerUpdate> update = session.nextUpdate(needs, organisation -> OptionalLong.of(PREPAID_TOKENS), 1);
+        if (update.isPresent()) {
+            stored = new VersionedPage(update.get().page(), stored.revision() + 1);
+            session = session.withInFlight(update.get());
+        }
+        sessions.set(router, session.withPage(stored));
+    }
+
+    private static LedgerSession returnHalf(LedgerSession session) {
+        long tokens = session.ownTokens(ORGANISATION) / 2;
+        return tokens == 0 ? session : session.withReturn(ORGANISATION, tokens);
+    }
+}
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlPlane.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlPlane.java
@@ -2,7 +2,9 @@
 
 import io.jayhead.admission.prepaid.BudgetNeed;
 import io.jayhead.admission.prepaid.Holder;
+import io.jayhead.admission.prepaid.LedgerPage;
 import io.jayhead.admission.prepaid.LedgerPages;
+import io.jayhead.admission.prepaid.LedgerReport;
 import io.jayhead.admission.quarantine.PartCrashes;
 import io.jayhead.gateway.log.GuardedTask;
 import io.jayhead.gateway.log.LogKind;
@@ -39,6 +41,9 @@
      */
     private static final int ROUTERS_PAUSE_MS = 2_000;
 
+    /** Collects reports; budgets get no tokens until all routers have reported. */
+    private static final int REPORTS_PAUSE_MS = 100;
+
     /** Collects the changes of several ends at once; requests under the same part go on until then. */
     private static final int CRASHES_PAUSE_MS = 50;
 
@@ -49,6 +54,8 @@
     private final StructuredLog log;
     private final GatewayMetrics metrics;
     private final PlatformHealth health;
+    private final Holder holder;
+    private final LedgerRecovery recovery;
     private final List<LedgerUpdater> ledgers = new ArrayList<>();
     private final WatchLoop<Catalog, Catalog> catalogLoop;
     private final WatchLoop<UpstreamListing, UpstreamChanges> registryLoop;
@@ -61,6 +68,8 @@
     private final Runnable onChange;
     private volatile RoutingSnapshot snapshot = RoutingSnapshot.empty();
     private RegistryTracker tracker = RegistryTracker.empty();
+    private boolean announceInFlight;
+    private boolean announced;
 
     /**
      * Creates a control plane that has read nothing.
@@ -88,6 +97,7 @@
         this.log = log;
         this.metrics = metrics;
         this.platform = platform;
+        this.holder = holder;
         this.self = self;
         this.onChange = onChange;
         this.health = new PlatformHealth(log, metrics, this::platformRecovered);
@@ -116,7 +126,7 @@
                 loop,
                 health,
                 false,
-                () -> ROUTERS_PAUSE_MS,
+                this::routersPauseMs,
                 platform::listRouters,
                 revision -> platform.watchRouters(revision, WATCH_WAIT_MS),
                 this::routersRead,
@@ -133,20 +143,20 @@
                 revision -> platform.watchCrashes(revision, WATCH_WAIT_MS),
                 quarantine::listed,
                 quarantine::changed);
+        this.recovery = new LedgerRecovery(platform, health, loop, log, this::ledgerPagesMayBeCreated);
         for (int page = 0; page < LedgerPages.COUNT; page++) {
             ledgers.add(new LedgerUpdater(
-                    LedgerPages.name(page), holder, platform, health, loop, log, this::prepaidTokens, budgets));
+                    page, recovery, holder, platform, health, loop, log, this::prepaidTokens, budgets));
         }
     }
 
     /** Starts watching the platform and announces this router. */
     public void start() {
-        platform.onRestore(this::platformRestored);
+        platform.onEra(this::eraChanged);
         loop.execute(catalogLoop::run);
         loop.execute(registryLoop::run);
         loop.execute(routersLoop::run);
         loop.execute(crashesLoop::run);
-        loop.execute(this::announce);
         GuardedTask expiry = new GuardedTask("expire entries", log, this::expireEntries);
         GuardedTask probe = new GuardedTask("probe platform", log, new LivenessProbe(platform, health, self)::check);
         loop.scheduleWithFixedDelay(probe, PROBE_CHECK_MS, PROBE_CHECK_MS, TimeUnit.MILLISECONDS);
@@ -173,6 +183,10 @@
         loop.execute(() -> ledgers.get(page).updateNeed(organisation, need));
     }
 
+    private int routersPauseMs() {
+        return recovery.isAwaitingReports() ? REPORTS_PAUSE_MS : ROUTERS_PAUSE_MS;
+    }
+
     private int registryPauseMs() {
         int pauseMs = REGISTRY_PAUSE_PER_ROUTER_MS * snapshot.routers().size();
         return Math.max(REGISTRY_MIN_PAUSE_MS, Math.min(REGISTRY_MAX_PAUSE_MS, pauseMs));
@@ -200,10 +214,20 @@
         onChange.run();
     }
 
+    /** Announces this router and what it knows of the ledger, unless the platform has that already in this era. */
     private void announce() {
-        platform.announce(self).whenComplete((done, failure) -> {
+        if (announceInFlight || announced) {
+            return;
+        }
+        announceInFlight = true;
+        long eraAtSend = recovery.era();
+        RouterAnnouncement announcement = new RouterAnnouncement(self, ledgerReport());
+        platform.announce(announcement).whenComplete((done, failure) -> {
+            announceInFlight = false;
             if (failure == null) {
                 health.succeeded("announce");
+                announced = eraAtSend == recovery.era();
+                announce();
                 return;
             }
             health.failed("announce", failure);
@@ -217,9 +241,27 @@
     private void routersRead(RouterListing listing) {
         Map<String, RouterAddress> byVm = new HashMap<>();
         snapshot.routers().forEach(router -> byVm.put(router.vmName(), router));
-        listing.routers().forEach(router -> byVm.put(router.vmName(), router));
+        listing.routers().forEach(announced -> byVm.put(announced.router().vmName(), announced.router()));
         snapshot = snapshot.withRouters(List.copyOf(byVm.values()));
         log.write(LogKind.STATE, "routers in force", "routers", byVm.size());
+        recovery.announced(listing);
+        listing.routers().stream()
+                .filter(found -> found.router().vmName().equals(self.vmName()))
+                .forEach(own ->
+                        announced = own.router().equals(self) && own.report().era() >= recovery.era());
+        announce();
+    }
+
+    private LedgerReport ledgerReport() {
+        LedgerPage known = LedgerPage.empty();
+        for (LedgerUpdater ledger : ledgers) {
+            known = known.mergeGreatest(ledger.knownPage());
+        }
+        return new LedgerReport(recovery.era(), holder.name(), known);
+    }
+
+    private void ledgerPagesMayBeCreated() {
+        ledgers.forEach(LedgerUpdater::pagesMayBeCreated);
     }
 
     private void registryListed(UpstreamListing listing) {
@@ -243,8 +285,18 @@
         loop.execute(crashesLoop::restartWaitingWatch);
     }
 
+    private void eraChanged(long era) {
+        boolean restored = recovery.era() != LedgerReport.NO_ERA;
+        recovery.begin(era);
+        announced = false;
+        if (restored) {
+            platformRestored(era);
+        }
+    }
+
     /** Reads all objects anew, since the platform has lost changes and gives out their revisions again. */
     private void platformRestored(long era) {
+        ledgers.forEach(LedgerUpdater::restored);
         log.write(LogKind.DEPENDENCY, "platform restored", "era", era);
         metrics.platformRestored(era);
         tracker = tracker.platformRecovered(nowMs());
--- /dev/null
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/LedgerRecovery.java
@@ -0,0 +1,161 @@
+package io.jayhead.gateway.control;
+
+import io.jayhead.admission.prepaid.FleetReports;
+import io.jayhead.admission.prepaid.LedgerPage;
+import io.jayhead.admission.prepaid.LedgerPages;
+import io.jayhead.admission.prepaid.LedgerReport;
+import io.jayhead.admission.prepaid.RebuiltLedger;
+import io.jayhead.gateway.log.LogKind;
+import io.jayhead.gateway.log.StructuredLog;
+import io.netty.channel.EventLoop;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Decides when the ledger pages of a new era may be created, and with which content; used by the control thread.
+ *
+ * <p>Pages that the platform came back with lack what routers have taken since its copy. So a page is created once all
+ * known routers have reported what they hold, or the time for reports has passed.
+ */
+final class LedgerRecovery {
+
+    /** Longer than a router takes to notice that the platform answers again, to report and to be read. */
+    private static final long REPORT_WAIT_MS = 3_000;
+
+    private final PlatformClient platform;
+    private final PlatformHealth health;
+    private final EventLoop loop;
+    private final StructuredLog log;
+    private final Runnable onReady;
+    private final Backoff backoff = new Backoff();
+    private FleetReports reports = FleetReports.empty();
+    private Optional<Map<String, LedgerPage>> storedPages = Optional.empty();
+    private Optional<RebuiltLedger> rebuilt = Optional.empty();
+    private boolean routersListed;
+    private boolean listInFlight;
+    private boolean waitIsOver;
+
+    /**
+     * Creates an instance for a platform whose era is unknown.
+     *
+     * @param platform the client of the platform
+     * @param health tracks whether the platform answers
+     * @param loop the control thread
+     * @param log receives the outcome of a recovery
+     * @param onReady is called when pages may be created
+     */
+    LedgerRecovery(
+            PlatformClient platform, PlatformHealth health, EventLoop loop, StructuredLog log, Runnable onReady) {
+        this.platform = platform;
+        this.health = health;
+        this.loop = loop;
+        this.log = log;
+        this.onReady = onReady;
+    }
+
+    /** Begins an era, in which all routers must report again. */
+    void begin(long era) {
+        reports = reports.inEra(era);
+        storedPages = Optional.empty();
+        rebuilt = Optional.empty();
+        routersListed = false;
+        waitIsOver = false;
+        loop.schedule(() -> endWait(era), REPORT_WAIT_MS, TimeUnit.MILLISECONDS);
+    }
+
+    long era() {
+        return reports.era();
+    }
+
+    /** Tells whether routers have to report before pages can be created. */
+    boolean isAwaitingReports() {
+        return rebuilt.isEmpty() && !waitIsOver && !reports.missingVms().isEmpty();
+    }
+
+    /** Takes over announcements of routers, which contain their reports. */
+    void announced(RouterListing listing) {
+        routersListed = true;
+        for (RouterAnnouncement announcement : listing.routers()) {
+            reports = reports.with(announcement.router().vmName(), announcement.report());
+        }
+        rebuildIfReady();
+    }
+
+    /**
+     * Returns the content with which a page of this era may be created.
+     *
+     * @param page the index of the page
+     * @return the content; empty if the page may not be created yet
+     */
+    Optional<LedgerPage> initialPage(int page) {
+        if (storedPages.isEmpty()) {
+            readStoredPages();
+        }
+        return rebuilt.map(ledger -> ledger.page(page));
+    }
+
+    private void endWait(long ofEra) {
+        if (ofEra == reports.era()) {
+            waitIsOver = true;
+            rebuildIfReady();
+        }
+    }
+
+    private void readStoredPages() {
+        if (listInFlight) {
+            return;
+        }
+        listInFlight = true;
+        long eraAtSend = reports.era();
+        platform.listLedgers().whenComplete((pages, failure) -> {
+            listInFlight = false;
+            if (failure != null) {
+                retry(failure);
+                return;
+            }
+            health.succeeded("list ledger");
+            backoff.reset();
+            if (eraAtSend == reports.era()) {
+                storedPages = Optional.of(pages);
+                rebuildIfReady();
+            } else {
+                readStoredPages();
+            }
+        });
+    }
+
+    private void retry(Throwable failure) {
+        health.failed("list ledger", failure);
+        if (!health.awaitRecovery(this::readStoredPages)) {
+            loop.schedule(this::readStoredPages, backoff.next(), TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void rebuildIfReady() {
+        boolean complete = routersListed && reports.missingVms().isEmpty();
+        if (rebuilt.isPresent() || storedPages.isEmpty() || !complete && !waitIsOver) {
+            return;
+        }
+        LedgerPage copy = LedgerPage.empty();
+        for (int page = 0; page < LedgerPages.COUNT; page++) {
+            copy = copy.mergeGreatest(LedgerPages.newestBefore(page, reports.era(), storedPages.get()));
+        }
+        RebuiltLedger ledger = reports.rebuild(copy);
+        rebuilt = Optional.of(ledger);
+        if (reports.era() != LedgerReport.NO_ERA && !ledger.entries().entries().isEmpty()) {
+            log.write(
+                    LogKind.DEPENDENCY,
+                    "ledger rebuilt",
+                    "era",
+                    reports.era(),
+                    "reported_routers",
+                    reports.byVm().size() - reports.missingVms().size(),
+                    "missing_routers",
+                    reports.missingVms(),
+                    "written_off_tokens",
+                    ledger.writtenOffTokens());
+        }
+        onReady.run();
+    }
+}
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/LedgerUpdater.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/LedgerUpdater.java
@@ -3,6 +3,8 @@
 import io.jayhead.admission.prepaid.BudgetNeed;
 import io.jayhead.admission.prepaid.GrantRule;
 import io.jayhead.admission.prepaid.Holder;
+import io.jayhead.admission.prepaid.LedgerPage;
+import io.jayhead.admission.prepaid.LedgerPages;
 import io.jayhead.admission.prepaid.LedgerSession;
 import io.jayhead.admission.prepaid.LedgerUpdate;
 import io.jayhead.admission.prepaid.VersionedPage;
@@ -25,7 +27,8 @@
     /** Needs without waiting requests are collected for this time, so that one call serves several budgets. */
     private static final long COLLECT_MS = 300;
 
-    private final String pageName;
+    private final int page;
+    private final LedgerRecovery recovery;
     private final PlatformClient platform;
     private final PlatformHealth health;
     private final EventLoop loop;
@@ -40,10 +43,12 @@
     private boolean callInFlight;
     private boolean callScheduled;
     private boolean readRequired = true;
+    private boolean pageMissing;
     private boolean awaitingRecovery;
 
     LedgerUpdater(
-            String pageName,
+            int page,
+            LedgerRecovery recovery,
             Holder holder,
             PlatformClient platform,
             PlatformHealth health,
@@ -51,7 +56,8 @@
             StructuredLog log,
             Function<String, OptionalLong> prepaidTokens,
             BudgetListener listener) {
-        this.pageName = pageName;
+        this.page = page;
+        this.recovery = recovery;
         this.platform = platform;
         this.health = health;
         this.loop = loop;
@@ -70,8 +76,10 @@
             needs.put(organisation, need);
         }
         pendingOrganisations.add(organisation);
-        if (awaitingRecovery) {
+        if (awaitingRecovery || pageMissing && recovery.isAwaitingReports()) {
             listener.ledgerUnavailable();
+        }
+        if (awaitingRecovery) {
             return;
         }
         if (need.requiredTokens() > 0) {
@@ -81,15 +89,35 @@
         }
     }
 
+    /** Returns what this router knows of the page, with its own entries as they should be. */
+    LedgerPage knownPage() {
+        return session.knownPage();
+    }
+
+    /** Prepares for reading the page of a new era of the platform. */
+    void restored() {
+        session = session.restored();
+        pageMissing = false;
+    }
+
+    /** Creates the page if that was not possible before, or corrects it if it was created without this router. */
+    void pagesMayBeCreated() {
+        if (pageMissing || session.needsCorrection()) {
+            callNext();
+        }
+    }
+
     void callNext() {
         if (callInFlight || awaitingRecovery) {
             return;
         }
-        if (!session.isRead()) {
-            call("create ledger", platform.createLedger(pageName));
+        String pageName = LedgerPages.name(page, recovery.era());
+        if (pageMissing) {
+            recovery.initialPage(page)
+                    .ifPresent(initial -> call("create ledger", platform.createLedger(pageName, initial)));
             return;
         }
-        if (readRequired) {
+        if (!session.isRead() || readRequired) {
             call("read ledger", platform.readLedger(pageName));
             return;
         }
@@ -112,25 +140,29 @@
 
     private void call(String name, CompletionStage<VersionedPage> stage) {
         callInFlight = true;
-        stage.whenComplete((page, failure) -> {
+        stage.whenComplete((answer, failure) -> {
             callInFlight = false;
             if (failure == null) {
-                succeeded(name, page);
+                succeeded(name, answer);
+            } else if (!session.isRead() && PlatformException.faultOf(failure) == PlatformFault.MISSING) {
+                health.succeeded(name);
+                pageMissing = true;
+                callNext();
             } else {
                 failed(name, failure);
             }
         });
     }
 
-    private void succeeded(String name, VersionedPage page) {
+    private void succeeded(String name, VersionedPage answer) {
         health.succeeded(name);
         backoff.reset();
         readRequired = false;
-        session = session.withPage(page);
+        pageMissing = false;
+        session = session.withPage(answer);
         Set<String> answeredOrganisations = new HashSet<>(pendingOrganisations);
         pendingOrganisations.clear();
-        boolean updatePending =
-                session.inFlight().isPresent() || !session.pendingReturns().isEmpty();
+        boolean updatePending = session.inFlight().isPresent() || session.needsCorrection();
         for (String organisation : answeredOrganisations) {
             needs.remove(organisation);
             publish(organisation);
@@ -166,7 +198,7 @@
                 "call",
                 name,
                 "page",
-                pageName,
+                LedgerPages.name(page, recovery.era()),
                 "fault",
                 PlatformException.faultOf(failure),
                 "organisations",
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/PlatformClient.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/PlatformClient.java
@@ -1,9 +1,11 @@
 package io.jayhead.gateway.control;
 
+import io.jayhead.admission.prepaid.LedgerPage;
 import io.jayhead.admission.prepaid.LedgerUpdate;
 import io.jayhead.admission.prepaid.VersionedPage;
 import io.jayhead.admission.quarantine.PartCrashes;
 import io.jayhead.routing.catalog.Catalog;
+import java.util.Map;
 import java.util.concurrent.CompletionStage;
 import java.util.function.LongConsumer;
 
@@ -15,12 +17,14 @@
 public interface PlatformClient {
 
     /**
-     * Registers who is notified when the platform has gone back to an older copy. Calls that are in flight then fail
-     * with {@link PlatformFault#RESTORED}, so no answer joins revisions from before and after.
+     * Registers who is notified of the era of the platform, which rises each time the platform has gone back to an older
+     * copy. Calls that are in flight then fail with {@link PlatformFault#RESTORED}, so no answer joins revisions from
+     * before and after.
      *
-     * @param listener receives the new era of the platform, on the control thread and before any other answer of it
+     * @param listener receives the first era that is known, and each later one, on the control thread and before any
+     *     other answer of that era; a platform without eras never calls it
      */
-    void onRestore(LongConsumer listener);
+    void onEra(LongConsumer listener);
 
     /**
      * Reads the newest configuration.
@@ -55,12 +59,12 @@
     CompletionStage<Versioned<UpstreamChanges>> watchUpstreams(long revision, int waitMs);
 
     /**
-     * Announces the address on which this router accepts other routers.
+     * Announces the address on which this router accepts other routers, and what it knows of the ledger.
      *
-     * @param router the name and address of this router
+     * @param announcement the announcement; it replaces one with another address or of an earlier era
      * @return a stage that completes when the announcement is stored
      */
-    CompletionStage<Void> announce(RouterAddress router);
+    CompletionStage<Void> announce(RouterAnnouncement announcement);
 
     /**
      * Checks that the platform answers, with the cheapest call there is.
@@ -95,12 +99,20 @@
     CompletionStage<VersionedPage> readLedger(String name);
 
     /**
-     * Creates an empty ledger page unless it exists.
+     * Reads the ledger pages of all eras.
+     *
+     * @return the pages by name
+     */
+    CompletionStage<Map<String, LedgerPage>> listLedgers();
+
+    /**
+     * Creates a ledger page unless it exists.
      *
      * @param name the name of the page
+     * @param page its content
      * @return the stored page, whether or not it existed before
      */
-    CompletionStage<VersionedPage> createLedger(String name);
+    CompletionStage<VersionedPage> createLedger(String name, LedgerPage page);
 
     /**
      * Replaces a ledger page if it still has the base revision of the update.
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/RouterListing.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/RouterListing.java
@@ -7,7 +7,7 @@
  *
  * @param routers the announced routers; in the answer to a watch, those that changed
  */
-public record RouterListing(List<RouterAddress> routers) {
+public record RouterListing(List<RouterAnnouncement> routers) {
 
     /** Makes an immutable copy of the list. */
     public RouterListing {
