Send nothing to an upstream that left before the platform came back with an older copy

The copy may list an upstream as ready that has said since that it leaves, or whose entry was removed. Routers that had followed the change would send to it again (DRAIN binds them by what they have acknowledged).

After a return, such an incarnation counts as draining until three heartbeats and the time for writing entries again have passed; then the registry is read anew. The time between heartbeats comes from the settings (HeartbeatMs).

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/Gateway.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/Gateway.java
@@ -97,6 +97,7 @@
                 platform.apply(controlLoop, log),
                 new Holder(settings.vmName(), System.currentTimeMillis(), incarnation),
                 new RouterAddress(settings.vmName(), settings.peersAddress()),
+                settings.heartbeatMs(),
                 log,
                 metrics,
                 budgets,
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlPlane.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlPlane.java
@@ -13,7 +13,9 @@
 import io.jayhead.gateway.quarantine.CrashListener;
 import io.jayhead.routing.catalog.Catalog;
 import io.jayhead.routing.catalog.Organisation;
+import io.jayhead.routing.registry.Departures;
 import io.jayhead.routing.registry.RegistryTracker;
+import io.jayhead.routing.registry.Upstream;
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -47,6 +49,9 @@
     /** Collects the changes of several ends at once; requests under the same part go on until then. */
     private static final int CRASHES_PAUSE_MS = 50;
 
+    /** Upstreams lapse after this many heartbeats without one. */
+    private static final int LAPSE_HEARTBEATS = 3;
+
     private static final long EXPIRY_CHECK_MS = 250;
     private static final long PROBE_CHECK_MS = 250;
 
@@ -64,10 +69,12 @@
     private final QuarantineUpdater quarantine;
     private final PlatformClient platform;
     private final RouterAddress self;
+    private final long distrustMs;
     private final Backoff announceBackoff = new Backoff();
     private final Runnable onChange;
     private volatile RoutingSnapshot snapshot = RoutingSnapshot.empty();
     private RegistryTracker tracker = RegistryTracker.empty();
+    private Departures departures = Departures.empty();
     private boolean announceInFlight;
     private boolean announced;
 
@@ -78,6 +85,7 @@
      * @param platform the client of the platform
      * @param holder identifies this incarnation of the router in ledger pages
      * @param self the VM name of this router and the address on which it accepts other routers
+     * @param heartbeatMs the time in milliseconds between two heartbeats by which upstreams stay registered
      * @param log receives changes of the control state
      * @param metrics counts calls to the platform
      * @param budgets receives the state of budgets
@@ -89,6 +97,7 @@
             PlatformClient platform,
             Holder holder,
             RouterAddress self,
+            long heartbeatMs,
             StructuredLog log,
             GatewayMetrics metrics,
             BudgetListener budgets,
@@ -99,6 +108,7 @@
         this.platform = platform;
         this.holder = holder;
         this.self = self;
+        this.distrustMs = LAPSE_HEARTBEATS * heartbeatMs + RegistryTracker.REREGISTRATION_MS;
         this.onChange = onChange;
         this.health = new PlatformHealth(log, metrics, this::platformRecovered);
         this.catalogLoop = new WatchLoop<>(
@@ -265,14 +275,18 @@
     }
 
     private void registryListed(UpstreamListing listing) {
-        publish(tracker.listed(listing.byId(), nowMs()), "listed");
+        Map<String, Upstream> listed = new HashMap<>();
+        listing.byId().forEach((id, upstream) -> listed.put(id, departures.correct(upstream, nowMs())));
+        publish(tracker.listed(listed, nowMs()), "listed");
     }
 
     private void registryChanged(UpstreamChanges changes) {
         RegistryTracker next = tracker;
         for (UpstreamChange change : changes.changes()) {
             RegistryTracker before = next;
-            next = change.entry().map(before::changed).orElseGet(() -> before.deleted(change.id(), nowMs()));
+            next = change.entry()
+                    .map(entry -> before.changed(departures.correct(entry, nowMs())))
+                    .orElseGet(() -> before.deleted(change.id(), nowMs()));
         }
         publish(next, "changed");
     }
@@ -300,6 +314,9 @@
         log.write(LogKind.DEPENDENCY, "platform restored", "era", era);
         metrics.platformRestored(era);
         tracker = tracker.platformRecovered(nowMs());
+        departures = departures.restored(nowMs() + distrustMs);
+        // By then the entries of the copy have lapsed or have been written again.
+        loop.schedule(registryLoop::readAnew, distrustMs, TimeUnit.MILLISECONDS);
         loop.execute(catalogLoop::readAnew);
         loop.execute(registryLoop::readAnew);
         loop.execute(routersLoop::readAnew);
@@ -331,6 +348,7 @@
     }
 
     private void publish(RegistryTracker next, String cause) {
+        departures = departures.changed(tracker.registry(), next.registry(), nowMs());
         tracker = next;
         log.write(
                 LogKind.STATE,
--- a/jayhead-routing/src/main/java/io/jayhead/routing/registry/Upstream.java
+++ b/jayhead-routing/src/main/java/io/jayhead/routing/registry/Upstream.java
@@ -30,4 +30,13 @@
     public String incarnation() {
         return id + "@" + startedAtEpochMs;
     }
+
+    /**
+     * Returns the same incarnation as one that accepts no new requests.
+     *
+     * @return the draining upstream
+     */
+    public Upstream asDraining() {
+        return new Upstream(id, startedAtEpochMs, service, host, port, availabilityZone, true, slots);
+    }
 }
