Write off no more for a silent router than one update can take of what is left

Cause: for each incarnation without a report the whole prefetch limit was written off, also if it had ended long before, and without regard to what was left to be taken.

Change: what is written off is what one more update could take of the tokens left (the prefetch share, or two seconds of demand for waiting requests). Nothing is written off for an incarnation whose page has an entry of a newer one of its VM, whichever router read it: such a page was written after its end.

Tests: FleetReportsTest, LedgerRestoreTest.

--- a/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/FleetReports.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/FleetReports.java
@@ -1,11 +1,11 @@
 package io.jayhead.admission.prepaid;
 
-import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.Function;
 
 /**
  * Collects what the routers know of the ledger after the platform came back from an older copy; immutable.
@@ -85,53 +85,69 @@
      * Rebuilds the ledger from the copy and the reports.
      *
      * @param copy the pages that the platform came back with
+     * @param prepaidTokensOf returns the size of a budget; empty if the budget has no limit or is unknown
      * @return all entries that any router or the copy knows, and the amounts that are written off
      */
-    public RebuiltLedger rebuild(LedgerPage copy) {
-        Map<String, LedgerReport> reporters = new HashMap<>();
-        byVm.values().stream()
-                .filter(report -> report.era() == era)
-                .forEach(report -> reporters.put(report.holder(), report));
+    public RebuiltLedger rebuild(LedgerPage copy, Function<String, OptionalLong> prepaidTokensOf) {
         LedgerPage known = copy;
         for (LedgerReport report : byVm.values()) {
             known = known.mergeGreatest(report.known());
         }
-        Map<String, Long> aliveAtCopy = newestStarts(copy);
-        LedgerPage rebuilt = LedgerPage.empty();
+        LedgerPage exact = withReportedEntries(known);
+        Map<String, LedgerReport> reporters = reporters();
+        LedgerPage rebuilt = exact;
         long writtenOffTokens = 0;
+        for (String organisation : exact.entries().keySet()) {
+            long leftTokens = prepaidTokensOf.apply(organisation).orElse(Long.MAX_VALUE / 2)
+                    - exact.totalTakenTokens(organisation);
+            for (String name : exact.entries().get(organisation).keySet()) {
+                Holder holder = Holder.of(name);
+                if (reporters.containsKey(name) || hasEndedBeforeReading(holder, organisation, exact)) {
+                    continue;
+                }
+                LedgerEntry entry = exact.entry(organisation, name);
+                long tokens = GrantRule.mostUnseenTokens(
+                        entry.tokensPerS(), leftTokens, exact.otherVmsTokensPerS(organisation, holder.vmName()));
+                rebuilt = rebuilt.with(organisation, name, new LedgerEntry(entry.takenTokens() + tokens, 0));
+                writtenOffTokens += tokens;
+            }
+        }
+        return new RebuiltLedger(rebuilt, writtenOffTokens);
+    }
+
+    private LedgerPage withReportedEntries(LedgerPage known) {
+        LedgerPage exact = known;
+        Map<String, LedgerReport> reporters = reporters();
         for (String organisation : known.entries().keySet()) {
-            for (Map.Entry<String, LedgerEntry> found :
-                    known.entries().get(organisation).entrySet()) {
-                String holder = found.getKey();
-                LedgerEntry entry = found.getValue();
+            for (String holder : known.entries().get(organisation).keySet()) {
                 if (reporters.containsKey(holder)) {
-                    entry = reporters.get(holder).known().entry(organisation, holder);
-                } else if (mayHaveTakenMore(Holder.of(holder), aliveAtCopy)) {
-                    long tokens = GrantRule.mostPrefetchedTokens(entry.tokensPerS());
-                    writtenOffTokens += tokens;
-                    entry = new LedgerEntry(entry.takenTokens() + tokens, 0);
+                    LedgerEntry reported = reporters.get(holder).known().entry(organisation, holder);
+                    exact = exact.with(organisation, holder, reported);
                 }
-                rebuilt = rebuilt.with(organisation, holder, entry);
             }
         }
-        return new RebuiltLedger(rebuilt, writtenOffTokens);
+        return exact;
     }
 
-    /** An incarnation whose VM had a newer one at the time of the copy ended before, so the copy has its last entry. */
-    private static boolean mayHaveTakenMore(Holder holder, Map<String, Long> aliveAtCopy) {
-        return holder.startedAtEpochMs() >= aliveAtCopy.getOrDefault(holder.vmName(), 0L);
+    private Map<String, LedgerReport> reporters() {
+        Map<String, LedgerReport> byHolder = new HashMap<>();
+        byVm.values().stream()
+                .filter(report -> report.era() == era)
+                .forEach(report -> byHolder.put(report.holder(), report));
+        return byHolder;
     }
 
-    private static Map<String, Long> newestStarts(LedgerPage page) {
-        Map<String, Long> newest = new HashMap<>();
-        Set<String> names = new HashSet<>();
-        page.entries().values().stream()
-                .map(Map::keySet)
-                .forEach((Collection<String> holders) -> names.addAll(holders));
-        for (String name : names) {
-            Holder holder = Holder.of(name);
-            newest.merge(holder.vmName(), holder.startedAtEpochMs(), Math::max);
-        }
-        return newest;
+    /**
+     * Tells whether a holder had ended when its page was last read: a page with an entry of a newer incarnation of the
+     * same VM was written after its end, so nothing of what it took is unseen.
+     */
+    private static boolean hasEndedBeforeReading(Holder holder, String organisation, LedgerPage known) {
+        int page = LedgerPages.indexOf(organisation);
+        return known.entries().entrySet().stream()
+                .filter(entries -> LedgerPages.indexOf(entries.getKey()) == page)
+                .flatMap(entries -> entries.getValue().keySet().stream())
+                .map(Holder::of)
+                .anyMatch(other ->
+                        other.vmName().equals(holder.vmName()) && other.startedAtEpochMs() > holder.startedAtEpochMs());
     }
 }
--- a/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/GrantRule.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/GrantRule.java
@@ -16,6 +16,9 @@
     /** The share of the tokens left in the budget that the routers together prefetch at most. */
     private static final double PREFETCH_SHARE = 0.5;
 
+    /** Other routers read a page at least this often while a budget is in demand. */
+    private static final double UNSEEN_DEMAND_S = 2;
+
     private GrantRule() {}
 
     /**
@@ -32,13 +35,17 @@
     }
 
     /**
-     * Returns the most tokens that a router prefetches.
+     * Returns the tokens that a router may have taken unseen, after the last reading of its page by any other router.
      *
      * @param tokensPerS the demand of the router in tokens per second
-     * @return the tokens
+     * @param leftTokens the tokens left in the last reading
+     * @param othersTokensPerS the demand of the other routers in tokens per second
+     * @return the tokens of one update
      */
-    public static long mostPrefetchedTokens(long tokensPerS) {
-        return (long) Math.ceil(tokensPerS * MAX_PREFETCH_S);
+    public static long mostUnseenTokens(long tokensPerS, long leftTokens, long othersTokensPerS) {
+        long waitingTokens = (long) Math.ceil(tokensPerS * UNSEEN_DEMAND_S);
+        BudgetNeed need = new BudgetNeed(waitingTokens, 0, tokensPerS, 0);
+        return tokensToTake(need, leftTokens, othersTokensPerS, MAX_PREFETCH_S);
     }
 
     /**
--- a/jayhead-admission/src/test/java/io/jayhead/admission/prepaid/FleetReportsTest.java
+++ b/jayhead-admission/src/test/java/io/jayhead/admission/prepaid/FleetReportsTest.java
@@ -3,6 +3,8 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.util.Map;
+import java.util.OptionalLong;
+import java.util.function.Function;
 import org.junit.jupiter.api.Test;
 
 /** Guards against giving out again what routers took between the copy of a store and its return. */
@@ -10,11 +12,12 @@
 
     private static final String FIRST = "vm-1/100/a";
     private static final String SECOND = "vm-2/100/b";
+    private static final Function<String, OptionalLong> PREPAID = organisation -> OptionalLong.of(100_000);
 
     @Test
     void theReportOfARouterReplacesItsEntryInTheCopy() {
         LedgerPage rebuilt = reports("vm-1", FIRST, page(FIRST, 900))
-                .rebuild(page(FIRST, 400))
+                .rebuild(page(FIRST, 400), PREPAID)
                 .entries();
         assertEquals(900, rebuilt.takenTokens("shop", FIRST));
     }
@@ -22,26 +25,33 @@
     @Test
     void tokensThatARouterReturnedSinceTheCopyAreNotLost() {
         LedgerPage rebuilt = reports("vm-1", FIRST, page(FIRST, 100))
-                .rebuild(page(FIRST, 400))
+                .rebuild(page(FIRST, 400), PREPAID)
                 .entries();
         assertEquals(100, rebuilt.takenTokens("shop", FIRST));
     }
 
     @Test
-    void anEntryThatOnlyAnotherRouterHasReadCountsWithItsDemandWrittenOff() {
+    void anEntryThatOnlyAnotherRouterHasReadCountsAndWhatItTookUnseenIsWrittenOff() {
         LedgerPage known = LedgerPage.empty().with("shop", SECOND, new LedgerEntry(700, 10));
-        RebuiltLedger rebuilt = reports("vm-1", FIRST, known).rebuild(page(SECOND, 400));
+        RebuiltLedger rebuilt = reports("vm-1", FIRST, known).rebuild(page(SECOND, 400), PREPAID);
         assertEquals(700 + 120, rebuilt.entries().takenTokens("shop", SECOND));
         assertEquals(120, rebuilt.writtenOffTokens());
     }
 
     @Test
-    void nothingIsWrittenOffForAnIncarnationThatEndedBeforeTheCopy() {
+    void noMoreIsWrittenOffThanOneUpdateCanTakeOfWhatIsLeft() {
+        LedgerPage known = LedgerPage.empty().with("shop", SECOND, new LedgerEntry(99_000, 400));
+        RebuiltLedger rebuilt = reports("vm-1", FIRST, known).rebuild(page(SECOND, 400), PREPAID);
+        assertEquals(800, rebuilt.writtenOffTokens(), "two seconds of demand, more than half of the 1,000 left");
+    }
+
+    @Test
+    void nothingIsWrittenOffForAnIncarnationThatEndedBeforeItsPageWasRead() {
         LedgerPage copy = LedgerPage.empty()
                 .with("shop", FIRST, new LedgerEntry(300, 10))
                 .with("shop", "vm-1/200/c", new LedgerEntry(50, 10));
         RebuiltLedger rebuilt =
-                reports("vm-1", "vm-1/200/c", page("vm-1/200/c", 80)).rebuild(copy);
+                reports("vm-1", "vm-1/200/c", page("vm-1/200/c", 80)).rebuild(copy, PREPAID);
         assertEquals(300, rebuilt.entries().takenTokens("shop", FIRST));
         assertEquals(80, rebuilt.entries().takenTokens("shop", "vm-1/200/c"));
         assertEquals(0, rebuilt.writtenOffTokens());
@@ -51,7 +61,7 @@
     void aReportOfAnEarlierEraDoesNotCountAsReported() {
         FleetReports reports = reports("vm-1", FIRST, page(FIRST, 900)).inEra(3);
         assertEquals("[vm-1]", reports.missingVms().toString());
-        assertEquals(900, reports.rebuild(page(FIRST, 400)).entries().takenTokens("shop", FIRST));
+        assertEquals(900, reports.rebuild(page(FIRST, 400), PREPAID).entries().takenTokens("shop", FIRST));
     }
 
     @Test
--- a/jayhead-admission/src/test/java/io/jayhead/admission/prepaid/LedgerRestoreTest.java
+++ b/jayhead-admission/src/test/java/io/jayhead/admission/prepaid/LedgerRestoreTest.java
@@ -71,7 +71,10 @@
             String holder = session.holder().name();
             reports = reports.with(session.holder().vmName(), new LedgerReport(era, holder, session.knownPage()));
         }
-        stored = new VersionedPage(reports.rebuild(copy.page()).entries(), copy.revision());
+        stored = new VersionedPage(
+                reports.rebuild(copy.page(), organisation -> OptionalLong.of(PREPAID_TOKENS))
+                        .entries(),
+                copy.revision());
         copy = stored;
     }
 
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlPlane.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlPlane.java
@@ -153,7 +153,8 @@
                 revision -> platform.watchCrashes(revision, WATCH_WAIT_MS),
                 quarantine::listed,
                 quarantine::changed);
-        this.recovery = new LedgerRecovery(platform, health, loop, log, this::ledgerPagesMayBeCreated);
+        this.recovery =
+                new LedgerRecovery(platform, health, loop, log, this::prepaidTokens, this::ledgerPagesMayBeCreated);
         for (int page = 0; page < LedgerPages.COUNT; page++) {
             ledgers.add(new LedgerUpdater(
                     page, recovery, holder, platform, health, loop, log, this::prepaidTokens, budgets));
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/LedgerRecovery.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/LedgerRecovery.java
@@ -10,7 +10,9 @@
 import io.netty.channel.EventLoop;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 
 /**
  * Decides when the ledger pages of a new era may be created, and with which content; used by the control thread.
@@ -27,6 +29,7 @@
     private final PlatformHealth health;
     private final EventLoop loop;
     private final StructuredLog log;
+    private final Function<String, OptionalLong> prepaidTokens;
     private final Runnable onReady;
     private final Backoff backoff = new Backoff();
     private FleetReports reports = FleetReports.empty();
@@ -43,14 +46,21 @@
      * @param health tracks whether the platform answers
      * @param loop the control thread
      * @param log receives the outcome of a recovery
+     * @param prepaidTokens returns the size of a budget; empty if the budget has no limit or is unknown
      * @param onReady is called when pages may be created
      */
     LedgerRecovery(
-            PlatformClient platform, PlatformHealth health, EventLoop loop, StructuredLog log, Runnable onReady) {
+            PlatformClient platform,
+            PlatformHealth health,
+            EventLoop loop,
+            StructuredLog log,
+            Function<String, OptionalLong> prepaidTokens,
+            Runnable onReady) {
         this.platform = platform;
         this.health = health;
         this.loop = loop;
         this.log = log;
+        this.prepaidTokens = prepaidTokens;
         this.onReady = onReady;
     }
 
@@ -141,7 +151,7 @@
         for (int page = 0; page < LedgerPages.COUNT; page++) {
             copy = copy.mergeGreatest(LedgerPages.newestBefore(page, reports.era(), storedPages.get()));
         }
-        RebuiltLedger ledger = reports.rebuild(copy);
+        RebuiltLedger ledger = reports.rebuild(copy, prepaidTokens);
         rebuilt = Optional.of(ledger);
         if (reports.era() != LedgerReport.NO_ERA && !ledger.entries().entries().isEmpty()) {
             log.write(
