Record blocked prompt parts again after the platform has come back from an older copy

A copy without the record of a part made all routers allow it, and upstreams ended under it again.

Change: when the era of the platform rises, each router records the parts it knows again unless the copy has them.

Test: PromptQuarantineContractTest.aBlockedPartStaysBlockedWhenTheStoreComesBackFromACopyWithoutItsRecord failed before (the part was not on record again), passes now.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlPlane.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlPlane.java
@@ -312,6 +312,7 @@
     /** Reads all objects anew, since the platform has lost changes and gives out their revisions again. */
     private void platformRestored(long era) {
         ledgers.forEach(LedgerUpdater::restored);
+        quarantine.restored();
         log.write(LogKind.DEPENDENCY, "platform restored", "era", era);
         metrics.platformRestored(era);
         tracker = tracker.platformRecovered(nowMs());
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/QuarantineUpdater.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/QuarantineUpdater.java
@@ -87,6 +87,14 @@
         }
     }
 
+    /** Records all known parts again, since the platform has come back from a copy that may lack them. */
+    void restored() {
+        revisions.clear();
+        quarantine
+                .parts()
+                .forEach(part -> unrecorded.put(part, quarantine.find(part).orElseThrow()));
+    }
+
     /** Takes over all records of the platform. */
     void listed(CrashListing listing) {
         PromptQuarantine next = PromptQuarantine.empty();
@@ -94,11 +102,18 @@
         for (StoredCrashes stored : listing.records()) {
             revisions.put(stored.crashes().part(), stored.revision());
             next = next.with(stored.crashes(), nowMs());
+            unrecorded.computeIfPresent(stored.crashes().part(), (part, seen) -> unstored(seen, stored));
         }
         for (PartCrashes crashes : unrecorded.values()) {
             next = add(next, crashes);
         }
         publish(next);
+        recordNext();
+    }
+
+    /** Returns what a stored record lacks; null if nothing. */
+    private static PartCrashes unstored(PartCrashes seen, StoredCrashes stored) {
+        return stored.crashes().merge(seen).equals(stored.crashes()) ? null : seen;
     }
 
     /** Takes over changes that the platform reports. */
