Move the registry and the announcement of a router out of the control plane

RegistryUpdater decides which upstreams may be used, RouterAnnouncer announces the router once in each era; ControlPlane wires them. A ledger page is now built from the reports that are known when it is created, not from those known when the first page could be; the outcome is logged once, as before.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlPlane.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlPlane.java
@@ -13,9 +13,7 @@
 import io.jayhead.gateway.quarantine.CrashListener;
 import io.jayhead.routing.catalog.Catalog;
 import io.jayhead.routing.catalog.Organisation;
-import io.jayhead.routing.registry.Departures;
-import io.jayhead.routing.registry.RegistryTracker;
-import io.jayhead.routing.registry.Upstream;
+import io.jayhead.routing.registry.UpstreamRegistry;
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -49,9 +47,6 @@
     /** Collects the changes of several ends at once; requests under the same part go on until then. */
     private static final int CRASHES_PAUSE_MS = 50;
 
-    /** Upstreams lapse after this many heartbeats without one. */
-    private static final int LAPSE_HEARTBEATS = 3;
-
     private static final long EXPIRY_CHECK_MS = 250;
     private static final long PROBE_CHECK_MS = 250;
 
@@ -66,17 +61,13 @@
     private final WatchLoop<UpstreamListing, UpstreamChanges> registryLoop;
     private final WatchLoop<RouterListing, RouterListing> routersLoop;
     private final WatchLoop<CrashListing, CrashChanges> crashesLoop;
+    private final RegistryUpdater registry;
     private final QuarantineUpdater quarantine;
+    private final RouterAnnouncer announcer;
     private final PlatformClient platform;
     private final RouterAddress self;
-    private final long distrustMs;
-    private final Backoff announceBackoff = new Backoff();
     private final Runnable onChange;
     private volatile RoutingSnapshot snapshot = RoutingSnapshot.empty();
-    private RegistryTracker tracker = RegistryTracker.empty();
-    private Departures departures = Departures.empty();
-    private boolean announceInFlight;
-    private boolean announced;
 
     /**
      * Creates a control plane that has read nothing.
@@ -108,7 +99,6 @@
         this.platform = platform;
         this.holder = holder;
         this.self = self;
-        this.distrustMs = LAPSE_HEARTBEATS * heartbeatMs + RegistryTracker.REREGISTRATION_MS;
         this.onChange = onChange;
         this.health = new PlatformHealth(log, metrics, this::platformRecovered);
         this.catalogLoop = new WatchLoop<>(
@@ -121,6 +111,7 @@
                 revision -> platform.watchCatalog(revision, WATCH_WAIT_MS),
                 this::catalogRead,
                 this::catalogRead);
+        this.registry = new RegistryUpdater(heartbeatMs, log, this::publish);
         this.registryLoop = new WatchLoop<>(
                 "registry",
                 loop,
@@ -129,8 +120,8 @@
                 this::registryPauseMs,
                 platform::listUpstreams,
                 revision -> platform.watchUpstreams(revision, WATCH_WAIT_MS),
-                this::registryListed,
-                this::registryChanged);
+                registry::listed,
+                registry::changed);
         this.routersLoop = new WatchLoop<>(
                 "routers",
                 loop,
@@ -153,6 +144,7 @@
                 revision -> platform.watchCrashes(revision, WATCH_WAIT_MS),
                 quarantine::listed,
                 quarantine::changed);
+        this.announcer = new RouterAnnouncer(platform, health, loop, self, this::ledgerReport);
         this.recovery =
                 new LedgerRecovery(platform, health, loop, log, this::prepaidTokens, this::ledgerPagesMayBeCreated);
         for (int page = 0; page < LedgerPages.COUNT; page++) {
@@ -225,42 +217,14 @@
         onChange.run();
     }
 
-    /** Announces this router and what it knows of the ledger, unless the platform has that already in this era. */
-    private void announce() {
-        if (announceInFlight || announced) {
-            return;
-        }
-        announceInFlight = true;
-        long eraAtSend = recovery.era();
-        RouterAnnouncement announcement = new RouterAnnouncement(self, ledgerReport());
-        platform.announce(announcement).whenComplete((done, failure) -> {
-            announceInFlight = false;
-            if (failure == null) {
-                health.succeeded("announce");
-                announced = eraAtSend == recovery.era();
-                announce();
-                return;
-            }
-            health.failed("announce", failure);
-            if (health.awaitRecovery(this::announce)) {
-                return;
-            }
-            loop.schedule(this::announce, announceBackoff.next(), TimeUnit.MILLISECONDS);
-        });
-    }
-
     private void routersRead(RouterListing listing) {
         Map<String, RouterAddress> byVm = new HashMap<>();
         snapshot.routers().forEach(router -> byVm.put(router.vmName(), router));
         listing.routers().forEach(announced -> byVm.put(announced.router().vmName(), announced.router()));
         snapshot = snapshot.withRouters(List.copyOf(byVm.values()));
         log.write(LogKind.STATE, "routers in force", "routers", byVm.size());
-        recovery.announced(listing);
-        listing.routers().stream()
-                .filter(found -> found.router().vmName().equals(self.vmName()))
-                .forEach(own ->
-                        announced = own.router().equals(self) && own.report().era() >= recovery.era());
-        announce();
+        recovery.routersRead(listing);
+        announcer.routersRead(listing);
     }
 
     private LedgerReport ledgerReport() {
@@ -275,25 +239,8 @@
         ledgers.forEach(LedgerUpdater::pagesMayBeCreated);
     }
 
-    private void registryListed(UpstreamListing listing) {
-        Map<String, Upstream> listed = new HashMap<>();
-        listing.byId().forEach((id, upstream) -> listed.put(id, departures.correct(upstream, nowMs())));
-        publish(tracker.listed(listed, nowMs()), "listed");
-    }
-
-    private void registryChanged(UpstreamChanges changes) {
-        RegistryTracker next = tracker;
-        for (UpstreamChange change : changes.changes()) {
-            RegistryTracker before = next;
-            next = change.entry()
-                    .map(entry -> before.changed(departures.correct(entry, nowMs())))
-                    .orElseGet(() -> before.deleted(change.id(), nowMs()));
-        }
-        publish(next, "changed");
-    }
-
     private void platformRecovered() {
-        tracker = tracker.platformRecovered(nowMs());
+        registry.platformRecovered();
         loop.execute(catalogLoop::restartWaitingWatch);
         loop.execute(registryLoop::restartWaitingWatch);
         loop.execute(routersLoop::restartWaitingWatch);
@@ -303,7 +250,7 @@
     private void eraChanged(long era) {
         boolean restored = recovery.era() != LedgerReport.NO_ERA;
         recovery.begin(era);
-        announced = false;
+        announcer.begin(era);
         if (restored) {
             platformRestored(era);
         }
@@ -315,10 +262,7 @@
         quarantine.restored();
         log.write(LogKind.DEPENDENCY, "platform restored", "era", era);
         metrics.platformRestored(era);
-        tracker = tracker.platformRecovered(nowMs());
-        departures = departures.restored(nowMs() + distrustMs);
-        // By then the entries of the copy have lapsed or have been written again.
-        loop.schedule(registryLoop::readAnew, distrustMs, TimeUnit.MILLISECONDS);
+        loop.schedule(registryLoop::readAnew, registry.platformRestored(), TimeUnit.MILLISECONDS);
         loop.execute(catalogLoop::readAnew);
         loop.execute(registryLoop::readAnew);
         loop.execute(routersLoop::readAnew);
@@ -339,33 +283,11 @@
         boolean firstRouter =
                 snapshot.routers().stream().noneMatch(router -> router.vmName().compareTo(self.vmName()) < 0);
         quarantine.expire(firstRouter);
-        expireUpstreams();
-    }
-
-    private void expireUpstreams() {
-        RegistryTracker next = tracker.expired(nowMs());
-        if (next != tracker) {
-            publish(next, "expired");
-        }
+        registry.expire();
     }
 
-    private void publish(RegistryTracker next, String cause) {
-        departures = departures.changed(tracker.registry(), next.registry(), nowMs());
-        tracker = next;
-        log.write(
-                LogKind.STATE,
-                "registry in force",
-                "cause",
-                cause,
-                "upstreams",
-                next.registry().ids().size(),
-                "missing",
-                next.missing().size());
-        snapshot = snapshot.withRegistry(next.registry());
+    private void publish(UpstreamRegistry newest) {
+        snapshot = snapshot.withRegistry(newest);
         onChange.run();
     }
-
-    private static long nowMs() {
-        return System.nanoTime() / 1_000_000;
-    }
 }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/LedgerRecovery.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/LedgerRecovery.java
@@ -3,7 +3,6 @@
 import io.jayhead.admission.prepaid.FleetReports;
 import io.jayhead.admission.prepaid.LedgerPage;
 import io.jayhead.admission.prepaid.LedgerPages;
-import io.jayhead.admission.prepaid.LedgerReport;
 import io.jayhead.admission.prepaid.RebuiltLedger;
 import io.jayhead.gateway.log.LogKind;
 import io.jayhead.gateway.log.StructuredLog;
@@ -34,10 +33,10 @@
     private final Backoff backoff = new Backoff();
     private FleetReports reports = FleetReports.empty();
     private Optional<Map<String, LedgerPage>> storedPages = Optional.empty();
-    private Optional<RebuiltLedger> rebuilt = Optional.empty();
     private boolean routersListed;
     private boolean listInFlight;
     private boolean waitIsOver;
+    private boolean ready;
 
     /**
      * Creates an instance for a platform whose era is unknown.
@@ -68,9 +67,9 @@
     void begin(long era) {
         reports = reports.inEra(era);
         storedPages = Optional.empty();
-        rebuilt = Optional.empty();
         routersListed = false;
         waitIsOver = false;
+        ready = false;
         loop.schedule(() -> endWait(era), REPORT_WAIT_MS, TimeUnit.MILLISECONDS);
     }
 
@@ -80,16 +79,16 @@
 
     /** Tells whether routers have to report before pages can be created. */
     boolean isAwaitingReports() {
-        return rebuilt.isEmpty() && !waitIsOver && !reports.missingVms().isEmpty();
+        return !ready && !waitIsOver && !reports.missingVms().isEmpty();
     }
 
-    /** Takes over announcements of routers, which contain their reports. */
-    void announced(RouterListing listing) {
+    /** Takes over the reports in announcements of routers. */
+    void routersRead(RouterListing listing) {
         routersListed = true;
         for (RouterAnnouncement announcement : listing.routers()) {
             reports = reports.with(announcement.router().vmName(), announcement.report());
         }
-        rebuildIfReady();
+        checkReady();
     }
 
     /**
@@ -102,13 +101,13 @@
         if (storedPages.isEmpty()) {
             readStoredPages();
         }
-        return rebuilt.map(ledger -> ledger.page(page));
+        return ready ? Optional.of(rebuild().page(page)) : Optional.empty();
     }
 
     private void endWait(long ofEra) {
         if (ofEra == reports.era()) {
             waitIsOver = true;
-            rebuildIfReady();
+            checkReady();
         }
     }
 
@@ -128,7 +127,7 @@
             backoff.reset();
             if (eraAtSend == reports.era()) {
                 storedPages = Optional.of(pages);
-                rebuildIfReady();
+                checkReady();
             } else {
                 readStoredPages();
             }
@@ -142,30 +141,38 @@
         }
     }
 
-    private void rebuildIfReady() {
+    private void checkReady() {
         boolean complete = routersListed && reports.missingVms().isEmpty();
-        if (rebuilt.isPresent() || storedPages.isEmpty() || !complete && !waitIsOver) {
+        if (ready || storedPages.isEmpty() || !complete && !waitIsOver) {
             return;
         }
+        ready = true;
+        logOutcome(rebuild());
+        onReady.run();
+    }
+
+    private RebuiltLedger rebuild() {
         LedgerPage copy = LedgerPage.empty();
         for (int page = 0; page < LedgerPages.COUNT; page++) {
-            copy = copy.mergeGreatest(LedgerPages.newestBefore(page, reports.era(), storedPages.get()));
+            copy = copy.mergeGreatest(LedgerPages.newestBefore(page, reports.era(), storedPages.orElseThrow()));
         }
-        RebuiltLedger ledger = reports.rebuild(copy, prepaidTokens);
-        rebuilt = Optional.of(ledger);
-        if (reports.era() != LedgerReport.NO_ERA && !ledger.entries().entries().isEmpty()) {
-            log.write(
-                    LogKind.DEPENDENCY,
-                    "ledger rebuilt",
-                    "era",
-                    reports.era(),
-                    "reported_routers",
-                    reports.byVm().size() - reports.missingVms().size(),
-                    "missing_routers",
-                    reports.missingVms(),
-                    "written_off_tokens",
-                    ledger.writtenOffTokens());
+        return reports.rebuild(copy, prepaidTokens);
+    }
+
+    private void logOutcome(RebuiltLedger ledger) {
+        if (ledger.entries().entries().isEmpty()) {
+            return;
         }
-        onReady.run();
+        log.write(
+                LogKind.DEPENDENCY,
+                "ledger rebuilt",
+                "era",
+                reports.era(),
+                "reported_routers",
+                reports.byVm().size() - reports.missingVms().size(),
+                "missing_routers",
+                reports.missingVms(),
+                "written_off_tokens",
+                ledger.writtenOffTokens());
     }
 }
