Keep what ended incarnations reported, and write off more where nobody has read a page since the copy

Change: a report keeps what the predecessor of its VM had reported, and everything that was ever heard counts (FleetReports.heard). Of a page that no reporting router has taken from since the copy, the demand of a copy's age (20 s) and of the prefetch limit is written off for each incarnation that does not report.

Tests: two new ones in FleetReportsTest; LedgerRestoreTest and RestoredStoreContractTest pass.

--- a/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/FleetReports.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/FleetReports.java
@@ -16,8 +16,9 @@
  *
  * @param era the era in which reports count
  * @param byVm the newest report of each VM, also of earlier eras
+ * @param heard the greatest entries of all reports, also of those that newer ones have replaced
  */
-public record FleetReports(long era, Map<String, LedgerReport> byVm) {
+public record FleetReports(long era, Map<String, LedgerReport> byVm, LedgerPage heard) {
 
     /** Copies the map. */
     public FleetReports {
@@ -30,7 +31,7 @@
      * @return the empty collection, for a platform whose era is unknown
      */
     public static FleetReports empty() {
-        return new FleetReports(LedgerReport.NO_ERA, Map.of());
+        return new FleetReports(LedgerReport.NO_ERA, Map.of(), LedgerPage.empty());
     }
 
     /**
@@ -40,24 +41,38 @@
      * @return the new collection
      */
     public FleetReports inEra(long newEra) {
-        return new FleetReports(newEra, byVm);
+        return new FleetReports(newEra, byVm, heard);
     }
 
     /**
      * Adds a report.
      *
      * @param vmName the VM of the router
-     * @param report the report; one of an earlier era than a known report of the VM changes nothing
+     * @param report the report; one of an earlier era than a known report of the VM does not replace it
      * @return the new collection
      */
     public FleetReports with(String vmName, LedgerReport report) {
+        LedgerPage nextHeard = heard.mergeGreatest(report.known());
         LedgerReport known = byVm.get(vmName);
         if (known != null && known.era() > report.era()) {
-            return this;
+            return new FleetReports(era, byVm, nextHeard);
         }
         Map<String, LedgerReport> next = new HashMap<>(byVm);
         next.put(vmName, report);
-        return new FleetReports(era, next);
+        return new FleetReports(era, next, nextHeard);
+    }
+
+    /**
+     * Returns the report of an incarnation, which keeps what its predecessor had reported through the platform.
+     *
+     * @param vmName the VM of the router
+     * @param holder the name of the incarnation
+     * @param known the entries that the incarnation has read
+     * @return the report
+     */
+    public LedgerReport reportOf(String vmName, String holder, LedgerPage known) {
+        LedgerPage earlier = byVm.getOrDefault(vmName, LedgerReport.none()).known();
+        return new LedgerReport(era, holder, earlier.without(holder).mergeGreatest(known));
     }
 
     /**
@@ -89,11 +104,7 @@
      * @return all entries that any router or the copy knows, and the amounts that are written off
      */
     public RebuiltLedger rebuild(LedgerPage copy, Function<String, OptionalLong> prepaidTokensOf) {
-        LedgerPage known = copy;
-        for (LedgerReport report : byVm.values()) {
-            known = known.mergeGreatest(report.known());
-        }
-        LedgerPage exact = withReportedEntries(known);
+        LedgerPage exact = withReportedEntries(copy.mergeGreatest(heard));
         Map<String, LedgerReport> reporters = reporters();
         LedgerPage rebuilt = exact;
         long writtenOffTokens = 0;
@@ -106,8 +117,10 @@
                     continue;
                 }
                 LedgerEntry entry = exact.entry(organisation, name);
-                long tokens = GrantRule.mostUnseenTokens(
-                        entry.tokensPerS(), leftTokens, exact.otherVmsTokensPerS(organisation, holder.vmName()));
+                long tokens = isReadSince(copy, LedgerPages.indexOf(organisation))
+                        ? GrantRule.mostUnseenTokens(
+                                entry.tokensPerS(), leftTokens, exact.otherVmsTokensPerS(organisation, holder.vmName()))
+                        : GrantRule.mostTokensSinceCopy(entry.tokensPerS(), leftTokens);
                 rebuilt = rebuilt.with(organisation, name, new LedgerEntry(entry.takenTokens() + tokens, 0));
                 writtenOffTokens += tokens;
             }
@@ -115,6 +128,15 @@
         return new RebuiltLedger(rebuilt, writtenOffTokens);
     }
 
+    /** Tells whether a router that reports has taken tokens of a page, and so read it, since the copy. */
+    private boolean isReadSince(LedgerPage copy, int page) {
+        return reporters().values().stream()
+                .anyMatch(report -> report.known().entries().keySet().stream()
+                        .filter(organisation -> LedgerPages.indexOf(organisation) == page)
+                        .anyMatch(organisation -> report.known().takenTokens(organisation, report.holder())
+                                > copy.takenTokens(organisation, report.holder())));
+    }
+
     private LedgerPage withReportedEntries(LedgerPage known) {
         LedgerPage exact = known;
         Map<String, LedgerReport> reporters = reporters();
--- a/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/GrantRule.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/GrantRule.java
@@ -19,6 +19,9 @@
     /** Other routers read a page at least this often while a budget is in demand. */
     private static final double UNSEEN_DEMAND_S = 2;
 
+    /** The age of a copy of the store that is reckoned with. */
+    private static final double MAX_COPY_AGE_S = 20;
+
     private GrantRule() {}
 
     /**
@@ -34,6 +37,19 @@
         return Math.min(MAX_PREFETCH_S, MIN_PREFETCH_S + connectedS);
     }
 
+    /**
+     * Returns the tokens that a router may have taken since a copy of its page, if no other router has read the page
+     * since.
+     *
+     * @param tokensPerS the demand of the router in tokens per second
+     * @param leftTokens the tokens left in the copy
+     * @return the tokens that it consumed since, and those that it prefetched
+     */
+    public static long mostTokensSinceCopy(long tokensPerS, long leftTokens) {
+        double tokens = tokensPerS * (MAX_COPY_AGE_S + MAX_PREFETCH_S);
+        return Math.min((long) Math.ceil(tokens), Math.max(0, leftTokens));
+    }
+
     /**
      * Returns the tokens that a router may have taken unseen, after the last reading of its page by any other router.
      *
--- a/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/LedgerPage.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/LedgerPage.java
@@ -118,6 +118,22 @@
         return new LedgerPage(organisations);
     }
 
+    /**
+     * Returns a page without the entries of one holder.
+     *
+     * @param holder the name of the holder
+     * @return the new page
+     */
+    public LedgerPage without(String holder) {
+        Map<String, Map<String, LedgerEntry>> organisations = new HashMap<>();
+        entries.forEach((organisation, holders) -> {
+            Map<String, LedgerEntry> others = new HashMap<>(holders);
+            others.remove(holder);
+            organisations.put(organisation, others);
+        });
+        return new LedgerPage(organisations);
+    }
+
     private Map<String, LedgerEntry> holders(String organisation) {
         return entries.getOrDefault(organisation, Map.of());
     }
--- a/jayhead-admission/src/test/java/io/jayhead/admission/prepaid/FleetReportsTest.java
+++ b/jayhead-admission/src/test/java/io/jayhead/admission/prepaid/FleetReportsTest.java
@@ -32,7 +32,7 @@
 
     @Test
     void anEntryThatOnlyAnotherRouterHasReadCountsAndWhatItTookUnseenIsWrittenOff() {
-        LedgerPage known = LedgerPage.empty().with("shop", SECOND, new LedgerEntry(700, 10));
+        LedgerPage known = page(FIRST, 1).with("shop", SECOND, new LedgerEntry(700, 10));
         RebuiltLedger rebuilt = reports("vm-1", FIRST, known).rebuild(page(SECOND, 400), PREPAID);
         assertEquals(700 + 120, rebuilt.entries().takenTokens("shop", SECOND));
         assertEquals(120, rebuilt.writtenOffTokens());
@@ -40,11 +40,18 @@
 
     @Test
     void noMoreIsWrittenOffThanOneUpdateCanTakeOfWhatIsLeft() {
-        LedgerPage known = LedgerPage.empty().with("shop", SECOND, new LedgerEntry(99_000, 400));
+        LedgerPage known = page(FIRST, 1).with("shop", SECOND, new LedgerEntry(98_999, 400));
         RebuiltLedger rebuilt = reports("vm-1", FIRST, known).rebuild(page(SECOND, 400), PREPAID);
         assertEquals(800, rebuilt.writtenOffTokens(), "two seconds of demand, more than half of the 1,000 left");
     }
 
+    @Test
+    void withoutAnyReadingSinceTheCopyAllThatASilentRouterCanHaveTakenIsWrittenOff() {
+        LedgerPage copy = LedgerPage.empty().with("shop", SECOND, new LedgerEntry(700, 10));
+        RebuiltLedger rebuilt = reports("vm-1", FIRST, LedgerPage.empty()).rebuild(copy, PREPAID);
+        assertEquals(320, rebuilt.writtenOffTokens(), "32 seconds of demand");
+    }
+
     @Test
     void nothingIsWrittenOffForAnIncarnationThatEndedBeforeItsPageWasRead() {
         LedgerPage copy = LedgerPage.empty()
@@ -64,6 +71,22 @@
         assertEquals(900, reports.rebuild(page(FIRST, 400), PREPAID).entries().takenTokens("shop", FIRST));
     }
 
+    @Test
+    void whatAnEndedIncarnationReportedOutlivesTheReportOfItsSuccessor() {
+        FleetReports stored = reports("vm-1", FIRST, page(FIRST, 900)).inEra(3);
+        LedgerReport successor = stored.reportOf("vm-1", "vm-1/200/c", LedgerPage.empty());
+        LedgerPage rebuilt = FleetReports.empty()
+                .inEra(3)
+                .with("vm-1", successor)
+                .rebuild(page(FIRST, 400), PREPAID)
+                .entries();
+        assertEquals(900, rebuilt.takenTokens("shop", FIRST));
+        LedgerPage inMemory = stored.with("vm-1", new LedgerReport(3, "vm-1/200/c", LedgerPage.empty()))
+                .rebuild(page(FIRST, 400), PREPAID)
+                .entries();
+        assertEquals(900, inMemory.takenTokens("shop", FIRST));
+    }
+
     @Test
     void pagesOfTheNewestEarlierEraAreTheCopy() {
         Map<String, LedgerPage> stored = Map.of(
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlPlane.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlPlane.java
@@ -232,7 +232,7 @@
         for (LedgerUpdater ledger : ledgers) {
             known = known.mergeGreatest(ledger.knownPage());
         }
-        return new LedgerReport(recovery.era(), holder.name(), known);
+        return recovery.reportOf(holder, known);
     }
 
     private void ledgerPagesMayBeCreated() {
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/LedgerRecovery.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/LedgerRecovery.java
@@ -1,8 +1,10 @@
 package io.jayhead.gateway.control;
 
 import io.jayhead.admission.prepaid.FleetReports;
+import io.jayhead.admission.prepaid.Holder;
 import io.jayhead.admission.prepaid.LedgerPage;
 import io.jayhead.admission.prepaid.LedgerPages;
+import io.jayhead.admission.prepaid.LedgerReport;
 import io.jayhead.admission.prepaid.RebuiltLedger;
 import io.jayhead.gateway.log.LogKind;
 import io.jayhead.gateway.log.StructuredLog;
@@ -77,6 +79,11 @@
         return reports.era();
     }
 
+    /** Returns the report of an incarnation that has read the given entries. */
+    LedgerReport reportOf(Holder holder, LedgerPage known) {
+        return reports.reportOf(holder.vmName(), holder.name(), known);
+    }
+
     /** Tells whether routers have to report before pages can be created. */
     boolean isAwaitingReports() {
         return !ready && !waitIsOver && !reports.missingVms().isEmpty();
