--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/WatchLoop.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/WatchLoop.java
@@ -12,8 +12,8 @@
  * Follows the objects of one kind: reads all of them, then watches for changes.
  *
  * <p>Reads all again after each failure, for example when the platform no longer has the history. A reading also sets
- * the revision from which to watch, since revisions go back when the platform is restored from an older copy. A watch waits for
- * much longer than a read, so a watch that is sent to a platform that does not answer would hide its recovery.
+ * the revision from which to watch, since revisions go back when the platform is restored from an older copy. A watch
+ * waits for much longer than a read, so a watch that is sent to a platform that does not answer would hide its recovery.
  *
  * @param <L> the type of a full listing
  * @param <C> the type of the changes that a watch reports
