--- a/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/LedgerPages.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/LedgerPages.java
@@ -36,8 +36,8 @@
     /**
      * Returns the name of a page in the store.
      *
-     * <p>Each era has its own pages. So an update that was sent before the platform came back from an older copy, and is
-     * executed after it, cannot change a page in use, although revisions are given out again.
+     * <p>Each era has its own pages. So an update that was sent before the platform came back from an older copy, and
+     * is executed after it, cannot change a page in use, although revisions are given out again.
      *
      * @param index the index of the page
      * @param era the era of the platform; negative if it is unknown
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/WatchLoop.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/WatchLoop.java
@@ -13,7 +13,8 @@
  *
  * <p>Reads all again after each failure, for example when the platform no longer has the history. A reading also sets
  * the revision from which to watch, since revisions go back when the platform is restored from an older copy. A watch
- * waits for much longer than a read, so a watch that is sent to a platform that does not answer would hide its recovery.
+ * waits for much longer than a read, so a watch that is sent to a platform that does not answer would hide its
+ * recovery.
  *
  * @param <L> the type of a full listing
  * @param <C> the type of the changes that a watch reports
@@ -102,7 +103,7 @@
         readAnew();
     }
 
-    /** Reads all objects at once and ignores what earlier calls bring, for example because it belongs to a lost time. */
+    /** Reads all objects at once, and ignores what earlier calls bring, which may belong to a lost time. */
     void readAnew() {
         runNumber++;
         watchInFlight = false;
