--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/PlatformClient.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/PlatformClient.java
@@ -18,8 +18,8 @@
 
     /**
      * Registers who is notified of the era of the platform, which rises each time the platform has gone back to an
-     * older copy. Calls that are in flight then fail with {@link PlatformFault#RESTORED}, so no answer joins revisions from
-     * before and after.
+     * older copy. Calls that are in flight then fail with {@link PlatformFault#RESTORED}, so no answer joins revisions
+     * from before and after.
      *
      * @param listener receives the first era that is known, and each later one, on the control thread and before any
      *     other answer of that era; a platform without eras never calls it
