Report only the budgets that a router holds

A report had everything that the router had read.

Change: a report has the entries of the budgets of which its router has taken tokens. The holders of a budget are the ones that read its entries, so nothing is lost that they knew of each other. docs/CAPACITY.md names what does not reach yet.

Test: LedgerPageTest.onlyTheBudgetsOfAHolderAreReportedByIt; RestoredStoreContractTest and LedgerRestoreTest pass.

--- a/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/LedgerPage.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/LedgerPage.java
@@ -118,6 +118,18 @@
         return new LedgerPage(organisations);
     }
 
+    /**
+     * Returns the budgets of which a holder has taken tokens.
+     *
+     * @param holder the name of the holder
+     * @return a page with all entries of these budgets
+     */
+    public LedgerPage heldBy(String holder) {
+        Map<String, Map<String, LedgerEntry>> organisations = new HashMap<>(entries);
+        organisations.values().removeIf(holders -> !holders.containsKey(holder));
+        return new LedgerPage(organisations);
+    }
+
     /**
      * Returns a page without the entries of one holder.
      *
--- a/jayhead-admission/src/test/java/io/jayhead/admission/prepaid/LedgerPageTest.java
+++ b/jayhead-admission/src/test/java/io/jayhead/admission/prepaid/LedgerPageTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 /** Guards against counting the demand of a VM more than once after a restart, and against losing the tokens it took. */
@@ -22,4 +23,14 @@
         LedgerPage page = LedgerPage.empty().with("shop", "unknown", new LedgerEntry(9, 4));
         assertEquals(9, page.totalTakenTokens("shop"));
     }
+
+    @Test
+    void onlyTheBudgetsOfAHolderAreReportedByIt() {
+        LedgerPage page = LedgerPage.empty()
+                .with("shop", "vm-1/1/n", new LedgerEntry(5, 0))
+                .with("shop", "vm-2/1/n", new LedgerEntry(6, 0))
+                .with("other", "vm-2/1/n", new LedgerEntry(7, 0));
+        assertEquals(Set.of("shop"), page.heldBy("vm-1/1/n").entries().keySet());
+        assertEquals(6, page.heldBy("vm-1/1/n").takenTokens("shop", "vm-2/1/n"));
+    }
 }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlPlane.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlPlane.java
@@ -227,10 +227,11 @@
         announcer.routersRead(listing);
     }
 
+    /** Returns what this router knows of the budgets that it holds, so that reports stay small in a large fleet. */
     private LedgerReport ledgerReport() {
         LedgerPage known = LedgerPage.empty();
         for (LedgerUpdater ledger : ledgers) {
-            known = known.mergeGreatest(ledger.knownPage());
+            known = known.mergeGreatest(ledger.knownPage().heldBy(holder.name()));
         }
         return recovery.reportOf(holder, known);
     }
