Revert the write-off for incarnations without any entry

Announcements are made once in an era and are not renewed by restarts. So after a return, each VM that had restarted at any time would count as one whose incarnation ended in the lost time, on every budget of a page where the new one has no entry; in a fleet of many routers, where few hold each budget, that withholds most of what is left. Found by reading; not run.

--- a/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/FleetReports.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/FleetReports.java
@@ -1,7 +1,6 @@
 package io.jayhead.admission.prepaid;
 
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -18,15 +17,12 @@
  * @param era the era in which reports count
  * @param byVm the newest report of each VM, also of earlier eras
  * @param heard the greatest entries of all reports, also of those that newer ones have replaced
- * @param replacedHolders the incarnations whose VM reported in a later era under another name, so that they ended at an
- *     unknown time between
  */
-public record FleetReports(long era, Map<String, LedgerReport> byVm, LedgerPage heard, Set<String> replacedHolders) {
+public record FleetReports(long era, Map<String, LedgerReport> byVm, LedgerPage heard) {
 
-    /** Copies the map and the set. */
+    /** Copies the map. */
     public FleetReports {
         byVm = Map.copyOf(byVm);
-        replacedHolders = Set.copyOf(replacedHolders);
     }
 
     /**
@@ -35,7 +31,7 @@
      * @return the empty collection, for a platform whose era is unknown
      */
     public static FleetReports empty() {
-        return new FleetReports(LedgerReport.NO_ERA, Map.of(), LedgerPage.empty(), Set.of());
+        return new FleetReports(LedgerReport.NO_ERA, Map.of(), LedgerPage.empty());
     }
 
     /**
@@ -45,7 +41,7 @@
      * @return the new collection
      */
     public FleetReports inEra(long newEra) {
-        return new FleetReports(newEra, byVm, heard, replacedHolders);
+        return new FleetReports(newEra, byVm, heard);
     }
 
     /**
@@ -59,19 +55,11 @@
         LedgerPage nextHeard = heard.mergeGreatest(report.known());
         LedgerReport known = byVm.get(vmName);
         if (known != null && known.era() > report.era()) {
-            return new FleetReports(era, byVm, nextHeard, replacedHolders);
+            return new FleetReports(era, byVm, nextHeard);
         }
         Map<String, LedgerReport> next = new HashMap<>(byVm);
         next.put(vmName, report);
-        Set<String> replaced = new HashSet<>(replacedHolders);
-        if (known != null && known.era() < report.era() && isOtherIncarnation(known, report)) {
-            replaced.add(known.holder());
-        }
-        return new FleetReports(era, next, nextHeard, replaced);
-    }
-
-    private static boolean isOtherIncarnation(LedgerReport first, LedgerReport second) {
-        return !first.holder().isEmpty() && !first.holder().equals(second.holder());
+        return new FleetReports(era, next, nextHeard);
     }
 
     /**
@@ -117,46 +105,29 @@
      */
     public RebuiltLedger rebuild(LedgerPage copy, Function<String, OptionalLong> prepaidTokensOf) {
         LedgerPage exact = withReportedEntries(copy.mergeGreatest(heard));
+        Map<String, LedgerReport> reporters = reporters();
         LedgerPage rebuilt = exact;
         long writtenOffTokens = 0;
         for (String organisation : exact.entries().keySet()) {
             long leftTokens = prepaidTokensOf.apply(organisation).orElse(Long.MAX_VALUE / 2)
                     - exact.totalTakenTokens(organisation);
-            for (String holder : silentHolders(organisation, exact)) {
-                LedgerEntry entry = exact.entry(organisation, holder);
-                long tokens = unseenTokens(organisation, holder, leftTokens, exact, copy);
-                rebuilt = rebuilt.with(organisation, holder, new LedgerEntry(entry.takenTokens() + tokens, 0));
+            for (String name : exact.entries().get(organisation).keySet()) {
+                Holder holder = Holder.of(name);
+                if (reporters.containsKey(name) || hasEndedBeforeReading(holder, organisation, exact)) {
+                    continue;
+                }
+                LedgerEntry entry = exact.entry(organisation, name);
+                long tokens = isReadSince(copy, LedgerPages.indexOf(organisation))
+                        ? GrantRule.mostUnseenTokens(
+                                entry.tokensPerS(), leftTokens, exact.otherVmsTokensPerS(organisation, holder.vmName()))
+                        : GrantRule.mostTokensSinceCopy(entry.tokensPerS(), leftTokens);
+                rebuilt = rebuilt.with(organisation, name, new LedgerEntry(entry.takenTokens() + tokens, 0));
                 writtenOffTokens += tokens;
             }
         }
         return new RebuiltLedger(rebuilt, writtenOffTokens);
     }
 
-    /** Returns the incarnations that have not reported and may have taken more of a budget than their entries say. */
-    private Set<String> silentHolders(String organisation, LedgerPage exact) {
-        Set<String> silent = new TreeSet<>(exact.entries().get(organisation).keySet());
-        silent.addAll(replacedHolders);
-        missingVms().forEach(vmName -> silent.add(byVm.get(vmName).holder()));
-        silent.removeAll(reporters().keySet());
-        silent.removeIf(holder -> holder.isEmpty() || hasEndedBeforeReading(Holder.of(holder), organisation, exact));
-        return silent;
-    }
-
-    /** Returns what may be missing in an entry; an incarnation without one counts with the greatest known demand. */
-    private long unseenTokens(String organisation, String holder, long leftTokens, LedgerPage exact, LedgerPage copy) {
-        Map<String, LedgerEntry> entries = exact.entries().get(organisation);
-        long greatestTokensPerS = entries.values().stream()
-                .mapToLong(LedgerEntry::tokensPerS)
-                .max()
-                .orElse(0);
-        long tokensPerS = entries.containsKey(holder) ? entries.get(holder).tokensPerS() : greatestTokensPerS;
-        if (!isReadSince(copy, LedgerPages.indexOf(organisation))) {
-            return GrantRule.mostTokensSinceCopy(tokensPerS, leftTokens);
-        }
-        String vmName = Holder.of(holder).vmName();
-        return GrantRule.mostUnseenTokens(tokensPerS, leftTokens, exact.otherVmsTokensPerS(organisation, vmName));
-    }
-
     /** Tells whether a router that reports has taken tokens of a page, and so read it, since the copy. */
     private boolean isReadSince(LedgerPage copy, int page) {
         return reporters().values().stream()
