Replicate ledger entries to two other routers

A router was killed 50 ms before a return, after its first tokens of a budget. The copy had no entry of it and no other router had read one, so the rebuilt page gave its tokens out again.

Cause: what a router takes is known to itself and to the store only, until another router happens to read the page. If the store forgets and the router has ended, nobody knows.

Change: after each ledger answer that changes its entries, a router sends them to the two routers that follow its name (EntryReplicator, a new peer message). These keep them for a minute and report them with their own. A replica that does not answer is replaced by the next router, and a new incarnation of a replica gets all entries again. It is asynchronous: a router that is killed between an update and the delivery of its message still leaves nothing behind.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/Gateway.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/Gateway.java
@@ -24,8 +24,10 @@
 import io.jayhead.peer.PeerClient;
 import io.jayhead.peer.PeerServer;
 import io.jayhead.peer.PeerTrafficListener;
+import io.jayhead.peer.pb.Frame;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiFunction;
 
@@ -84,10 +86,11 @@
         this.log = log;
         EventLoop controlLoop = controlGroup.next();
         ControlPlane[] controlReference = new ControlPlane[1];
+        PeerClient peers = PeerClient.of(trafficGroup, PeerTrafficListener.NONE);
         this.budgets = new BudgetAccounts(
                 traffic,
                 (organisation, need) -> controlReference[0].updateNeed(organisation, need),
-                PeerClient.of(trafficGroup, PeerTrafficListener.NONE),
+                peers,
                 settings.vmName(),
                 () -> controlReference[0].snapshot().routers(),
                 log,
@@ -95,6 +98,7 @@
         this.control = new ControlPlane(
                 controlLoop,
                 platform.apply(controlLoop, log),
+                peers,
                 new Holder(settings.vmName(), System.currentTimeMillis(), incarnation),
                 new RouterAddress(settings.vmName(), settings.peersAddress()),
                 settings.heartbeatMs(),
@@ -128,7 +132,7 @@
         budgets.start();
         repeat("measure link", this::measureLink, LINK_CHECK_MS);
         repeat("sweep connections", this::sweep, SWEEP_MS);
-        PeerServer.start(trafficGroup, settings.peersAddress(), budgets::answerPeer, PeerTrafficListener.NONE);
+        PeerServer.start(trafficGroup, settings.peersAddress(), this::answerPeer, PeerTrafficListener.NONE);
         callers.listen(trafficGroup, trafficGroup, settings.callersAddress());
         new StatusServer(dialect.readinessPath(), this::isReady, () -> metrics.text(log.droppedLines()))
                 .listen(trafficGroup, settings.statusAddress());
@@ -146,6 +150,12 @@
                 settings.statusAddress());
     }
 
+    private CompletableFuture<Frame> answerPeer(Frame request) {
+        return request.hasReplicateEntries()
+                ? control.replicate(request.getReplicateEntries())
+                : budgets.answerPeer(request);
+    }
+
     private void repeat(String name, Runnable task, long periodMs) {
         GuardedTask guarded = new GuardedTask(name, log, task);
         traffic.scheduleWithFixedDelay(guarded, periodMs, periodMs, TimeUnit.MILLISECONDS);
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlPlane.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlPlane.java
@@ -11,6 +11,9 @@
 import io.jayhead.gateway.log.StructuredLog;
 import io.jayhead.gateway.metrics.GatewayMetrics;
 import io.jayhead.gateway.quarantine.CrashListener;
+import io.jayhead.peer.PeerClient;
+import io.jayhead.peer.pb.Frame;
+import io.jayhead.peer.pb.ReplicateEntries;
 import io.jayhead.routing.catalog.Catalog;
 import io.jayhead.routing.catalog.Organisation;
 import io.jayhead.routing.registry.UpstreamRegistry;
@@ -20,6 +23,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -64,6 +68,8 @@
     private final RegistryUpdater registry;
     private final QuarantineUpdater quarantine;
     private final RouterAnnouncer announcer;
+    private final EntryReplicator replicator;
+    private final ReplicatedEntries replicas = new ReplicatedEntries();
     private final PlatformClient platform;
     private final RouterAddress self;
     private final Runnable onChange;
@@ -74,6 +80,7 @@
      *
      * @param loop the control thread
      * @param platform the client of the platform
+     * @param peers sends messages to other routers
      * @param holder identifies this incarnation of the router in ledger pages
      * @param self the VM name of this router and the address on which it accepts other routers
      * @param heartbeatMs the time in milliseconds between two heartbeats by which upstreams stay registered
@@ -86,6 +93,7 @@
     public ControlPlane(
             EventLoop loop,
             PlatformClient platform,
+            PeerClient peers,
             Holder holder,
             RouterAddress self,
             long heartbeatMs,
@@ -147,9 +155,10 @@
         this.announcer = new RouterAnnouncer(platform, health, loop, self, this::ledgerReport);
         this.recovery =
                 new LedgerRecovery(platform, health, loop, log, this::prepaidTokens, this::ledgerPagesMayBeCreated);
+        this.replicator = new EntryReplicator(self, holder.name(), peers, loop, log);
         for (int page = 0; page < LedgerPages.COUNT; page++) {
             ledgers.add(new LedgerUpdater(
-                    page, recovery, holder, platform, health, loop, log, this::prepaidTokens, budgets));
+                    page, recovery, holder, platform, health, loop, log, this::prepaidTokens, budgets, replicator));
         }
     }
 
@@ -186,6 +195,25 @@
         loop.execute(() -> ledgers.get(page).updateNeed(organisation, need));
     }
 
+    /**
+     * Keeps ledger entries of another router; may be called by any thread.
+     *
+     * @param message the entries
+     * @return the reply
+     */
+    public CompletableFuture<Frame> replicate(ReplicateEntries message) {
+        return CompletableFuture.supplyAsync(
+                () -> {
+                    replicas.add(message.getHolder(), ReplicationMessages.entries(message), nowMs());
+                    return ReplicationMessages.reply(holder.name());
+                },
+                loop);
+    }
+
+    private static long nowMs() {
+        return System.nanoTime() / 1_000_000;
+    }
+
     private int routersPauseMs() {
         return recovery.isAwaitingReports() ? REPORTS_PAUSE_MS : ROUTERS_PAUSE_MS;
     }
@@ -223,13 +251,17 @@
         listing.routers().forEach(announced -> byVm.put(announced.router().vmName(), announced.router()));
         snapshot = snapshot.withRouters(List.copyOf(byVm.values()));
         log.write(LogKind.STATE, "routers in force", "routers", byVm.size());
+        replicator.routersChanged(snapshot.routers());
         recovery.routersRead(listing);
         announcer.routersRead(listing);
     }
 
-    /** Returns what this router knows of the budgets that it holds, so that reports stay small in a large fleet. */
+    /**
+     * Returns what this router knows of the budgets that it holds, and what others have replicated to it. Other entries
+     * are left out, so that reports stay small in a large fleet.
+     */
     private LedgerReport ledgerReport() {
-        LedgerPage known = LedgerPage.empty();
+        LedgerPage known = replicas.entries(nowMs());
         for (LedgerUpdater ledger : ledgers) {
             known = known.mergeGreatest(ledger.knownPage().heldBy(holder.name()));
         }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/LedgerUpdater.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/LedgerUpdater.java
@@ -3,6 +3,7 @@
 import io.jayhead.admission.prepaid.BudgetNeed;
 import io.jayhead.admission.prepaid.GrantRule;
 import io.jayhead.admission.prepaid.Holder;
+import io.jayhead.admission.prepaid.LedgerEntry;
 import io.jayhead.admission.prepaid.LedgerPage;
 import io.jayhead.admission.prepaid.LedgerPages;
 import io.jayhead.admission.prepaid.LedgerSession;
@@ -35,6 +36,7 @@
     private final StructuredLog log;
     private final Function<String, OptionalLong> prepaidTokens;
     private final BudgetListener listener;
+    private final EntryReplicator replicator;
     private final Map<String, BudgetNeed> needs = new HashMap<>();
     private final Map<String, Long> returnedTokens = new HashMap<>();
     private final Set<String> pendingOrganisations = new HashSet<>();
@@ -55,7 +57,8 @@
             EventLoop loop,
             StructuredLog log,
             Function<String, OptionalLong> prepaidTokens,
-            BudgetListener listener) {
+            BudgetListener listener,
+            EntryReplicator replicator) {
         this.page = page;
         this.recovery = recovery;
         this.platform = platform;
@@ -64,6 +67,7 @@
         this.log = log;
         this.prepaidTokens = prepaidTokens;
         this.listener = listener;
+        this.replicator = replicator;
         this.session = LedgerSession.of(holder);
     }
 
@@ -159,9 +163,11 @@
         backoff.reset();
         readRequired = false;
         pageMissing = false;
+        LedgerPage previousPage = session.latestPage().page();
         session = session.withPage(answer);
         Set<String> answeredOrganisations = new HashSet<>(pendingOrganisations);
         pendingOrganisations.clear();
+        replicator.entriesChanged(changedEntries(answeredOrganisations, previousPage));
         boolean updatePending = session.inFlight().isPresent() || session.needsCorrection();
         for (String organisation : answeredOrganisations) {
             needs.remove(organisation);
@@ -172,6 +178,18 @@
         }
     }
 
+    private Map<String, LedgerEntry> changedEntries(Set<String> organisations, LedgerPage previousPage) {
+        String holder = session.holder().name();
+        Map<String, LedgerEntry> changed = new HashMap<>();
+        for (String organisation : organisations) {
+            LedgerEntry entry = session.latestPage().page().entry(organisation, holder);
+            if (!entry.equals(previousPage.entry(organisation, holder))) {
+                changed.put(organisation, entry);
+            }
+        }
+        return changed;
+    }
+
     private void publish(String organisation) {
         long ownTokens = session.ownTokens(organisation);
         long leftTokens = session.leftTokens(
--- a/jayhead-peer/src/main/java/io/jayhead/peer/pb/Frame.java
+++ b/jayhead-peer/src/main/java/io/jayhead/peer/pb/Frame.java
@@ -70,6 +70,8 @@
     RELEASE_CHARGES_REPLY(24),
     COMMIT_CHARGES(25),
     COMMIT_CHARGES_REPLY(26),
+    REPLICATE_ENTRIES(27),
+    REPLICATE_ENTRIES_REPLY(28),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -104,6 +106,8 @@
         case 24: return RELEASE_CHARGES_REPLY;
         case 25: return COMMIT_CHARGES;
         case 26: return COMMIT_CHARGES_REPLY;
+        case 27: return REPLICATE_ENTRIES;
+        case 28: return REPLICATE_ENTRIES_REPLY;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -668,6 +672,68 @@
     return io.jayhead.peer.pb.CommitChargesReply.getDefaultInstance();
   }
 
+  public static final int REPLICATE_ENTRIES_FIELD_NUMBER = 27;
+  /**
+   * <code>.io.jayhead.peer.ReplicateEntries replicate_entries = 27;</code>
+   * @return Whether the replicateEntries field is set.
+   */
+  @java.lang.Override
+  public boolean hasReplicateEntries() {
+    return bodyCase_ == 27;
+  }
+  /**
+   * <code>.io.jayhead.peer.ReplicateEntries replicate_entries = 27;</code>
+   * @return The replicateEntries.
+   */
+  @java.lang.Override
+  public io.jayhead.peer.pb.ReplicateEntries getReplicateEntries() {
+    if (bodyCase_ == 27) {
+       return (io.jayhead.peer.pb.ReplicateEntries) body_;
+    }
+    return io.jayhead.peer.pb.ReplicateEntries.getDefaultInstance();
+  }
+  /**
+   * <code>.io.jayhead.peer.ReplicateEntries replicate_entries = 27;</code>
+   */
+  @java.lang.Override
+  public io.jayhead.peer.pb.ReplicateEntriesOrBuilder getReplicateEntriesOrBuilder() {
+    if (bodyCase_ == 27) {
+       return (io.jayhead.peer.pb.ReplicateEntries) body_;
+    }
+    return io.jayhead.peer.pb.ReplicateEntries.getDefaultInstance();
+  }
+
+  public static final int REPLICATE_ENTRIES_REPLY_FIELD_NUMBER = 28;
+  /**
+   * <code>.io.jayhead.peer.ReplicateEntriesReply replicate_entries_reply = 28;</code>
+   * @return Whether the replicateEntriesReply field is set.
+   */
+  @java.lang.Override
+  public boolean hasReplicateEntriesReply() {
+    return bodyCase_ == 28;
+  }
+  /**
+   * <code>.io.jayhead.peer.ReplicateEntriesReply replicate_entries_reply = 28;</code>
+   * @return The replicateEntriesReply.
+   */
+  @java.lang.Override
+  public io.jayhead.peer.pb.ReplicateEntriesReply getReplicateEntriesReply() {
+    if (bodyCase_ == 28) {
+       return (io.jayhead.peer.pb.ReplicateEntriesReply) body_;
+    }
+    return io.jayhead.peer.pb.ReplicateEntriesReply.getDefaultInstance();
+  }
+  /**
+   * <code>.io.jayhead.peer.ReplicateEntriesReply replicate_entries_reply = 28;</code>
+   */
+  @java.lang.Override
+  public io.jayhead.peer.pb.ReplicateEntriesReplyOrBuilder getReplicateEntriesReplyOrBuilder() {
+    if (bodyCase_ == 28) {
+       return (io.jayhead.peer.pb.ReplicateEntriesReply) body_;
+    }
+    return io.jayhead.peer.pb.ReplicateEntriesReply.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -739,6 +805,12 @@
     if (bodyCase_ == 26) {
       output.writeMessage(26, (io.jayhead.peer.pb.CommitChargesReply) body_);
     }
+    if (bodyCase_ == 27) {
+      output.writeMessage(27, (io.jayhead.peer.pb.ReplicateEntries) body_);
+    }
+    if (bodyCase_ == 28) {
+      output.writeMessage(28, (io.jayhead.peer.pb.ReplicateEntriesReply) body_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -824,6 +896,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(26, (io.jayhead.peer.pb.CommitChargesReply) body_);
     }
+    if (bodyCase_ == 27) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(27, (io.jayhead.peer.pb.ReplicateEntries) body_);
+    }
+    if (bodyCase_ == 28) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(28, (io.jayhead.peer.pb.ReplicateEntriesReply) body_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -913,6 +993,14 @@
         if (!getCommitChargesReply()
             .equals(other.getCommitChargesReply())) return false;
         break;
+      case 27:
+        if (!getReplicateEntries()
+            .equals(other.getReplicateEntries())) return false;
+        break;
+      case 28:
+        if (!getReplicateEntriesReply()
+            .equals(other.getReplicateEntriesReply())) return false;
+        break;
       case 0:
       default:
     }
@@ -1002,6 +1090,14 @@
         hash = (37 * hash) + COMMIT_CHARGES_REPLY_FIELD_NUMBER;
         hash = (53 * hash) + getCommitChargesReply().hashCode();
         break;
+      case 27:
+        hash = (37 * hash) + REPLICATE_ENTRIES_FIELD_NUMBER;
+        hash = (53 * hash) + getReplicateEntries().hashCode();
+        break;
+      case 28:
+        hash = (37 * hash) + REPLICATE_ENTRIES_REPLY_FIELD_NUMBER;
+        hash = (53 * hash) + getReplicateEntriesReply().hashCode();
+        break;
       case 0:
       default:
     }
@@ -1193,6 +1289,12 @@
       if (commitChargesReplyBuilder_ != null) {
         commitChargesReplyBuilder_.clear();
       }
+      if (replicateEntriesBuilder_ != null) {
+        replicateEntriesBuilder_.clear();
+      }
+      if (replicateEntriesReplyBuilder_ != null) {
+        replicateEntriesReplyBuilder_.clear();
+      }
       bodyCase_ = 0;
       body_ = null;
       return this;
@@ -1308,6 +1410,14 @@
           commitChargesReplyBuilder_ != null) {
         result.body_ = commitChargesReplyBuilder_.build();
       }
+      if (bodyCase_ == 27 &&
+          replicateEntriesBuilder_ != null) {
+        result.body_ = replicateEntriesBuilder_.build();
+      }
+      if (bodyCase_ == 28 &&
+          replicateEntriesReplyBuilder_ != null) {
+        result.body_ = replicateEntriesReplyBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -1397,6 +1507,14 @@
           mergeCommitChargesReply(other.getCommitChargesReply());
           break;
         }
+        case REPLICATE_ENTRIES: {
+          mergeReplicateEntries(other.getReplicateEntries());
+          break;
+        }
+        case REPLICATE_ENTRIES_REPLY: {
+          mergeReplicateEntriesReply(other.getReplicateEntriesReply());
+          break;
+        }
         case BODY_NOT_SET: {
           break;
         }
@@ -1556,6 +1674,20 @@
               bodyCase_ = 26;
               break;
             } // case 210
+            case 218: {
+              input.readMessage(
+                  internalGetReplicateEntriesFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 27;
+              break;
+            } // case 218
+            case 226: {
+              input.readMessage(
+                  internalGetReplicateEntriesReplyFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 28;
+              break;
+            } // case 226
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -4066,6 +4198,290 @@
       return commitChargesReplyBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        io.jayhead.peer.pb.ReplicateEntries, io.jayhead.peer.pb.ReplicateEntries.Builder, io.jayhead.peer.pb.ReplicateEntriesOrBuilder> replicateEntriesBuilder_;
+    /**
+     * <code>.io.jayhead.peer.ReplicateEntries replicate_entries = 27;</code>
+     * @return Whether the replicateEntries field is set.
+     */
+    @java.lang.Override
+    public boolean hasReplicateEntries() {
+      return bodyCase_ == 27;
+    }
+    /**
+     * <code>.io.jayhead.peer.ReplicateEntries replicate_entries = 27;</code>
+     * @return The replicateEntries.
+     */
+    @java.lang.Override
+    public io.jayhead.peer.pb.ReplicateEntries getReplicateEntries() {
+      if (replicateEntriesBuilder_ == null) {
+        if (bodyCase_ == 27) {
+          return (io.jayhead.peer.pb.ReplicateEntries) body_;
+        }
+        return io.jayhead.peer.pb.ReplicateEntries.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 27) {
+          return replicateEntriesBuilder_.getMessage();
+        }
+        return io.jayhead.peer.pb.ReplicateEntries.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.io.jayhead.peer.ReplicateEntries replicate_entries = 27;</code>
+     */
+    public Builder setReplicateEntries(io.jayhead.peer.pb.ReplicateEntries value) {
+      if (replicateEntriesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        body_ = value;
+        onChanged();
+      } else {
+        replicateEntriesBuilder_.setMessage(value);
+      }
+      bodyCase_ = 27;
+      return this;
+    }
+    /**
+     * <code>.io.jayhead.peer.ReplicateEntries replicate_entries = 27;</code>
+     */
+    public Builder setReplicateEntries(
+        io.jayhead.peer.pb.ReplicateEntries.Builder builderForValue) {
+      if (replicateEntriesBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        replicateEntriesBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 27;
+      return this;
+    }
+    /**
+     * <code>.io.jayhead.peer.ReplicateEntries replicate_entries = 27;</code>
+     */
+    public Builder mergeReplicateEntries(io.jayhead.peer.pb.ReplicateEntries value) {
+      if (replicateEntriesBuilder_ == null) {
+        if (bodyCase_ == 27 &&
+            body_ != io.jayhead.peer.pb.ReplicateEntries.getDefaultInstance()) {
+          body_ = io.jayhead.peer.pb.ReplicateEntries.newBuilder((io.jayhead.peer.pb.ReplicateEntries) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 27) {
+          replicateEntriesBuilder_.mergeFrom(value);
+        } else {
+          replicateEntriesBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 27;
+      return this;
+    }
+    /**
+     * <code>.io.jayhead.peer.ReplicateEntries replicate_entries = 27;</code>
+     */
+    public Builder clearReplicateEntries() {
+      if (replicateEntriesBuilder_ == null) {
+        if (bodyCase_ == 27) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 27) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        replicateEntriesBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.io.jayhead.peer.ReplicateEntries replicate_entries = 27;</code>
+     */
+    public io.jayhead.peer.pb.ReplicateEntries.Builder getReplicateEntriesBuilder() {
+      return internalGetReplicateEntriesFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.io.jayhead.peer.ReplicateEntries replicate_entries = 27;</code>
+     */
+    @java.lang.Override
+    public io.jayhead.peer.pb.ReplicateEntriesOrBuilder getReplicateEntriesOrBuilder() {
+      if ((bodyCase_ == 27) && (replicateEntriesBuilder_ != null)) {
+        return replicateEntriesBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 27) {
+          return (io.jayhead.peer.pb.ReplicateEntries) body_;
+        }
+        return io.jayhead.peer.pb.ReplicateEntries.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.io.jayhead.peer.ReplicateEntries replicate_entries = 27;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        io.jayhead.peer.pb.ReplicateEntries, io.jayhead.peer.pb.ReplicateEntries.Builder, io.jayhead.peer.pb.ReplicateEntriesOrBuilder> 
+        internalGetReplicateEntriesFieldBuilder() {
+      if (replicateEntriesBuilder_ == null) {
+        if (!(bodyCase_ == 27)) {
+          body_ = io.jayhead.peer.pb.ReplicateEntries.getDefaultInstance();
+        }
+        replicateEntriesBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            io.jayhead.peer.pb.ReplicateEntries, io.jayhead.peer.pb.ReplicateEntries.Builder, io.jayhead.peer.pb.ReplicateEntriesOrBuilder>(
+                (io.jayhead.peer.pb.ReplicateEntries) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 27;
+      onChanged();
+      return replicateEntriesBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        io.jayhead.peer.pb.ReplicateEntriesReply, io.jayhead.peer.pb.ReplicateEntriesReply.Builder, io.jayhead.peer.pb.ReplicateEntriesReplyOrBuilder> replicateEntriesReplyBuilder_;
+    /**
+     * <code>.io.jayhead.peer.ReplicateEntriesReply replicate_entries_reply = 28;</code>
+     * @return Whether the replicateEntriesReply field is set.
+     */
+    @java.lang.Override
+    public boolean hasReplicateEntriesReply() {
+      return bodyCase_ == 28;
+    }
+    /**
+     * <code>.io.jayhead.peer.ReplicateEntriesReply replicate_entries_reply = 28;</code>
+     * @return The replicateEntriesReply.
+     */
+    @java.lang.Override
+    public io.jayhead.peer.pb.ReplicateEntriesReply getReplicateEntriesReply() {
+      if (replicateEntriesReplyBuilder_ == null) {
+        if (bodyCase_ == 28) {
+          return (io.jayhead.peer.pb.ReplicateEntriesReply) body_;
+        }
+        return io.jayhead.peer.pb.ReplicateEntriesReply.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 28) {
+          return replicateEntriesReplyBuilder_.getMessage();
+        }
+        return io.jayhead.peer.pb.ReplicateEntriesReply.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.io.jayhead.peer.ReplicateEntriesReply replicate_entries_reply = 28;</code>
+     */
+    public Builder setReplicateEntriesReply(io.jayhead.peer.pb.ReplicateEntriesReply value) {
+      if (replicateEntriesReplyBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        body_ = value;
+        onChanged();
+      } else {
+        replicateEntriesReplyBuilder_.setMessage(value);
+      }
+      bodyCase_ = 28;
+      return this;
+    }
+    /**
+     * <code>.io.jayhead.peer.ReplicateEntriesReply replicate_entries_reply = 28;</code>
+     */
+    public Builder setReplicateEntriesReply(
+        io.jayhead.peer.pb.ReplicateEntriesReply.Builder builderForValue) {
+      if (replicateEntriesReplyBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        replicateEntriesReplyBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 28;
+      return this;
+    }
+    /**
+     * <code>.io.jayhead.peer.ReplicateEntriesReply replicate_entries_reply = 28;</code>
+     */
+    public Builder mergeReplicateEntriesReply(io.jayhead.peer.pb.ReplicateEntriesReply value) {
+      if (replicateEntriesReplyBuilder_ == null) {
+        if (bodyCase_ == 28 &&
+            body_ != io.jayhead.peer.pb.ReplicateEntriesReply.getDefaultInstance()) {
+          body_ = io.jayhead.peer.pb.ReplicateEntriesReply.newBuilder((io.jayhead.peer.pb.ReplicateEntriesReply) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 28) {
+          replicateEntriesReplyBuilder_.mergeFrom(value);
+        } else {
+          replicateEntriesReplyBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 28;
+      return this;
+    }
+    /**
+     * <code>.io.jayhead.peer.ReplicateEntriesReply replicate_entries_reply = 28;</code>
+     */
+    public Builder clearReplicateEntriesReply() {
+      if (replicateEntriesReplyBuilder_ == null) {
+        if (bodyCase_ == 28) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 28) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        replicateEntriesReplyBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.io.jayhead.peer.ReplicateEntriesReply replicate_entries_reply = 28;</code>
+     */
+    public io.jayhead.peer.pb.ReplicateEntriesReply.Builder getReplicateEntriesReplyBuilder() {
+      return internalGetReplicateEntriesReplyFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.io.jayhead.peer.ReplicateEntriesReply replicate_entries_reply = 28;</code>
+     */
+    @java.lang.Override
+    public io.jayhead.peer.pb.ReplicateEntriesReplyOrBuilder getReplicateEntriesReplyOrBuilder() {
+      if ((bodyCase_ == 28) && (replicateEntriesReplyBuilder_ != null)) {
+        return replicateEntriesReplyBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 28) {
+          return (io.jayhead.peer.pb.ReplicateEntriesReply) body_;
+        }
+        return io.jayhead.peer.pb.ReplicateEntriesReply.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.io.jayhead.peer.ReplicateEntriesReply replicate_entries_reply = 28;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        io.jayhead.peer.pb.ReplicateEntriesReply, io.jayhead.peer.pb.ReplicateEntriesReply.Builder, io.jayhead.peer.pb.ReplicateEntriesReplyOrBuilder> 
+        internalGetReplicateEntriesReplyFieldBuilder() {
+      if (replicateEntriesReplyBuilder_ == null) {
+        if (!(bodyCase_ == 28)) {
+          body_ = io.jayhead.peer.pb.ReplicateEntriesReply.getDefaultInstance();
+        }
+        replicateEntriesReplyBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            io.jayhead.peer.pb.ReplicateEntriesReply, io.jayhead.peer.pb.ReplicateEntriesReply.Builder, io.jayhead.peer.pb.ReplicateEntriesReplyOrBuilder>(
+                (io.jayhead.peer.pb.ReplicateEntriesReply) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 28;
+      onChanged();
+      return replicateEntriesReplyBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:io.jayhead.peer.Frame)
   }
 
--- a/jayhead-peer/src/main/java/io/jayhead/peer/pb/FrameOrBuilder.java
+++ b/jayhead-peer/src/main/java/io/jayhead/peer/pb/FrameOrBuilder.java
@@ -277,5 +277,35 @@
    */
   io.jayhead.peer.pb.CommitChargesReplyOrBuilder getCommitChargesReplyOrBuilder();
 
+  /**
+   * <code>.io.jayhead.peer.ReplicateEntries replicate_entries = 27;</code>
+   * @return Whether the replicateEntries field is set.
+   */
+  boolean hasReplicateEntries();
+  /**
+   * <code>.io.jayhead.peer.ReplicateEntries replicate_entries = 27;</code>
+   * @return The replicateEntries.
+   */
+  io.jayhead.peer.pb.ReplicateEntries getReplicateEntries();
+  /**
+   * <code>.io.jayhead.peer.ReplicateEntries replicate_entries = 27;</code>
+   */
+  io.jayhead.peer.pb.ReplicateEntriesOrBuilder getReplicateEntriesOrBuilder();
+
+  /**
+   * <code>.io.jayhead.peer.ReplicateEntriesReply replicate_entries_reply = 28;</code>
+   * @return Whether the replicateEntriesReply field is set.
+   */
+  boolean hasReplicateEntriesReply();
+  /**
+   * <code>.io.jayhead.peer.ReplicateEntriesReply replicate_entries_reply = 28;</code>
+   * @return The replicateEntriesReply.
+   */
+  io.jayhead.peer.pb.ReplicateEntriesReply getReplicateEntriesReply();
+  /**
+   * <code>.io.jayhead.peer.ReplicateEntriesReply replicate_entries_reply = 28;</code>
+   */
+  io.jayhead.peer.pb.ReplicateEntriesReplyOrBuilder getReplicateEntriesReplyOrBuilder();
+
   io.jayhead.peer.pb.Frame.BodyCase getBodyCase();
 }
--- a/jayhead-peer/src/main/java/io/jayhead/peer/pb/Peer.java
+++ b/jayhead-peer/src/main/java/io/jayhead/peer/pb/Peer.java
@@ -121,6 +121,21 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_io_jayhead_peer_BorrowReply_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_io_jayhead_peer_ReplicateEntries_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_io_jayhead_peer_ReplicateEntries_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_io_jayhead_peer_ReplicatedEntry_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_io_jayhead_peer_ReplicatedEntry_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_io_jayhead_peer_ReplicateEntriesReply_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_io_jayhead_peer_ReplicateEntriesReply_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_io_jayhead_peer_Failure_descriptor;
   static final 
@@ -135,7 +150,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\npeer.proto\022\017io.jayhead.peer\"\324\007\n\005Frame\022" +
+      "\n\npeer.proto\022\017io.jayhead.peer\"\337\010\n\005Frame\022" +
       "\023\n\013correlation\030\001 \001(\004\022\r\n\005reply\030\002 \001(\010\022/\n\th" +
       "eartbeat\030\n \001(\0132\032.io.jayhead.peer.Heartbe" +
       "atH\000\022:\n\017heartbeat_reply\030\013 \001(\0132\037.io.jayhe" +
@@ -160,55 +175,64 @@
       "\016commit_charges\030\031 \001(\0132\036.io.jayhead.peer." +
       "CommitChargesH\000\022C\n\024commit_charges_reply\030" +
       "\032 \001(\0132#.io.jayhead.peer.CommitChargesRep" +
-      "lyH\000B\006\n\004body\"\274\001\n\tHeartbeat\022\n\n\002vm\030\001 \001(\t\022\023" +
-      "\n\013incarnation\030\002 \001(\t\022\031\n\021availability_zone" +
-      "\030\003 \001(\t\022\025\n\rfleet_version\030\004 \001(\004\022\031\n\021leaving" +
-      "_upstreams\030\005 \003(\t\022\025\n\rshutting_down\030\006 \001(\010\022" +
-      "\024\n\014want_members\030\007 \001(\010\022\024\n\014peer_address\030\010 " +
-      "\001(\t\"\314\002\n\016HeartbeatReply\022\n\n\002vm\030\001 \001(\t\022\023\n\013in" +
-      "carnation\030\002 \001(\t\022\025\n\rfleet_version\030\003 \001(\004\022&" +
-      "\n\031platform_confirmed_age_ms\030\004 \001(\004H\000\210\001\001\022\031" +
-      "\n\021leaving_upstreams\030\005 \003(\t\022\025\n\rshutting_do" +
-      "wn\030\006 \001(\010\022(\n\007members\030\007 \003(\0132\027.io.jayhead.p" +
-      "eer.Member\022\031\n\021availability_zone\030\010 \001(\t\022\025\n" +
-      "\rlist_revision\030\t \001(\004\022\031\n\021charge_partition" +
-      "s\030\n \001(\r\022\023\n\013list_digest\030\013 \001(\tB\034\n\032_platfor" +
-      "m_confirmed_age_ms\"Z\n\006Member\022\n\n\002vm\030\001 \001(\t" +
-      "\022\023\n\013incarnation\030\002 \001(\t\022\031\n\021availability_zo" +
-      "ne\030\003 \001(\t\022\024\n\014peer_address\030\004 \001(\t\"=\n\tFleetP" +
-      "ush\022\017\n\007version\030\001 \001(\004\022\021\n\tchange_id\030\002 \001(\t\022" +
-      "\014\n\004text\030\003 \001(\t\"N\n\016FleetPushReply\022\n\n\002vm\030\001 " +
-      "\001(\t\022\017\n\007version\030\002 \001(\004\022\021\n\tchange_id\030\003 \001(\t\022" +
-      "\014\n\004text\030\004 \001(\t\",\n\006Append\022\021\n\tpartition\030\001 \001" +
-      "(\r\022\017\n\007entries\030\002 \003(\t\"?\n\013AppendReply\0220\n\010ou" +
-      "tcomes\030\001 \003(\0132\036.io.jayhead.peer.AppendOut" +
-      "come\"\232\001\n\rAppendOutcome\0225\n\006status\030\001 \001(\0162%" +
-      ".io.jayhead.peer.AppendOutcome.Status\022\023\n" +
-      "\013first_entry\030\002 \001(\t\"=\n\006Status\022\013\n\007UNKNOWN\020" +
-      "\000\022\r\n\tCOMMITTED\020\001\022\r\n\tDUPLICATE\020\002\022\010\n\004HELD\020" +
-      "\003\"?\n\013HoldCharges\022\n\n\002vm\030\001 \001(\t\022\023\n\013incarnat" +
-      "ion\030\002 \001(\t\022\017\n\007entries\030\003 \003(\t\" \n\020HoldCharge" +
-      "sReply\022\014\n\004held\030\001 \001(\010\";\n\016ReleaseCharges\022\023" +
-      "\n\013incarnation\030\001 \001(\t\022\024\n\014request_keys\030\002 \003(" +
-      "\t\"\025\n\023ReleaseChargesReply\"$\n\rCommitCharge" +
-      "s\022\023\n\013incarnation\030\001 \001(\t\"\024\n\022CommitChargesR" +
-      "eply\"\250\001\n\005Begin\022\023\n\013request_key\030\001 \001(\t\022\n\n\002v" +
-      "m\030\002 \001(\t\022\023\n\013incarnation\030\003 \001(\t\022\023\n\013body_dig" +
-      "est\030\004 \001(\t\022\020\n\010upstream\030\005 \001(\t\022\033\n\023upstream_" +
-      "request_id\030\006 \001(\t\022\020\n\010finished\030\007 \001(\010\022\023\n\013lo" +
-      "okup_only\030\010 \001(\010\"\345\001\n\nBeginReply\0222\n\006status" +
-      "\030\001 \001(\0162\".io.jayhead.peer.BeginReply.Stat" +
-      "us\022\n\n\002vm\030\002 \001(\t\022\020\n\010upstream\030\003 \001(\t\022\033\n\023upst" +
-      "ream_request_id\030\004 \001(\t\"h\n\006Status\022\013\n\007UNKNO" +
-      "WN\020\000\022\016\n\nREGISTERED\020\001\022\013\n\007RUNNING\020\002\022\014\n\010FIN" +
-      "ISHED\020\003\022\022\n\016DIFFERENT_BODY\020\004\022\022\n\016NOT_REGIS" +
-      "TERED\020\005\"~\n\006Borrow\022\n\n\002vm\030\001 \001(\t\022\024\n\014organis" +
-      "ation\030\002 \001(\t\022\016\n\006budget\030\003 \001(\t\022\023\n\013transfer_" +
-      "id\030\004 \001(\t\022\016\n\006tokens\030\005 \001(\004\022\014\n\004rank\030\006 \001(\r\022\017" +
-      "\n\007cut_off\030\007 \001(\010\"2\n\013BorrowReply\022\023\n\013transf" +
-      "er_id\030\001 \001(\t\022\016\n\006tokens\030\002 \001(\004\"(\n\007Failure\022\014" +
-      "\n\004code\030\001 \001(\t\022\017\n\007message\030\002 \001(\tB\026\n\022io.jayh" +
-      "ead.peer.pbP\001b\006proto3"
+      "lyH\000\022>\n\021replicate_entries\030\033 \001(\0132!.io.jay" +
+      "head.peer.ReplicateEntriesH\000\022I\n\027replicat" +
+      "e_entries_reply\030\034 \001(\0132&.io.jayhead.peer." +
+      "ReplicateEntriesReplyH\000B\006\n\004body\"\274\001\n\tHear" +
+      "tbeat\022\n\n\002vm\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\t\022\031" +
+      "\n\021availability_zone\030\003 \001(\t\022\025\n\rfleet_versi" +
+      "on\030\004 \001(\004\022\031\n\021leaving_upstreams\030\005 \003(\t\022\025\n\rs" +
+      "hutting_down\030\006 \001(\010\022\024\n\014want_members\030\007 \001(\010" +
+      "\022\024\n\014peer_address\030\010 \001(\t\"\314\002\n\016HeartbeatRepl" +
+      "y\022\n\n\002vm\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\t\022\025\n\rfl" +
+      "eet_version\030\003 \001(\004\022&\n\031platform_confirmed_" +
+      "age_ms\030\004 \001(\004H\000\210\001\001\022\031\n\021leaving_upstreams\030\005" +
+      " \003(\t\022\025\n\rshutting_down\030\006 \001(\010\022(\n\007members\030\007" +
+      " \003(\0132\027.io.jayhead.peer.Member\022\031\n\021availab" +
+      "ility_zone\030\010 \001(\t\022\025\n\rlist_revision\030\t \001(\004\022" +
+      "\031\n\021charge_partitions\030\n \001(\r\022\023\n\013list_diges" +
+      "t\030\013 \001(\tB\034\n\032_platform_confirmed_age_ms\"Z\n" +
+      "\006Member\022\n\n\002vm\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\t" +
+      "\022\031\n\021availability_zone\030\003 \001(\t\022\024\n\014peer_addr" +
+      "ess\030\004 \001(\t\"=\n\tFleetPush\022\017\n\007version\030\001 \001(\004\022" +
+      "\021\n\tchange_id\030\002 \001(\t\022\014\n\004text\030\003 \001(\t\"N\n\016Flee" +
+      "tPushReply\022\n\n\002vm\030\001 \001(\t\022\017\n\007version\030\002 \001(\004\022" +
+      "\021\n\tchange_id\030\003 \001(\t\022\014\n\004text\030\004 \001(\t\",\n\006Appe" +
+      "nd\022\021\n\tpartition\030\001 \001(\r\022\017\n\007entries\030\002 \003(\t\"?" +
+      "\n\013AppendReply\0220\n\010outcomes\030\001 \003(\0132\036.io.jay" +
+      "head.peer.AppendOutcome\"\232\001\n\rAppendOutcom" +
+      "e\0225\n\006status\030\001 \001(\0162%.io.jayhead.peer.Appe" +
+      "ndOutcome.Status\022\023\n\013first_entry\030\002 \001(\t\"=\n" +
+      "\006Status\022\013\n\007UNKNOWN\020\000\022\r\n\tCOMMITTED\020\001\022\r\n\tD" +
+      "UPLICATE\020\002\022\010\n\004HELD\020\003\"?\n\013HoldCharges\022\n\n\002v" +
+      "m\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\t\022\017\n\007entries\030" +
+      "\003 \003(\t\" \n\020HoldChargesReply\022\014\n\004held\030\001 \001(\010\"" +
+      ";\n\016ReleaseCharges\022\023\n\013incarnation\030\001 \001(\t\022\024" +
+      "\n\014request_keys\030\002 \003(\t\"\025\n\023ReleaseChargesRe" +
+      "ply\"$\n\rCommitCharges\022\023\n\013incarnation\030\001 \001(" +
+      "\t\"\024\n\022CommitChargesReply\"\250\001\n\005Begin\022\023\n\013req" +
+      "uest_key\030\001 \001(\t\022\n\n\002vm\030\002 \001(\t\022\023\n\013incarnatio" +
+      "n\030\003 \001(\t\022\023\n\013body_digest\030\004 \001(\t\022\020\n\010upstream" +
+      "\030\005 \001(\t\022\033\n\023upstream_request_id\030\006 \001(\t\022\020\n\010f" +
+      "inished\030\007 \001(\010\022\023\n\013lookup_only\030\010 \001(\010\"\345\001\n\nB" +
+      "eginReply\0222\n\006status\030\001 \001(\0162\".io.jayhead.p" +
+      "eer.BeginReply.Status\022\n\n\002vm\030\002 \001(\t\022\020\n\010ups" +
+      "tream\030\003 \001(\t\022\033\n\023upstream_request_id\030\004 \001(\t" +
+      "\"h\n\006Status\022\013\n\007UNKNOWN\020\000\022\016\n\nREGISTERED\020\001\022" +
+      "\013\n\007RUNNING\020\002\022\014\n\010FINISHED\020\003\022\022\n\016DIFFERENT_" +
+      "BODY\020\004\022\022\n\016NOT_REGISTERED\020\005\"~\n\006Borrow\022\n\n\002" +
+      "vm\030\001 \001(\t\022\024\n\014organisation\030\002 \001(\t\022\016\n\006budget" +
+      "\030\003 \001(\t\022\023\n\013transfer_id\030\004 \001(\t\022\016\n\006tokens\030\005 " +
+      "\001(\004\022\014\n\004rank\030\006 \001(\r\022\017\n\007cut_off\030\007 \001(\010\"2\n\013Bo" +
+      "rrowReply\022\023\n\013transfer_id\030\001 \001(\t\022\016\n\006tokens" +
+      "\030\002 \001(\004\"U\n\020ReplicateEntries\022\016\n\006holder\030\001 \001" +
+      "(\t\0221\n\007entries\030\002 \003(\0132 .io.jayhead.peer.Re" +
+      "plicatedEntry\"S\n\017ReplicatedEntry\022\024\n\014orga" +
+      "nisation\030\001 \001(\t\022\024\n\014taken_tokens\030\002 \001(\004\022\024\n\014" +
+      "tokens_per_s\030\003 \001(\004\"\'\n\025ReplicateEntriesRe" +
+      "ply\022\016\n\006holder\030\001 \001(\t\"(\n\007Failure\022\014\n\004code\030\001" +
+      " \001(\t\022\017\n\007message\030\002 \001(\tB\026\n\022io.jayhead.peer" +
+      ".pbP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -219,7 +243,7 @@
     internal_static_io_jayhead_peer_Frame_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_io_jayhead_peer_Frame_descriptor,
-        new java.lang.String[] { "Correlation", "Reply", "Heartbeat", "HeartbeatReply", "FleetPush", "FleetPushReply", "Append", "AppendReply", "HoldCharges", "HoldChargesReply", "Begin", "BeginReply", "Borrow", "BorrowReply", "ReleaseCharges", "Failure", "ReleaseChargesReply", "CommitCharges", "CommitChargesReply", "Body", });
+        new java.lang.String[] { "Correlation", "Reply", "Heartbeat", "HeartbeatReply", "FleetPush", "FleetPushReply", "Append", "AppendReply", "HoldCharges", "HoldChargesReply", "Begin", "BeginReply", "Borrow", "BorrowReply", "ReleaseCharges", "Failure", "ReleaseChargesReply", "CommitCharges", "CommitChargesReply", "ReplicateEntries", "ReplicateEntriesReply", "Body", });
     internal_static_io_jayhead_peer_Heartbeat_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_io_jayhead_peer_Heartbeat_fieldAccessorTable = new
@@ -328,8 +352,26 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_io_jayhead_peer_BorrowReply_descriptor,
         new java.lang.String[] { "TransferId", "Tokens", });
-    internal_static_io_jayhead_peer_Failure_descriptor =
+    internal_static_io_jayhead_peer_ReplicateEntries_descriptor =
       getDescriptor().getMessageType(19);
+    internal_static_io_jayhead_peer_ReplicateEntries_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_io_jayhead_peer_ReplicateEntries_descriptor,
+        new java.lang.String[] { "Holder", "Entries", });
+    internal_static_io_jayhead_peer_ReplicatedEntry_descriptor =
+      getDescriptor().getMessageType(20);
+    internal_static_io_jayhead_peer_ReplicatedEntry_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_io_jayhead_peer_ReplicatedEntry_descriptor,
+        new java.lang.String[] { "Organisation", "TakenTokens", "TokensPerS", });
+    internal_static_io_jayhead_peer_ReplicateEntriesReply_descriptor =
+      getDescriptor().getMessageType(21);
+    internal_static_io_jayhead_peer_ReplicateEntriesReply_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_io_jayhead_peer_ReplicateEntriesReply_descriptor,
+        new java.lang.String[] { "Holder", });
+    internal_static_io_jayhead_peer_Failure_descriptor =
+      getDescriptor().getMessageType(22);
     internal_static_io_jayhead_peer_Failure_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_io_jayhead_peer_Failure_descriptor,
