Write off the demand of the lost time for routers that ended together with their replicas

All routers were killed in the lost time, and the copy was older than their first tokens.

Cause: what is written off is a multiple of the demand in an entry, so nothing was written off where the copy had no entry. The pages did not tell a budget that was never used from one whose entries are lost. If a second return came before the pages of the first were created, even that a router had ended was forgotten.

Change: each router reports its Continuity, whether it ran during the whole lost time. Predecessors of such a router ended before the copy, so nothing is written off for them any more; a replica that ran all the time bounds what a silent router took unseen to one update. VMs that have neither are named in the pages, and whoever first uses a budget without any entry writes off the demand of 32 s for each. What was unknown in one era stays so in the next for the age of a copy, and the first router that has reported creates all pages at once. FleetReports keeps the collection; the rebuild has a type of its own.

--- a/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/FleetReports.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/FleetReports.java
@@ -2,10 +2,9 @@
 
 import java.util.HashMap;
 import java.util.Map;
-import java.util.OptionalLong;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
-import java.util.function.Function;
 
 /**
  * Collects what the routers know of the ledger after the platform came back from an older copy; immutable.
@@ -17,12 +16,15 @@
  * @param era the era in which reports count
  * @param byVm the newest report of each VM, also of earlier eras
  * @param heard the greatest entries of all reports, also of those that newer ones have replaced
+ * @param copiedHolders the incarnation of each VM that announcements of earlier eras name, which this era began with
  */
-public record FleetReports(long era, Map<String, LedgerReport> byVm, LedgerPage heard) {
+public record FleetReports(
+        long era, Map<String, LedgerReport> byVm, LedgerPage heard, Map<String, String> copiedHolders) {
 
-    /** Copies the map. */
+    /** Copies the maps. */
     public FleetReports {
         byVm = Map.copyOf(byVm);
+        copiedHolders = Map.copyOf(copiedHolders);
     }
 
     /**
@@ -31,7 +33,7 @@
      * @return the empty collection, for a platform whose era is unknown
      */
     public static FleetReports empty() {
-        return new FleetReports(LedgerReport.NO_ERA, Map.of(), LedgerPage.empty());
+        return new FleetReports(LedgerReport.NO_ERA, Map.of(), LedgerPage.empty(), Map.of());
     }
 
     /**
@@ -41,7 +43,7 @@
      * @return the new collection
      */
     public FleetReports inEra(long newEra) {
-        return new FleetReports(newEra, byVm, heard);
+        return new FleetReports(newEra, byVm, heard, Map.of());
     }
 
     /**
@@ -53,13 +55,17 @@
      */
     public FleetReports with(String vmName, LedgerReport report) {
         LedgerPage nextHeard = heard.mergeGreatest(report.known());
+        Map<String, String> nextCopied = new HashMap<>(copiedHolders);
+        if (report.era() < era) {
+            nextCopied.put(vmName, report.holder());
+        }
         LedgerReport known = byVm.get(vmName);
         if (known != null && known.era() > report.era()) {
-            return new FleetReports(era, byVm, nextHeard);
+            return new FleetReports(era, byVm, nextHeard, nextCopied);
         }
         Map<String, LedgerReport> next = new HashMap<>(byVm);
         next.put(vmName, report);
-        return new FleetReports(era, next, nextHeard);
+        return new FleetReports(era, next, nextHeard, nextCopied);
     }
 
     /**
@@ -67,12 +73,19 @@
      *
      * @param vmName the VM of the router
      * @param holder the name of the incarnation
-     * @param known the entries that the incarnation has read
+     * @param ranS for how long the incarnation had run when the platform last answered before this era, in seconds; 0
+     *     if it never did
+     * @param earlier the continuity of the incarnation in the previous era
+     * @param known the entries that the incarnation knows
      * @return the report
      */
-    public LedgerReport reportOf(String vmName, String holder, LedgerPage known) {
-        LedgerPage earlier = byVm.getOrDefault(vmName, LedgerReport.none()).known();
-        return new LedgerReport(era, holder, earlier.without(holder).mergeGreatest(known));
+    public LedgerReport reportOf(String vmName, String holder, double ranS, Continuity earlier, LedgerPage known) {
+        LedgerPage predecessors = byVm.getOrDefault(vmName, LedgerReport.none()).known();
+        Continuity continuity = era <= LedgerPages.FIRST_ERA
+                ? Continuity.CONTINUOUS
+                : Continuity.of(Optional.ofNullable(copiedHolders.get(vmName)), holder, ranS, earlier);
+        return new LedgerReport(
+                era, holder, continuity, predecessors.without(holder).mergeGreatest(known));
     }
 
     /**
@@ -97,79 +110,40 @@
     }
 
     /**
-     * Rebuilds the ledger from the copy and the reports.
+     * Tells whether a router creates the pages of this era, so that none is missing if the platform goes back again.
      *
-     * @param copy the pages that the platform came back with
-     * @param prepaidTokensOf returns the size of a budget; empty if the budget has no limit or is unknown
-     * @return all entries that any router or the copy knows, and the amounts that are written off
+     * @param vmName the VM of the router
+     * @return true for the first of the routers that have reported; false in the first era, which has lost nothing
      */
-    public RebuiltLedger rebuild(LedgerPage copy, Function<String, OptionalLong> prepaidTokensOf) {
-        LedgerPage exact = withReportedEntries(copy.mergeGreatest(heard));
-        Map<String, LedgerReport> reporters = reporters();
-        LedgerPage rebuilt = exact;
-        long writtenOffTokens = 0;
-        for (String organisation : exact.entries().keySet()) {
-            long leftTokens = prepaidTokensOf.apply(organisation).orElse(Long.MAX_VALUE / 2)
-                    - exact.totalTakenTokens(organisation);
-            for (String name : exact.entries().get(organisation).keySet()) {
-                Holder holder = Holder.of(name);
-                if (reporters.containsKey(name) || hasEndedBeforeReading(holder, organisation, exact)) {
-                    continue;
-                }
-                LedgerEntry entry = exact.entry(organisation, name);
-                long tokens = isReadSince(copy, LedgerPages.indexOf(organisation))
-                        ? GrantRule.mostUnseenTokens(
-                                entry.tokensPerS(), leftTokens, exact.otherVmsTokensPerS(organisation, holder.vmName()))
-                        : GrantRule.mostTokensSinceCopy(entry.tokensPerS(), leftTokens);
-                rebuilt = rebuilt.with(organisation, name, new LedgerEntry(entry.takenTokens() + tokens, 0));
-                writtenOffTokens += tokens;
-            }
-        }
-        return new RebuiltLedger(rebuilt, writtenOffTokens);
-    }
-
-    /** Tells whether a router that reports has taken tokens of a page, and so read it, since the copy. */
-    private boolean isReadSince(LedgerPage copy, int page) {
-        return reporters().values().stream()
-                .anyMatch(report -> report.known().entries().keySet().stream()
-                        .filter(organisation -> LedgerPages.indexOf(organisation) == page)
-                        .anyMatch(organisation -> report.known().takenTokens(organisation, report.holder())
-                                > copy.takenTokens(organisation, report.holder())));
+    public boolean createsPages(String vmName) {
+        return era > LedgerPages.FIRST_ERA
+                && hasReported(vmName)
+                && byVm.keySet().stream().filter(this::hasReported).noneMatch(name -> name.compareTo(vmName) < 0);
     }
 
-    private LedgerPage withReportedEntries(LedgerPage known) {
-        LedgerPage exact = known;
-        Map<String, LedgerReport> reporters = reporters();
-        for (String organisation : known.entries().keySet()) {
-            for (String holder : known.entries().get(organisation).keySet()) {
-                if (reporters.containsKey(holder)) {
-                    LedgerEntry reported = reporters.get(holder).known().entry(organisation, holder);
-                    exact = exact.with(organisation, holder, reported);
-                }
-            }
+    /**
+     * Tells whether no router of the fleet can be missing. A router that the copy does not name cannot know which other
+     * routers there were, except in the first era.
+     *
+     * @param vmName the VM of the router that asks
+     * @return true if this router and all others that it knows have reported
+     */
+    public boolean isComplete(String vmName) {
+        if (!missingVms().isEmpty()) {
+            return false;
         }
-        return exact;
-    }
-
-    private Map<String, LedgerReport> reporters() {
-        Map<String, LedgerReport> byHolder = new HashMap<>();
-        byVm.values().stream()
-                .filter(report -> report.era() == era)
-                .forEach(report -> byHolder.put(report.holder(), report));
-        return byHolder;
+        return era <= LedgerPages.FIRST_ERA
+                || hasReported(vmName) && byVm.get(vmName).continuity() != Continuity.NEW;
     }
 
     /**
-     * Tells whether a holder had ended when its page was last read: a page with an entry of a newer incarnation of the
-     * same VM was written after its end, so nothing of what it took is unseen.
+     * Rebuilds the ledger from the copy and the reports.
+     *
+     * @param copy the pages that the platform came back with
+     * @param prepaidTokens the sizes of the budgets, by organisation; those without a limit are left out
+     * @return all entries that any router or the copy knows, and the amounts that are written off
      */
-    private static boolean hasEndedBeforeReading(Holder holder, String organisation, LedgerPage known) {
-        int page = LedgerPages.indexOf(organisation);
-        return known.entries().entrySet().stream()
-                .filter(entries -> LedgerPages.indexOf(entries.getKey()) == page)
-                .flatMap(entries -> entries.getValue().keySet().stream())
-                .map(Holder::of)
-                .anyMatch(other ->
-                        other.vmName().equals(holder.vmName()) && other.startedAtEpochMs() > holder.startedAtEpochMs());
+    public RebuiltLedger rebuild(LedgerPage copy, Map<String, Long> prepaidTokens) {
+        return LedgerRebuild.of(this, copy).rebuild(prepaidTokens);
     }
 }
--- a/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/GrantRule.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/GrantRule.java
@@ -19,9 +19,6 @@
     /** Other routers read a page at least this often while a budget is in demand. */
     private static final double UNSEEN_DEMAND_S = 2;
 
-    /** The age of a copy of the store that is reckoned with. */
-    private static final double MAX_COPY_AGE_S = 20;
-
     private GrantRule() {}
 
     /**
@@ -46,7 +43,7 @@
      * @return the tokens that it consumed since, and those that it prefetched
      */
     public static long mostTokensSinceCopy(long tokensPerS, long leftTokens) {
-        double tokens = tokensPerS * (MAX_COPY_AGE_S + MAX_PREFETCH_S);
+        double tokens = tokensPerS * (Continuity.MAX_COPY_AGE_S + MAX_PREFETCH_S);
         return Math.min((long) Math.ceil(tokens), Math.max(0, leftTokens));
     }
 
--- a/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/Holder.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/Holder.java
@@ -10,6 +10,8 @@
 public record Holder(String vmName, long startedAtEpochMs, String nonce) {
 
     private static final String SEPARATOR = "/";
+    /** The nonce in the entries of incarnations whose names nobody knows. */
+    private static final String UNKNOWN_INCARNATION = "unknown";
 
     /**
      * Validates that the name can be parsed again.
@@ -22,6 +24,16 @@
         }
     }
 
+    /**
+     * Returns the holder that stands for the unknown incarnations of a VM.
+     *
+     * @param vmName the name of the VM
+     * @return the holder, older than any incarnation
+     */
+    static Holder unknown(String vmName) {
+        return new Holder(vmName, 0, UNKNOWN_INCARNATION);
+    }
+
     /**
      * Returns the name in ledger pages, see {@link #of(String)}.
      *
--- a/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/LedgerPage.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/LedgerPage.java
@@ -1,17 +1,22 @@
 package io.jayhead.admission.prepaid;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Holds the entries of all routers for a group of budgets; immutable.
  *
  * @param entries the entries, by organisation and then by the name of the holder
+ * @param unknownVms the VMs whose routers may have taken tokens of budgets without any entry, since the platform lost
+ *     all trace of them
  */
-public record LedgerPage(Map<String, Map<String, LedgerEntry>> entries) {
+public record LedgerPage(Map<String, Map<String, LedgerEntry>> entries, Set<String> unknownVms) {
 
-    /** Copies the maps. */
+    /** Copies the maps and the set. */
     public LedgerPage {
+        unknownVms = Set.copyOf(unknownVms);
         Map<String, Map<String, LedgerEntry>> copy = new HashMap<>();
         entries.forEach((organisation, holders) -> copy.put(organisation, Map.copyOf(holders)));
         entries = Map.copyOf(copy);
@@ -23,7 +28,39 @@
      * @return the page
      */
     public static LedgerPage empty() {
-        return new LedgerPage(Map.of());
+        return LedgerPage.of(Map.of());
+    }
+
+    /**
+     * Returns a page with entries of known routers only.
+     *
+     * @param entries the entries, by organisation and then by the name of the holder
+     * @return the page
+     */
+    public static LedgerPage of(Map<String, Map<String, LedgerEntry>> entries) {
+        return new LedgerPage(entries, Set.of());
+    }
+
+    /**
+     * Returns a page with more VMs of whose routers nothing is known.
+     *
+     * @param vmNames the VMs
+     * @return the new page
+     */
+    public LedgerPage withUnknownVms(Set<String> vmNames) {
+        Set<String> all = new HashSet<>(unknownVms);
+        all.addAll(vmNames);
+        return new LedgerPage(entries, all);
+    }
+
+    /**
+     * Tells whether tokens of a budget may have been taken although it has no entry.
+     *
+     * @param organisation the organisation
+     * @return true if that can be
+     */
+    public boolean isUnknown(String organisation) {
+        return !unknownVms.isEmpty() && !entries.containsKey(organisation);
     }
 
     /**
@@ -87,7 +124,7 @@
         Map<String, LedgerEntry> holders = new HashMap<>(holders(organisation));
         holders.put(holder, entry);
         organisations.put(organisation, holders);
-        return new LedgerPage(organisations);
+        return new LedgerPage(organisations, unknownVms);
     }
 
     /**
@@ -115,7 +152,7 @@
             holders.forEach((holder, entry) -> merged.merge(
                     holder, entry, (first, second) -> first.takenTokens() >= second.takenTokens() ? first : second));
         });
-        return new LedgerPage(organisations);
+        return new LedgerPage(organisations, unknownVms).withUnknownVms(other.unknownVms);
     }
 
     /**
@@ -127,7 +164,7 @@
     public LedgerPage heldBy(String holder) {
         Map<String, Map<String, LedgerEntry>> organisations = new HashMap<>(entries);
         organisations.values().removeIf(holders -> !holders.containsKey(holder));
-        return new LedgerPage(organisations);
+        return new LedgerPage(organisations, unknownVms);
     }
 
     /**
@@ -143,7 +180,7 @@
             others.remove(holder);
             organisations.put(organisation, others);
         });
-        return new LedgerPage(organisations);
+        return new LedgerPage(organisations, unknownVms);
     }
 
     private Map<String, LedgerEntry> holders(String organisation) {
--- a/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/LedgerPages.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/LedgerPages.java
@@ -17,7 +17,7 @@
 
     private static final String NAME_PREFIX = "page-";
     /** Pages of the first era have no era in their names, like those of a platform without eras. */
-    private static final long FIRST_ERA = 1;
+    static final long FIRST_ERA = 1;
 
     private static final Pattern NAME = Pattern.compile(NAME_PREFIX + "(\\d{1,9})(?:\\.(\\d{1,18}))?");
 
--- a/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/LedgerSession.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/LedgerSession.java
@@ -139,7 +139,8 @@
     }
 
     /**
-     * Returns the next update, which contains all pending returns and takes tokens for the other budgets.
+     * Returns the next update, which contains all pending returns and takes tokens for the other budgets. Of a budget
+     * without any entry, it also writes off what unknown routers may have taken, see {@link LedgerPage#unknownVms}.
      *
      * @param needs the needs of the router, by organisation
      * @param prepaidTokensOf returns the size of a budget; empty if the budget has no limit or is unknown
@@ -164,14 +165,30 @@
 
     private LedgerPage withTaken(
             LedgerPage page, String organisation, BudgetNeed need, long prepaidTokens, double prefetchLimitS) {
-        long leftTokens = leftTokens(organisation, prepaidTokens);
-        long otherTokensPerS = page.otherVmsTokensPerS(organisation, holder.vmName());
+        LedgerPage base =
+                page.isUnknown(organisation) ? withUnknownTokens(page, organisation, need, prepaidTokens) : page;
+        long writtenOffTokens = base.totalTakenTokens(organisation) - page.totalTakenTokens(organisation);
+        long leftTokens = leftTokens(organisation, prepaidTokens) - writtenOffTokens;
+        long otherTokensPerS = base.otherVmsTokensPerS(organisation, holder.vmName());
         long tokens = GrantRule.tokensToTake(need, leftTokens, otherTokensPerS, prefetchLimitS);
         if (tokens <= 0) {
-            return page;
+            return base;
         }
-        long takenTokens = page.takenTokens(organisation, holder.name()) + tokens;
-        return page.with(organisation, holder.name(), new LedgerEntry(takenTokens, need.tokensPerS()));
+        long takenTokens = base.takenTokens(organisation, holder.name()) + tokens;
+        return base.with(organisation, holder.name(), new LedgerEntry(takenTokens, need.tokensPerS()));
+    }
+
+    /** Writes off what unknown incarnations may have taken, if their demand was like that of this router. */
+    private static LedgerPage withUnknownTokens(
+            LedgerPage page, String organisation, BudgetNeed need, long prepaidTokens) {
+        long tokensPerS = Math.max(need.tokensPerS(), need.requiredTokens());
+        LedgerPage next = page;
+        for (String vmName : page.unknownVms()) {
+            long leftTokens = prepaidTokens - next.totalTakenTokens(organisation);
+            long tokens = GrantRule.mostTokensSinceCopy(tokensPerS, leftTokens);
+            next = next.with(organisation, Holder.unknown(vmName).name(), new LedgerEntry(tokens, 0));
+        }
+        return next;
     }
 
     /**
--- a/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/RebuiltLedger.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/RebuiltLedger.java
@@ -20,6 +20,6 @@
     public LedgerPage page(int page) {
         Map<String, Map<String, LedgerEntry>> onPage = new HashMap<>(entries.entries());
         onPage.keySet().removeIf(organisation -> LedgerPages.indexOf(organisation) != page);
-        return new LedgerPage(onPage);
+        return new LedgerPage(onPage, entries.unknownVms());
     }
 }
--- a/jayhead-admission/src/test/java/io/jayhead/admission/prepaid/LedgerRestoreTest.java
+++ b/jayhead-admission/src/test/java/io/jayhead/admission/prepaid/LedgerRestoreTest.java
@@ -69,10 +69,12 @@
             sessions.set(router, sessions.get(router).restored());
             LedgerSession session = sessions.get(router);
             String holder = session.holder().name();
-            reports = reports.with(session.holder().vmName(), new LedgerReport(era, holder, session.knownPage()));
+            reports = reports.with(
+                    session.holder().vmName(),
+                    new LedgerReport(era, holder, Continuity.CONTINUOUS, session.knownPage()));
         }
         stored = new VersionedPage(
-                reports.rebuild(copy.page(), organisation -> OptionalLong.of(PREPAID_TOKENS))
+                reports.rebuild(copy.page(), Map.of(ORGANISATION, PREPAID_TOKENS))
                         .entries(),
                 copy.revision());
         copy = stored;
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlPlane.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlPlane.java
@@ -153,8 +153,14 @@
                 quarantine::listed,
                 quarantine::changed);
         this.announcer = new RouterAnnouncer(platform, health, loop, self, this::ledgerReport);
-        this.recovery =
-                new LedgerRecovery(platform, health, loop, log, this::prepaidTokens, this::ledgerPagesMayBeCreated);
+        this.recovery = new LedgerRecovery(
+                holder.vmName(),
+                platform,
+                health,
+                loop,
+                log,
+                () -> snapshot.catalog().prepaidTokens(),
+                this::ledgerPagesMayBeCreated);
         this.replicator = new EntryReplicator(self, holder.name(), peers, loop, log);
         for (int page = 0; page < LedgerPages.COUNT; page++) {
             ledgers.add(new LedgerUpdater(
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/EntryReplicator.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/EntryReplicator.java
@@ -1,12 +1,12 @@
 package io.jayhead.gateway.control;
 
 import io.jayhead.admission.prepaid.LedgerEntry;
+import io.jayhead.admission.prepaid.ReplicaChoice;
 import io.jayhead.gateway.log.LogKind;
 import io.jayhead.gateway.log.StructuredLog;
 import io.jayhead.peer.PeerClient;
 import io.jayhead.peer.pb.Frame;
 import io.netty.channel.EventLoop;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -21,9 +21,6 @@
  */
 final class EntryReplicator {
 
-    /** Two replicas tolerate the loss of one together with this router. */
-    private static final int REPLICAS = 2;
-
     private static final long ANSWER_TIMEOUT_MS = 500;
     /** A router that did not answer is not chosen for this time. */
     private static final long SILENCE_MS = 2_000;
@@ -57,7 +54,11 @@
 
     /** Takes over the routers of the fleet, which may change the replicas. */
     void routersChanged(List<RouterAddress> routers) {
-        successors = successorsOf(self.vmName(), routers);
+        Map<String, RouterAddress> byVm = new HashMap<>();
+        routers.forEach(router -> byVm.put(router.vmName(), router));
+        successors = ReplicaChoice.successors(self.vmName(), byVm.keySet()).stream()
+                .map(byVm::get)
+                .toList();
         replicate();
     }
 
@@ -71,28 +72,11 @@
         replicate();
     }
 
-    /**
-     * Returns the other routers in the order in which they are chosen as replicas. Each router starts at its own name,
-     * so that all routers are replicas of equally many others.
-     *
-     * @param vmName the VM of the router whose replicas are chosen
-     * @param routers the routers of the fleet
-     * @return the routers that follow the VM in the order of the names, and then those before it
-     */
-    static List<RouterAddress> successorsOf(String vmName, List<RouterAddress> routers) {
-        Comparator<RouterAddress> precedingLast =
-                Comparator.comparing(router -> router.vmName().compareTo(vmName) < 0);
-        return routers.stream()
-                .filter(router -> !router.vmName().equals(vmName))
-                .sorted(precedingLast.thenComparing(RouterAddress::vmName))
-                .toList();
-    }
-
     private void replicate() {
         long nowMs = System.nanoTime() / 1_000_000;
         successors.stream()
                 .filter(router -> replica(router).silentUntilMs <= nowMs)
-                .limit(REPLICAS)
+                .limit(ReplicaChoice.REPLICAS)
                 .forEach(router -> send(router, replica(router)));
     }
 
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/LedgerRecovery.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/LedgerRecovery.java
@@ -1,5 +1,6 @@
 package io.jayhead.gateway.control;
 
+import io.jayhead.admission.prepaid.Continuity;
 import io.jayhead.admission.prepaid.FleetReports;
 import io.jayhead.admission.prepaid.Holder;
 import io.jayhead.admission.prepaid.LedgerPage;
@@ -11,9 +12,8 @@
 import io.netty.channel.EventLoop;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Function;
+import java.util.function.Supplier;
 
 /**
  * Decides when the ledger pages of a new era may be created, and with which content; used by the control thread.
@@ -26,15 +26,19 @@
     /** Longer than a router takes to notice that the platform answers again, to report and to be read. */
     private static final long REPORT_WAIT_MS = 3_000;
 
+    private final String vmName;
     private final PlatformClient platform;
     private final PlatformHealth health;
     private final EventLoop loop;
     private final StructuredLog log;
-    private final Function<String, OptionalLong> prepaidTokens;
+    private final Supplier<Map<String, Long>> prepaidTokens;
     private final Runnable onReady;
     private final Backoff backoff = new Backoff();
     private FleetReports reports = FleetReports.empty();
     private Optional<Map<String, LedgerPage>> storedPages = Optional.empty();
+    private final long startedAtNs = System.nanoTime();
+    private double ranS;
+    private Continuity earlierContinuity = Continuity.CONTINUOUS;
     private boolean routersListed;
     private boolean listInFlight;
     private boolean waitIsOver;
@@ -43,20 +47,23 @@
     /**
      * Creates an instance for a platform whose era is unknown.
      *
+     * @param vmName the VM of this router
      * @param platform the client of the platform
      * @param health tracks whether the platform answers
      * @param loop the control thread
      * @param log receives the outcome of a recovery
-     * @param prepaidTokens returns the size of a budget; empty if the budget has no limit or is unknown
+     * @param prepaidTokens returns the sizes of the budgets, by organisation; those without a limit are left out
      * @param onReady is called when pages may be created
      */
     LedgerRecovery(
+            String vmName,
             PlatformClient platform,
             PlatformHealth health,
             EventLoop loop,
             StructuredLog log,
-            Function<String, OptionalLong> prepaidTokens,
+            Supplier<Map<String, Long>> prepaidTokens,
             Runnable onReady) {
+        this.vmName = vmName;
         this.platform = platform;
         this.health = health;
         this.loop = loop;
@@ -67,6 +74,11 @@
 
     /** Begins an era, in which all routers must report again. */
     void begin(long era) {
+        boolean restored = reports.era() != LedgerReport.NO_ERA;
+        if (reports.hasReported(vmName)) {
+            earlierContinuity = reports.byVm().get(vmName).continuity();
+        }
+        ranS = restored ? (System.nanoTime() - startedAtNs - health.quietNs()) / 1e9 : 0;
         reports = reports.inEra(era);
         storedPages = Optional.empty();
         routersListed = false;
@@ -81,12 +93,17 @@
 
     /** Returns the report of an incarnation that has read the given entries. */
     LedgerReport reportOf(Holder holder, LedgerPage known) {
-        return reports.reportOf(holder.vmName(), holder.name(), known);
+        return reports.reportOf(holder.vmName(), holder.name(), ranS, earlierContinuity, known);
     }
 
     /** Tells whether routers have to report before pages can be created. */
     boolean isAwaitingReports() {
-        return !ready && !waitIsOver && !reports.missingVms().isEmpty();
+        return !ready && !waitIsOver && !reports.isComplete(vmName);
+    }
+
+    /** Tells whether this router creates all pages of the era, not only those that it needs. */
+    boolean createsPages() {
+        return reports.createsPages(vmName);
     }
 
     /** Takes over the reports in announcements of routers. */
@@ -149,8 +166,14 @@
     }
 
     private void checkReady() {
-        boolean complete = routersListed && reports.missingVms().isEmpty();
-        if (ready || storedPages.isEmpty() || !complete && !waitIsOver) {
+        boolean complete = routersListed && reports.isComplete(vmName);
+        if (ready || !complete && !waitIsOver) {
+            return;
+        }
+        if (storedPages.isEmpty()) {
+            if (createsPages()) {
+                readStoredPages();
+            }
             return;
         }
         ready = true;
@@ -163,7 +186,7 @@
         for (int page = 0; page < LedgerPages.COUNT; page++) {
             copy = copy.mergeGreatest(LedgerPages.newestBefore(page, reports.era(), storedPages.orElseThrow()));
         }
-        return reports.rebuild(copy, prepaidTokens);
+        return reports.rebuild(copy, prepaidTokens.get());
     }
 
     private void logOutcome(RebuiltLedger ledger) {
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/LedgerUpdater.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/LedgerUpdater.java
@@ -109,6 +109,7 @@
 
     /** Creates the page if that was not possible before, or corrects it if it was created without this router. */
     void pagesMayBeCreated() {
+        pageMissing |= recovery.createsPages() && !session.isRead();
         if (pageMissing || session.needsCorrection()) {
             callNext();
         }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ReplicatedEntries.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ReplicatedEntries.java
@@ -47,7 +47,7 @@
         byHolder.forEach((holder, entries) -> entries.forEach((organisation, received) -> byOrganisation
                 .computeIfAbsent(organisation, name -> new HashMap<>())
                 .put(holder, received.entry())));
-        return new LedgerPage(byOrganisation);
+        return LedgerPage.of(byOrganisation);
     }
 
     private void removeOlderThan(long receivedAtMs) {
--- a/jayhead-gateway/src/test/java/io/jayhead/gateway/control/EntryReplicatorTest.java
+++ b/jayhead-gateway/src/test/java/io/jayhead/gateway/control/EntryReplicatorTest.java
@@ -85,20 +85,6 @@
         assertEquals(2, receiver.next().getEntriesCount());
     }
 
-    @Test
-    void routersAreChosenFromTheOwnNameOn() {
-        List<RouterAddress> routers = List.of(
-                new RouterAddress("vm-1", address(1)),
-                new RouterAddress("vm-2", address(1)),
-                new RouterAddress("vm-3", address(1)),
-                new RouterAddress("vm-4", address(1)));
-        assertEquals(
-                List.of("vm-3", "vm-4", "vm-1"),
-                EntryReplicator.successorsOf("vm-2", routers).stream()
-                        .map(RouterAddress::vmName)
-                        .toList());
-    }
-
     private void onLoop(Runnable call) {
         loop.submit(call).syncUninterruptibly();
     }
--- a/jayhead-routing/src/main/java/io/jayhead/routing/catalog/Catalog.java
+++ b/jayhead-routing/src/main/java/io/jayhead/routing/catalog/Catalog.java
@@ -125,6 +125,21 @@
         return Optional.ofNullable(organisations.get(name));
     }
 
+    /**
+     * Returns the sizes of all prepaid budgets.
+     *
+     * @return the tokens by organisation, without organisations that have no limit
+     */
+    public Map<String, Long> prepaidTokens() {
+        Map<String, Long> tokens = new HashMap<>();
+        organisations
+                .values()
+                .forEach(organisation -> organisation
+                        .prepaidTokens()
+                        .ifPresent(prepaidTokens -> tokens.put(organisation.name(), prepaidTokens)));
+        return tokens;
+    }
+
     /**
      * Tells whether requests need an API key unless their route accepts requests without one.
      *
