Kill routers in the model of returns from older copies

LedgerRestoreTest had routers that always live.

Not in the model: messages that are lost or late, kills of a router together with its replicas.

--- a/jayhead-admission/src/test/java/io/jayhead/admission/prepaid/LedgerRestoreTest.java
+++ b/jayhead-admission/src/test/java/io/jayhead/admission/prepaid/LedgerRestoreTest.java
@@ -3,18 +3,21 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Random;
+import java.util.Set;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.LongRange;
 
 /**
  * Guards against overspending a budget over several returns of the store from older copies, when routers report in any
- * order, late, or after the pages were rebuilt without them.
+ * order, late, or after the pages were rebuilt without them, and when a router is killed since the copy while its
+ * replicas live.
  */
 class LedgerRestoreTest {
 
@@ -24,6 +27,9 @@
     private static final int STEPS = 60;
 
     private final List<LedgerSession> sessions = new ArrayList<>();
+    private final Set<Integer> replacedSinceCopy = new HashSet<>();
+    private LedgerPage replicated;
+    private long lostTokens;
     private VersionedPage stored;
     private VersionedPage copy;
     private long era;
@@ -35,15 +41,17 @@
         start();
         for (int step = 0; step < STEPS; step++) {
             int router = random.nextInt(ROUTERS);
-            switch (random.nextInt(8)) {
-                case 0 -> copy = stored;
+            switch (random.nextInt(9)) {
+                case 0 -> keepCopy();
                 case 1 -> restore(random);
+                case 8 -> kill(router, step);
                 case 2 -> sessions.set(router, returnHalf(sessions.get(router)));
                 default -> update(router, 1 + random.nextInt(3_000));
             }
-            long ownedTokens = sessions.stream()
-                    .mapToLong(session -> session.ownTokens(ORGANISATION))
-                    .sum();
+            long ownedTokens = lostTokens
+                    + sessions.stream()
+                            .mapToLong(session -> session.ownTokens(ORGANISATION))
+                            .sum();
             assertTrue(ownedTokens <= PREPAID_TOKENS, "owned " + ownedTokens + " after step " + step);
         }
     }
@@ -54,11 +62,29 @@
             sessions.add(LedgerSession.of(new Holder("vm-" + router, 1, "n")));
         }
         stored = new VersionedPage(LedgerPage.empty(), 1);
-        copy = stored;
+        replicated = LedgerPage.empty();
+        lostTokens = 0;
+        keepCopy();
         era = 1;
         reports = FleetReports.empty();
     }
 
+    private void keepCopy() {
+        copy = stored;
+        replacedSinceCopy.clear();
+    }
+
+    /** Replaces a router by a new incarnation, unless that would end a replica of one that was replaced before. */
+    private void kill(int router, int step) {
+        if (!replacedSinceCopy.isEmpty()) {
+            return;
+        }
+        replacedSinceCopy.add(router);
+        LedgerSession killed = sessions.get(router);
+        lostTokens += killed.ownTokens(ORGANISATION);
+        sessions.set(router, LedgerSession.of(new Holder(killed.holder().vmName(), step + 2, "n")));
+    }
+
     /** Goes back to the copy; all routers report in random order, as each notices the return. */
     private void restore(Random random) {
         era++;
@@ -69,15 +95,15 @@
             sessions.set(router, sessions.get(router).restored());
             LedgerSession session = sessions.get(router);
             String holder = session.holder().name();
-            reports = reports.with(
-                    session.holder().vmName(),
-                    new LedgerReport(era, holder, Continuity.CONTINUOUS, session.knownPage()));
+            Continuity continuity = replacedSinceCopy.contains(router) ? Continuity.REPLACED : Continuity.CONTINUOUS;
+            LedgerPage known = replicated.without(holder).mergeGreatest(session.knownPage());
+            reports = reports.with(session.holder().vmName(), new LedgerReport(era, holder, continuity, known));
         }
         stored = new VersionedPage(
                 reports.rebuild(copy.page(), Map.of(ORGANISATION, PREPAID_TOKENS))
                         .entries(),
                 copy.revision());
-        copy = stored;
+        keepCopy();
     }
 
     private void update(int router, long tokens) {
@@ -88,7 +114,10 @@
             stored = new VersionedPage(update.get().page(), stored.revision() + 1);
             session = session.withInFlight(update.get());
         }
-        sessions.set(router, session.withPage(stored));
+        session = session.withPage(stored);
+        sessions.set(router, session);
+        LedgerEntry entry = stored.page().entry(ORGANISATION, session.holder().name());
+        replicated = replicated.with(ORGANISATION, session.holder().name(), entry);
     }
 
     private static LedgerSession returnHalf(LedgerSession session) {
