Write off nothing for predecessors of a router that holds the budget

Cause: for a VM whose routers ended unknown in the lost time, first tokens were written off in each budget without an entry of a silent incarnation, also where the reporting incarnation holds the budget. That one has read what its predecessors took.

Change and test: such VMs are left out. FleetReportsTest.nothingIsWrittenOffForPredecessorsOfARouterThatHoldsTheBudget wrote off 120 tokens before, 0 now.

--- a/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/LedgerRebuild.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/LedgerRebuild.java
@@ -57,19 +57,22 @@
         }
     }
 
-    /** Writes off first tokens of a budget for incarnations without an entry; they count with the greatest demand. */
+    /**
+     * Writes off first tokens of a budget for incarnations without an entry; they count with the greatest demand. A
+     * reporting incarnation has read the entries of its predecessors in all budgets that it holds.
+     */
     private void writeOffUnknownHolders(String organisation, long leftTokens, WriteOffs writeOffs) {
-        Set<String> silentVms = new HashSet<>();
+        Set<String> knownVms = new HashSet<>();
         exact.entries().get(organisation).keySet().stream()
                 .map(Holder::of)
-                .filter(holder -> isSilent(holder, organisation))
-                .forEach(holder -> silentVms.add(holder.vmName()));
+                .filter(holder -> reporters.containsKey(holder.name()) || isSilent(holder, organisation))
+                .forEach(holder -> knownVms.add(holder.vmName()));
         long tokensPerS = exact.entries().get(organisation).values().stream()
                 .mapToLong(LedgerEntry::tokensPerS)
                 .max()
                 .orElse(0);
         for (String vmName : lost.unknownVms()) {
-            if (!silentVms.contains(vmName)) {
+            if (!knownVms.contains(vmName)) {
                 Holder holder = Holder.unknown(vmName);
                 writeOffs.add(organisation, holder, unseenTokens(organisation, holder, tokensPerS, leftTokens));
             }
--- a/jayhead-admission/src/test/java/io/jayhead/admission/prepaid/FleetReportsTest.java
+++ b/jayhead-admission/src/test/java/io/jayhead/admission/prepaid/FleetReportsTest.java
@@ -136,6 +136,15 @@
         assertEquals(620, rebuilt.totalTakenTokens("shop"), "vm-1 is a replica of vm-3 and vm-4");
     }
 
+    @Test
+    void nothingIsWrittenOffForPredecessorsOfARouterThatHoldsTheBudget() {
+        LedgerPage known = page(FIRST, 300).with("shop", "vm-1/200/c", new LedgerEntry(500, 10));
+        FleetReports reports = FleetReports.empty()
+                .inEra(2)
+                .with("vm-1", new LedgerReport(2, "vm-1/200/c", Continuity.REPLACED, known));
+        assertEquals(0, reports.rebuild(LedgerPage.empty(), PREPAID).writtenOffTokens());
+    }
+
     @Test
     void aRouterThatTheCopyNamesRanAllTheTime() {
         FleetReports copied = reports("vm-1", FIRST, LedgerPage.empty()).inEra(3);
