Let the stand-in router of a test answer with the incarnation that got the message

Trace: the stand-in queued the message before it built its answer. The test replaced the incarnation in between, so the answer to the first message already named the second incarnation, and nothing had changed for the replicator. With 50 ms between the two the test always fails at this line; with the answer built first and the same 50 ms it passes.

The check is as before.

--- a/jayhead-gateway/src/test/java/io/jayhead/gateway/control/EntryReplicatorTest.java
+++ b/jayhead-gateway/src/test/java/io/jayhead/gateway/control/EntryReplicatorTest.java
@@ -8,6 +8,7 @@
 import io.jayhead.peer.PeerClient;
 import io.jayhead.peer.PeerServer;
 import io.jayhead.peer.PeerTrafficListener;
+import io.jayhead.peer.pb.Frame;
 import io.jayhead.peer.pb.ReplicateEntries;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -106,8 +107,9 @@
                     group,
                     address(0),
                     request -> {
+                        Frame reply = ReplicationMessages.reply(this.incarnation);
                         messages.add(request.getReplicateEntries());
-                        return CompletableFuture.completedFuture(ReplicationMessages.reply(this.incarnation));
+                        return CompletableFuture.completedFuture(reply);
                     },
                     PeerTrafficListener.NONE);
         }
