Notice a watch whose connection has fallen silent in time

Cause: a watch waited for 29 s, and its answer counted as missing after 30 s. Nothing else shows that this one connection carries nothing: the probes and the other calls run on other connections, and TCP keep-alive is answered by whatever intermediary holds the connection.

Ruled out: the two connections that LivenessProbe and PlatformHealth judge; they are answered, as the store is well. A second watch on another connection: both may fall silent.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/Gateway.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/Gateway.java
@@ -101,7 +101,7 @@
                 peers,
                 new Holder(settings.vmName(), System.currentTimeMillis(), incarnation),
                 new RouterAddress(settings.vmName(), settings.peersAddress()),
-                settings.heartbeatMs(),
+                settings.controlTimes(),
                 log,
                 metrics,
                 budgets,
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/GatewaySettings.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/GatewaySettings.java
@@ -1,5 +1,6 @@
 package io.jayhead.gateway;
 
+import io.jayhead.gateway.control.ControlTimes;
 import java.net.InetSocketAddress;
 
 /**
@@ -11,7 +12,7 @@
  * @param statusAddress the address of the readiness check and the metrics
  * @param peersAddress the address on which the router accepts other routers
  * @param stopMs the time in milliseconds between the stop signal and the end of the process
- * @param heartbeatMs the time in milliseconds between two heartbeats by which upstreams stay registered
+ * @param controlTimes the times that the control plane depends on
  * @param linkMbps the capacity of the VM's network link in each direction, in megabits per second; 0 if unknown
  */
 public record GatewaySettings(
@@ -21,14 +22,14 @@
         InetSocketAddress statusAddress,
         InetSocketAddress peersAddress,
         long stopMs,
-        long heartbeatMs,
+        ControlTimes controlTimes,
         double linkMbps) {
 
     /**
      * Validates the values.
      *
-     * @throws IllegalArgumentException if the VM name is blank, the stop time or the time between heartbeats is not
-     *     positive, or the link capacity is negative
+     * @throws IllegalArgumentException if the VM name is blank, the stop time is not positive, or the link capacity is
+     *     negative
      */
     public GatewaySettings {
         if (vmName.isBlank()) {
@@ -37,9 +38,6 @@
         if (linkMbps < 0) {
             throw new IllegalArgumentException("the capacity of the link is negative: " + linkMbps);
         }
-        if (heartbeatMs <= 0) {
-            throw new IllegalArgumentException("the time between heartbeats is not positive: " + heartbeatMs);
-        }
         if (stopMs <= 0) {
             throw new IllegalArgumentException("the stop time is not positive: " + stopMs);
         }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlPlane.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlPlane.java
@@ -32,8 +32,6 @@
  */
 public final class ControlPlane implements CrashListener {
 
-    /** Long waits save calls, since each renewal of a watch is a call; keep-alive probes detect silent connections. */
-    private static final int WATCH_WAIT_MS = 29_000;
     /** Changes of upstreams are collected for at least this time, so that one answer brings several. */
     private static final int REGISTRY_MIN_PAUSE_MS = 400;
     /** A change must take effect well within the shortest time in which an upstream leaves. */
@@ -83,7 +81,7 @@
      * @param peers sends messages to other routers
      * @param holder identifies this incarnation of the router in ledger pages
      * @param self the VM name of this router and the address on which it accepts other routers
-     * @param heartbeatMs the time in milliseconds between two heartbeats by which upstreams stay registered
+     * @param times the times of the deployment
      * @param log receives changes of the control state
      * @param metrics counts calls to the platform
      * @param budgets receives the state of budgets
@@ -96,7 +94,7 @@
             PeerClient peers,
             Holder holder,
             RouterAddress self,
-            long heartbeatMs,
+            ControlTimes times,
             StructuredLog log,
             GatewayMetrics metrics,
             BudgetListener budgets,
@@ -109,6 +107,7 @@
         this.self = self;
         this.onChange = onChange;
         this.health = new PlatformHealth(log, metrics, this::platformRecovered);
+        WatchTimes watchTimes = new WatchTimes(times.reconnectMs());
         this.catalogLoop = new WatchLoop<>(
                 "configuration",
                 loop,
@@ -116,10 +115,10 @@
                 true,
                 () -> 0,
                 platform::readCatalog,
-                revision -> platform.watchCatalog(revision, WATCH_WAIT_MS),
+                revision -> platform.watchCatalog(revision, watchTimes.waitMs(0)),
                 this::catalogRead,
                 this::catalogRead);
-        this.registry = new RegistryUpdater(heartbeatMs, log, this::publish);
+        this.registry = new RegistryUpdater(times.heartbeatMs(), log, this::publish);
         this.registryLoop = new WatchLoop<>(
                 "registry",
                 loop,
@@ -127,7 +126,7 @@
                 false,
                 this::registryPauseMs,
                 platform::listUpstreams,
-                revision -> platform.watchUpstreams(revision, WATCH_WAIT_MS),
+                revision -> platform.watchUpstreams(revision, watchTimes.waitMs(registryPauseMs())),
                 registry::listed,
                 registry::changed);
         this.routersLoop = new WatchLoop<>(
@@ -137,7 +136,7 @@
                 false,
                 this::routersPauseMs,
                 platform::listRouters,
-                revision -> platform.watchRouters(revision, WATCH_WAIT_MS),
+                revision -> platform.watchRouters(revision, watchTimes.relaxedWaitMs(routersPauseMs())),
                 this::routersRead,
                 this::routersRead);
         this.quarantine = new QuarantineUpdater(
@@ -149,7 +148,7 @@
                 false,
                 () -> CRASHES_PAUSE_MS,
                 platform::listCrashes,
-                revision -> platform.watchCrashes(revision, WATCH_WAIT_MS),
+                revision -> platform.watchCrashes(revision, watchTimes.relaxedWaitMs(CRASHES_PAUSE_MS)),
                 quarantine::listed,
                 quarantine::changed);
         this.announcer = new RouterAnnouncer(platform, health, loop, self, this::ledgerReport);
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/PlatformClient.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/PlatformClient.java
@@ -16,6 +16,9 @@
  */
 public interface PlatformClient {
 
+    /** How much longer than its wait time a watch may take, in milliseconds, until its answer counts as missing. */
+    int WATCH_MARGIN_MS = 500;
+
     /**
      * Registers who is notified of the era of the platform, which rises each time the platform has gone back to an
      * older copy. Calls that are in flight then fail with {@link PlatformFault#RESTORED}, so no answer joins revisions
