Take a failed watch for a lost connection, not for an outage of the store

Cause: PlatformHealth took each failed call for an outage. A store may end a waiting watch at any time, and a pooled connection may be lost alone; both were logged as "platform lost", and the recovery that followed kept entries which the store no longer lists for 2.2 s, again and again.

Change: - A failed watch is followed by a reading at once; only if that fails, the platform counts as lost.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/Backoff.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/Backoff.java
@@ -3,9 +3,9 @@
 /** Doubles the delay between consecutive failed attempts up to a maximum; used by one thread. */
 final class Backoff {
 
-    private static final long FIRST_MS = 100;
+    static final long FIRST_MS = 100;
     /** Limits the time for which changes go unnoticed after the platform has recovered. */
-    private static final long MAX_MS = 800;
+    static final long MAX_MS = 800;
 
     private long nextMs = FIRST_MS;
 
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/PlatformClient.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/PlatformClient.java
@@ -70,7 +70,8 @@
     CompletionStage<Void> announce(RouterAnnouncement announcement);
 
     /**
-     * Checks that the platform answers, with the cheapest call there is.
+     * Checks that the platform answers, with the cheapest call there is and on a connection of its own, so that no
+     * older connection that has failed is taken for a failure of the platform.
      *
      * @param router the name and address of this router
      * @return a stage that completes with any answer of the platform that is no refusal
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/PlatformHealth.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/PlatformHealth.java
@@ -88,6 +88,14 @@
         onRecovery.run();
     }
 
+    /** Records that a watch ended without an answer or with a refusal, which tells nothing about other calls. */
+    void watchFailed(String call, Throwable failure) {
+        PlatformFault fault = PlatformException.faultOf(failure);
+        metrics.platformCall(call, fault.name());
+        log.write(LogKind.STATE, "watch failed", "call", call, "fault", fault, "detail", failure);
+    }
+
+    /** Records that a call other than a watch failed. */
     void failed(String call, Throwable failure) {
         PlatformFault fault = PlatformException.faultOf(failure);
         metrics.platformCall(call, fault.name());
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/WatchLoop.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/WatchLoop.java
@@ -16,6 +16,9 @@
  * waits for much longer than a read, so a watch that is sent to a platform that does not answer would hide its
  * recovery.
  *
+ * <p>A failed watch is no sign of an outage: the platform may end one at any time, and the connection that it waits on
+ * may have failed alone. Only the reading that follows tells whether the platform answers.
+ *
  * @param <L> the type of a full listing
  * @param <C> the type of the changes that a watch reports
  */
@@ -38,6 +41,7 @@
     private long runNumber;
 
     private boolean watchInFlight;
+    private long watchStartedAtNs;
 
     /**
      * Creates a loop that has read nothing.
@@ -84,6 +88,7 @@
             return;
         }
         watchInFlight = true;
+        watchStartedAtNs = System.nanoTime();
         watch.apply(revision).whenComplete((changes, failure) -> {
             if (currentRun == runNumber) {
                 watchInFlight = false;
@@ -112,13 +117,18 @@
     }
 
     private <T> void handleAnswer(String call, Versioned<T> answer, Throwable failure, Consumer<T> consumer) {
+        boolean watched = !mustRead;
+        if (failure != null && watched) {
+            health.watchFailed(call, failure);
+            mustRead = true;
+            readAfterFailedWatch(PlatformException.faultOf(failure));
+            return;
+        }
         if (failure != null) {
             health.failed(call, failure);
-            mustRead = true;
             retry(PlatformException.faultOf(failure));
             return;
         }
-        boolean watched = !mustRead;
         if (watched) {
             watchSucceeded = true;
             backoff.reset();
@@ -162,10 +172,26 @@
         }
     }
 
-    private void retry(PlatformFault fault) {
-        // Reads again at once if the history is gone, but backs off if no watch has succeeded since the last failure.
-        boolean atOnce = watchSucceeded && (fault == PlatformFault.HISTORY_GONE || fault == PlatformFault.RESTORED);
+    /**
+     * Reads all again at once, but backs off if watches fail one after the other as soon as they begin. The loop that
+     * probes in an outage reads first, so that the others wait for it if the platform does not answer.
+     */
+    private void readAfterFailedWatch(PlatformFault fault) {
+        long watchedMs = (System.nanoTime() - watchStartedAtNs) / 1_000_000;
+        boolean atOnce = watchSucceeded || watchedMs >= Backoff.MAX_MS;
         watchSucceeded = false;
+        long firstDelayMs = probes || !fault.isOutage() ? 0 : Backoff.FIRST_MS;
+        long delayMs = atOnce ? firstDelayMs : backoff.next();
+        loop.schedule(ofCurrentRun(this::runUnlessInOutage), delayMs, TimeUnit.MILLISECONDS);
+    }
+
+    private void runUnlessInOutage() {
+        if (probes || !health.awaitRecovery(ofCurrentRun(this::run))) {
+            run();
+        }
+    }
+
+    private void retry(PlatformFault fault) {
         if (probes && fault.isOutage()) {
             health.probeFailed();
         } else if (probes) {
@@ -174,6 +200,6 @@
         if (!probes && fault.isOutage() && health.awaitRecovery(ofCurrentRun(this::run))) {
             return;
         }
-        runAfter(atOnce ? 0 : backoff.next());
+        runAfter(backoff.next());
     }
 }
--- a/jayhead-gateway/src/test/java/io/jayhead/gateway/control/WatchLoopTest.java
+++ b/jayhead-gateway/src/test/java/io/jayhead/gateway/control/WatchLoopTest.java
@@ -9,18 +9,26 @@
 import java.io.ByteArrayOutputStream;
 import java.io.PrintStream;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
-/** Guards against a watch that ends for good after an unexpected error, so that later changes go unnoticed. */
+/**
+ * Guards against a watch that ends for good after an unexpected error, so that later changes go unnoticed, and against
+ * one that is taken for an outage because its connection failed.
+ */
 class WatchLoopTest {
 
     private final DefaultEventLoop loop = new DefaultEventLoop();
     private final StructuredLog log = new StructuredLog(new PrintStream(new ByteArrayOutputStream()));
-    private final PlatformHealth health = new PlatformHealth(log, new GatewayMetrics(), () -> {});
+    private final AtomicInteger outages = new AtomicInteger();
+    private final PlatformHealth health = new PlatformHealth(log, new GatewayMetrics(), outages::incrementAndGet);
     private final AtomicInteger reads = new AtomicInteger();
     private final CountDownLatch readAgain = new CountDownLatch(3);
 
@@ -71,4 +79,42 @@
         loop.execute(watch::run);
         assertEquals(10, watchedAfterReturn.get(5, TimeUnit.SECONDS));
     }
+
+    @ParameterizedTest
+    @EnumSource(names = {"REFUSED", "UNANSWERED", "CONNECTION_LOST"})
+    void aWatchThatFailsWhileThePlatformAnswersIsNoOutage(PlatformFault fault) throws Exception {
+        CountDownLatch watchedAgain = new CountDownLatch(4);
+        WatchLoop<Integer, Integer> watch = loopOf(() -> {
+            watchedAgain.countDown();
+            return watchedAgain.getCount() % 2 == 0
+                    ? CompletableFuture.completedFuture(new Versioned<>(null, 1))
+                    : CompletableFuture.failedFuture(new PlatformException(fault, "the watch was cut off"));
+        });
+        loop.execute(watch::run);
+        assertTrue(watchedAgain.await(5, TimeUnit.SECONDS), "watches left: " + watchedAgain.getCount());
+        assertEquals(0, outages.get());
+    }
+
+    /** Each failure costs two calls to the platform. */
+    @Test
+    void watchesThatFailAsSoonAsTheyBeginAreRepeatedWithPauses() throws Exception {
+        WatchLoop<Integer, Integer> watch = loopOf(() ->
+                CompletableFuture.failedFuture(new PlatformException(PlatformFault.REFUSED, "the watch was refused")));
+        loop.execute(watch::run);
+        Thread.sleep(1_000);
+        assertTrue(reads.get() >= 2 && reads.get() <= 5, "reads: " + reads.get());
+    }
+
+    private WatchLoop<Integer, Integer> loopOf(Supplier<CompletionStage<Versioned<Integer>>> watch) {
+        return new WatchLoop<>(
+                "numbers",
+                loop,
+                health,
+                true,
+                () -> 0,
+                () -> CompletableFuture.completedFuture(new Versioned<>(reads.incrementAndGet(), 1)),
+                revision -> watch.get(),
+                value -> {},
+                value -> {});
+    }
 }
