Require an API key although the last one has been revoked

Cause: Catalog.hasOrganisations answered whether any key exists, and the decoder dropped organisations without keys. So a configuration whose organisations have no key was taken for one without organisations.

Ruled out: a version that is not in force (the revoked keys and keys that no version held are served alike, the latter got 401 before).

Change: CallerKeys keeps whether keys are required apart from the keys. An organisation without keys keeps the size of its budget, so that its ledger is not rebuilt without a limit after a return of the store.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlPlane.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlPlane.java
@@ -158,7 +158,7 @@
                 health,
                 loop,
                 log,
-                () -> snapshot.catalog().prepaidTokens(),
+                () -> snapshot.catalog().keys().prepaidTokens(),
                 this::ledgerPagesMayBeCreated);
         this.replicator = new EntryReplicator(self, holder.name(), peers, loop, log);
         for (int page = 0; page < LedgerPages.COUNT; page++) {
@@ -230,6 +230,7 @@
 
     private OptionalLong prepaidTokens(String organisation) {
         return snapshot.catalog()
+                .keys()
                 .organisation(organisation)
                 .map(Organisation::prepaidTokens)
                 .orElse(OptionalLong.empty());
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/RequestAdmission.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/RequestAdmission.java
@@ -40,9 +40,9 @@
         if (route.kind().isStreaming() && drain.isRefusingStreams()) {
             return Either.left(Refusal.STOPPING);
         }
-        boolean needsKey = !route.anonymous() && catalog.hasOrganisations();
+        boolean needsKey = !route.anonymous() && catalog.keys().areRequired();
         Optional<Organisation> organisation =
-                needsKey ? catalog.organisationByKey(metadata.key().orElse(null)) : Optional.empty();
+                needsKey ? catalog.keys().organisationByKey(metadata.key().orElse(null)) : Optional.empty();
         if (needsKey && organisation.isEmpty()) {
             return Either.left(Refusal.UNKNOWN_KEY);
         }
--- a/jayhead-routing/src/main/java/io/jayhead/routing/catalog/Catalog.java
+++ b/jayhead-routing/src/main/java/io/jayhead/routing/catalog/Catalog.java
@@ -14,24 +14,20 @@
     private final long version;
     private final Map<String, List<Route>> routesByHost;
     private final Map<String, ServiceProfile> services;
-    private final Map<String, Organisation> organisationsByKey;
-    private final Map<String, Organisation> organisations;
+    private final CallerKeys keys;
     private final CallerLimits limits;
 
     private Catalog(
             long version,
             Map<String, List<Route>> routesByHost,
             Map<String, ServiceProfile> services,
-            Map<String, Organisation> organisationsByKey,
+            CallerKeys keys,
             CallerLimits limits) {
         this.version = version;
         this.routesByHost = routesByHost;
         this.services = Map.copyOf(services);
-        this.organisationsByKey = Map.copyOf(organisationsByKey);
+        this.keys = keys;
         this.limits = limits;
-        Map<String, Organisation> byName = new HashMap<>();
-        organisationsByKey.values().forEach(organisation -> byName.put(organisation.name(), organisation));
-        this.organisations = Map.copyOf(byName);
     }
 
     /**
@@ -40,7 +36,7 @@
      * @param version the version of the configuration; higher versions replace lower ones
      * @param routes the routes
      * @param services the services by name
-     * @param organisationsByKey the organisations by API key; several keys may belong to one organisation
+     * @param keys the organisations and the API keys of their callers
      * @param limits the limits for callers
      * @return the catalog
      */
@@ -48,7 +44,7 @@
             long version,
             List<Route> routes,
             Map<String, ServiceProfile> services,
-            Map<String, Organisation> organisationsByKey,
+            CallerKeys keys,
             CallerLimits limits) {
         Map<String, List<Route>> byHost = new HashMap<>();
         routes.forEach(route ->
@@ -58,7 +54,7 @@
                 .reversed();
         byHost.replaceAll(
                 (host, hostRoutes) -> hostRoutes.stream().sorted(longestFirst).toList());
-        return new Catalog(version, Map.copyOf(byHost), services, organisationsByKey, limits);
+        return new Catalog(version, Map.copyOf(byHost), services, keys, limits);
     }
 
     /**
@@ -67,7 +63,7 @@
      * @return a catalog with version -1
      */
     public static Catalog empty() {
-        return of(-1, List.of(), Map.of(), Map.of(), CallerLimits.DEFAULT);
+        return of(-1, List.of(), Map.of(), CallerKeys.notRequired(), CallerLimits.DEFAULT);
     }
 
     /**
@@ -106,47 +102,12 @@
     }
 
     /**
-     * Finds the organisation that owns an API key.
+     * Returns the organisations and the API keys of their callers.
      *
-     * @param key the API key, or null if the request has none
-     * @return the organisation, or empty if the key is unknown
+     * @return the keys
      */
-    public Optional<Organisation> organisationByKey(String key) {
-        return key == null ? Optional.empty() : Optional.ofNullable(organisationsByKey.get(key));
-    }
-
-    /**
-     * Finds an organisation by its name.
-     *
-     * @param name the name
-     * @return the organisation, or empty if no API key belongs to it
-     */
-    public Optional<Organisation> organisation(String name) {
-        return Optional.ofNullable(organisations.get(name));
-    }
-
-    /**
-     * Returns the sizes of all prepaid budgets.
-     *
-     * @return the tokens by organisation, without organisations that have no limit
-     */
-    public Map<String, Long> prepaidTokens() {
-        Map<String, Long> tokens = new HashMap<>();
-        organisations
-                .values()
-                .forEach(organisation -> organisation
-                        .prepaidTokens()
-                        .ifPresent(prepaidTokens -> tokens.put(organisation.name(), prepaidTokens)));
-        return tokens;
-    }
-
-    /**
-     * Tells whether requests need an API key unless their route accepts requests without one.
-     *
-     * @return true if the configuration lists API keys
-     */
-    public boolean hasOrganisations() {
-        return !organisationsByKey.isEmpty();
+    public CallerKeys keys() {
+        return keys;
     }
 
     /**
--- a/jayhead-routing/src/test/java/io/jayhead/routing/catalog/CatalogTest.java
+++ b/jayhead-routing/src/test/java/io/jayhead/routing/catalog/CatalogTest.java
@@ -5,7 +5,6 @@
 
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
@@ -21,7 +20,7 @@
             3,
             List.of(route("short", "/a/"), route("long", "/a/b/")),
             Map.of(),
-            Map.of("key-1", SHOP),
+            CallerKeys.of(List.of(SHOP), Map.of("key-1", SHOP)),
             CallerLimits.DEFAULT);
 
     @Test
@@ -36,13 +35,6 @@
         assertTrue(CATALOG.route("h.example", "/ab/").isEmpty());
     }
 
-    @Test
-    void onlyKnownKeysLeadToAnOrganisation() {
-        assertEquals(Optional.of(SHOP), CATALOG.organisationByKey("key-1"));
-        assertTrue(CATALOG.organisationByKey("key-2").isEmpty());
-        assertTrue(CATALOG.organisationByKey(null).isEmpty());
-    }
-
     @Test
     void sharesOfARouteFollowTheirWeights() {
         Route split = new Route(
