--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/PlatformFault.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/PlatformFault.java
@@ -7,8 +7,8 @@
     /** There was no answer on a new connection; the call may have been executed or may still be executed. */
     UNANSWERED,
     /**
-     * There was no answer on a connection that had brought answers before, so the connection may have failed and not the
-     * platform. The call may have been executed or may still be executed.
+     * There was no answer on a connection that had brought answers before, so the connection may have failed and not
+     * the platform. The call may have been executed or may still be executed.
      */
     CONNECTION_LOST,
     /** The platform no longer has the history that a watch needs. */
