End no request without an answer at the end of a planned stop

Cause: calls were accepted until 0.5 s before the end, whatever the objective of their route and the recent answers say, and the process ended with its open requests.

Ruled out: requests that are read after the end of the stop; they are refused with 503.

Change: after the first 2.6 s a call is refused before it is sent if the time after which its answer counts as lost, or its deadline, is longer than the time that is left. What is open at the end gets a final answer: 502 if it may have run, 503 if not.

Tests: DrainContractTest.noRequestThatArrivesLateInAStopIsCutOff. DrainStateTest. Also tried: the deadline alone as the bound; it refused sound calls with 2 s to go (callsAreServedAndStreamsRefusedWhileAnOpenRequestHoldsTheStopUp failed).

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/Gateway.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/Gateway.java
@@ -42,11 +42,6 @@
     private static final long DRAIN_CHECK_MS = 50;
     /** The platform's load balancer stops sending connections only after two failed readiness checks. */
     private static final long KEEP_SERVING_MS = 2_600;
-    /**
-     * Requests are refused in this last part of a stop, since calls take less time than this and earlier ones can
-     * finish.
-     */
-    private static final long REFUSE_ALL_MS = 500;
     /** The time reserved at the end of a stop for returning tokens and closing connections. */
     private static final long STOP_MARGIN_MS = 400;
 
@@ -64,7 +59,6 @@
     private final CallerServer callers;
     private final WireDialect dialect;
     private volatile boolean stopping;
-    private long stopAtNs;
 
     /**
      * Creates a router.
@@ -173,8 +167,7 @@
         stopping = true;
         log.write(LogKind.PROCESS, "stopping", "vm", settings.vmName());
         traffic.execute(() -> {
-            stopAtNs = System.nanoTime() + (settings.stopMs() - STOP_MARGIN_MS) * 1_000_000;
-            drain.drain();
+            drain.drain(System.nanoTime() + (settings.stopMs() - STOP_MARGIN_MS) * 1_000_000);
         });
         traffic.schedule(() -> awaitOpenRequests(onStopped), KEEP_SERVING_MS, TimeUnit.MILLISECONDS);
     }
@@ -185,23 +178,19 @@
      * them.
      */
     private void awaitOpenRequests(Runnable onStopped) {
-        if (!drain.isRefusingStreams()) {
-            drain.refuseStreams();
+        if (!drain.isRefusingLong()) {
+            drain.refuseLong();
             budgets.returnAll();
         }
-        long leftMs = (stopAtNs - System.nanoTime()) / 1_000_000;
-        if (leftMs < REFUSE_ALL_MS) {
-            drain.refuse();
-        }
-        if (drain.openRequests() > 0 && leftMs > 0) {
+        if (drain.openRequests() > 0 && drain.leftMs() > 0) {
             traffic.schedule(() -> awaitOpenRequests(onStopped), DRAIN_CHECK_MS, TimeUnit.MILLISECONDS);
             return;
         }
         drain.refuse();
         callers.stopListening();
-        callers.closeIdle();
-        budgets.returnAll();
         log.write(LogKind.PROCESS, "stopped", "vm", settings.vmName(), "open_requests", drain.openRequests());
+        callers.stopConnections();
+        budgets.returnAll();
         traffic.schedule(onStopped, STOP_MARGIN_MS / 2, TimeUnit.MILLISECONDS);
     }
 
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/edge/CallerConnection.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/edge/CallerConnection.java
@@ -186,10 +186,12 @@
         channel.close();
     }
 
-    /** Closes the connection if no request is open. */
-    void closeIfIdle() {
+    /** Ends the open request with a final answer, or closes the connection if none is open. */
+    void stop() {
         if (exchange == null) {
             channel.close();
+        } else {
+            exchange.stop();
         }
     }
 }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/edge/CallerServer.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/edge/CallerServer.java
@@ -87,8 +87,8 @@
         server.close();
     }
 
-    /** Closes all connections without an open request. */
-    public void closeIdle() {
-        Set.copyOf(connections).forEach(CallerConnection::closeIfIdle);
+    /** Ends all open requests with a final answer, and closes the connections without one. */
+    public void stopConnections() {
+        Set.copyOf(connections).forEach(CallerConnection::stop);
     }
 }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/DrainState.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/DrainState.java
@@ -4,18 +4,24 @@
 public final class DrainState {
 
     private boolean draining;
-    private boolean refusingStreams;
+    private boolean refusingLong;
     private boolean refusing;
+    private long endNs;
     private int openRequests;
 
-    /** Starts to drain: from now on, connections are closed after their answer. */
-    public void drain() {
+    /**
+     * Starts to drain: from now on, connections are closed after their answer.
+     *
+     * @param stopNs the time of {@link System#nanoTime()} at which requests that are still open are ended
+     */
+    public void drain(long stopNs) {
         draining = true;
+        endNs = stopNs;
     }
 
-    /** Refuses new streams from now on, since they may last longer than the rest of the planned stop. */
-    public void refuseStreams() {
-        refusingStreams = true;
+    /** Refuses new requests from now on that may last longer than the rest of the planned stop. */
+    public void refuseLong() {
+        refusingLong = true;
     }
 
     /** Refuses new requests from now on. */
@@ -26,19 +32,39 @@
     /**
      * Tells whether the router is being stopped.
      *
-     * @return true after {@link #drain()}
+     * @return true after {@link #drain(long)}
      */
     public boolean isDraining() {
         return draining;
     }
 
     /**
-     * Tells whether new streams are refused.
+     * Tells whether the last part of a planned stop has begun.
+     *
+     * @return true after {@link #refuseLong()}
+     */
+    public boolean isRefusingLong() {
+        return refusingLong;
+    }
+
+    /**
+     * Tells whether a request that arrives now is refused because it may outlast the planned stop. Streams always may.
+     *
+     * @param streaming whether the answer is a stream
+     * @param limitMs the time in milliseconds in which a call has a sound answer
+     * @return true if it is refused
+     */
+    boolean refuses(boolean streaming, long limitMs) {
+        return refusingLong && (streaming || limitMs > leftMs());
+    }
+
+    /**
+     * Returns the time that open requests have to end in a planned stop.
      *
-     * @return true after {@link #refuseStreams()}
+     * @return the milliseconds; negative once it has passed
      */
-    public boolean isRefusingStreams() {
-        return refusingStreams;
+    public long leftMs() {
+        return (endNs - System.nanoTime()) / 1_000_000;
     }
 
     /**
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
@@ -79,6 +79,10 @@
             return;
         }
         admitted = decision.get();
+        if (context.drain().refuses(admitted.isStreaming(), longestAnswerMs())) {
+            refuse(Refusal.STOPPING);
+            return;
+        }
         context.retries().recordRequest(admitted.service().name());
         forwarded = new ForwardedRequest(context.dialect(), request, admitted);
         deadline = new ExchangeDeadline(context.loop(), startNs, admitted.limitMs(), this::deadlinePassed);
@@ -86,6 +90,11 @@
         reservation.reserve(this::reserved);
     }
 
+    /** Returns the milliseconds in which a call has a sound answer, if it gets one. */
+    private long longestAnswerMs() {
+        return Math.min(admitted.limitMs(), context.answerTimes().silenceLimitMs(admitted.route(), 0));
+    }
+
     private void reserved(ReservationResult result) {
         if (ended) {
             reservation.settle(0);
@@ -332,6 +341,15 @@
     }
 
     private void deadlinePassed() {
+        giveUp("time limit", mayHaveRun > 0 ? Refusal.TIMED_OUT : Refusal.NO_UPSTREAM);
+    }
+
+    /** Ends the request because the router stops, with a final answer unless its stream has begun. */
+    public void stop() {
+        giveUp("planned stop", mayHaveRun > 0 ? Refusal.OUTCOME_UNKNOWN : Refusal.STOPPING);
+    }
+
+    private void giveUp(String reason, Refusal refusal) {
         if (ended) {
             return;
         }
@@ -339,9 +357,9 @@
             currentAttempt.abort();
         }
         if (answerStarted) {
-            breakOff("time limit");
+            breakOff(reason);
         } else {
-            refuse(mayHaveRun > 0 ? Refusal.TIMED_OUT : Refusal.NO_UPSTREAM);
+            refuse(refusal);
         }
     }
 
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/RequestAdmission.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/RequestAdmission.java
@@ -37,9 +37,6 @@
             return Either.left(Refusal.NO_ROUTE);
         }
         Route route = found.get();
-        if (route.kind().isStreaming() && drain.isRefusingStreams()) {
-            return Either.left(Refusal.STOPPING);
-        }
         boolean needsKey = !route.anonymous() && catalog.keys().areRequired();
         Optional<Organisation> organisation =
                 needsKey ? catalog.keys().organisationByKey(metadata.key().orElse(null)) : Optional.empty();
