Let the probing loop read first after connections were reset

After a reset of all connections each of the four loops read at once, since a lost connection is no outage; if the store is away, three of the four calls are refused for nothing.

Change: the other loops read 0.1 s later, or wait for the recovery if the first reading fails, as after refused watches. The time of the end of a stop is computed before its task is queued.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/Gateway.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/Gateway.java
@@ -166,9 +166,8 @@
         }
         stopping = true;
         log.write(LogKind.PROCESS, "stopping", "vm", settings.vmName());
-        traffic.execute(() -> {
-            drain.drain(System.nanoTime() + (settings.stopMs() - STOP_MARGIN_MS) * 1_000_000);
-        });
+        long stopNs = System.nanoTime() + (settings.stopMs() - STOP_MARGIN_MS) * 1_000_000;
+        traffic.execute(() -> drain.drain(stopNs));
         traffic.schedule(() -> awaitOpenRequests(onStopped), KEEP_SERVING_MS, TimeUnit.MILLISECONDS);
     }
 
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/PlatformFault.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/PlatformFault.java
@@ -31,4 +31,13 @@
     public boolean isOutage() {
         return this == REFUSED || this == UNANSWERED;
     }
+
+    /**
+     * Tells whether an outage of the platform may be the cause, which only a call on a new connection shows.
+     *
+     * @return true for refused and unanswered calls, on whichever connection
+     */
+    public boolean mayBeOutage() {
+        return isOutage() || this == CONNECTION_LOST;
+    }
 }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/WatchLoop.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/WatchLoop.java
@@ -180,7 +180,7 @@
         long watchedMs = (System.nanoTime() - watchStartedAtNs) / 1_000_000;
         boolean atOnce = watchSucceeded || watchedMs >= Backoff.MAX_MS;
         watchSucceeded = false;
-        long firstDelayMs = probes || !fault.isOutage() ? 0 : Backoff.FIRST_MS;
+        long firstDelayMs = probes || !fault.mayBeOutage() ? 0 : Backoff.FIRST_MS;
         long delayMs = atOnce ? firstDelayMs : backoff.next();
         loop.schedule(ofCurrentRun(this::runUnlessInOutage), delayMs, TimeUnit.MILLISECONDS);
     }
