Decide in the admission whether a request may outlast a planned stop

The decision moves to RequestAdmission, which takes the recent answer times; a request without a run that outlives its caller has an ended one instead of null. No change of behaviour; the tests of stops, forwarding and watches pass.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
@@ -48,7 +48,7 @@
     private boolean answerStarted;
     private boolean ended;
     private boolean callerGone;
-    private RunWithoutCaller runWithoutCaller;
+    private RunWithoutCaller runWithoutCaller = RunWithoutCaller.none();
 
     /**
      * Creates an exchange.
@@ -73,16 +73,12 @@
         RoutingSnapshot snapshot = context.snapshot().get();
         String host = request.headers().get(HttpHeaderNames.HOST, "");
         Either<Refusal, AdmittedRequest> decision =
-                RequestAdmission.admit(metadata, host, request.uri(), snapshot, context.drain());
+                RequestAdmission.admit(metadata, host, request.uri(), snapshot, context.drain(), context.answerTimes());
         if (!decision.isRight()) {
             refuse(decision.getLeft());
             return;
         }
         admitted = decision.get();
-        if (context.drain().refuses(admitted.isStreaming(), longestAnswerMs())) {
-            refuse(Refusal.STOPPING);
-            return;
-        }
         context.retries().recordRequest(admitted.service().name());
         forwarded = new ForwardedRequest(context.dialect(), request, admitted);
         deadline = new ExchangeDeadline(context.loop(), startNs, admitted.limitMs(), this::deadlinePassed);
@@ -90,11 +86,6 @@
         reservation.reserve(this::reserved);
     }
 
-    /** Returns the milliseconds in which a call has a sound answer, if it gets one. */
-    private long longestAnswerMs() {
-        return Math.min(admitted.limitMs(), context.answerTimes().silenceLimitMs(admitted.route(), 0));
-    }
-
     private void reserved(ReservationResult result) {
         if (ended) {
             reservation.settle(0);
@@ -238,7 +229,7 @@
 
     void answered(UpstreamAttempt attempt, byte[] body) {
         if (ended) {
-            endRunWithoutCaller();
+            runWithoutCaller.end();
             return;
         }
         if (isStreaming() && attempt.isSuccess()) {
@@ -267,7 +258,7 @@
             mayHaveRun--;
         }
         if (ended) {
-            endRunWithoutCaller();
+            runWithoutCaller.end();
             return;
         }
         ForwardDecision decision = forwardDecision(outcome);
@@ -382,12 +373,6 @@
         }
     }
 
-    private void endRunWithoutCaller() {
-        if (runWithoutCaller != null) {
-            runWithoutCaller.end();
-        }
-    }
-
     private void end(String outcome, UpstreamAttempt lastAttempt) {
         ended = true;
         context.drain().closed();
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/RequestAdmission.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/RequestAdmission.java
@@ -21,10 +21,16 @@
      * @param path the target of the request line, that is, its path with any query
      * @param snapshot the current routing snapshot
      * @param drain the state of a planned stop
+     * @param answerTimes the recent answer times of the routes
      * @return the admitted request, or the reason for its refusal
      */
     static Either<Refusal, AdmittedRequest> admit(
-            CallerMetadata metadata, String host, String path, RoutingSnapshot snapshot, DrainState drain) {
+            CallerMetadata metadata,
+            String host,
+            String path,
+            RoutingSnapshot snapshot,
+            DrainState drain,
+            AnswerTimes answerTimes) {
         if (drain.isRefusing()) {
             return Either.left(Refusal.STOPPING);
         }
@@ -50,6 +56,15 @@
             return Either.left(Refusal.PROMPT_BLOCKED);
         }
         String service = route.serviceFor(metadata.requestId().hashCode());
-        return Either.right(new AdmittedRequest(metadata, route, catalog.service(service), organisation));
+        AdmittedRequest admitted = new AdmittedRequest(metadata, route, catalog.service(service), organisation);
+        if (drain.refuses(admitted.isStreaming(), longestAnswerMs(admitted, answerTimes))) {
+            return Either.left(Refusal.STOPPING);
+        }
+        return Either.right(admitted);
+    }
+
+    /** Returns the milliseconds in which a call has a sound answer, if it gets one. */
+    private static long longestAnswerMs(AdmittedRequest admitted, AnswerTimes answerTimes) {
+        return Math.min(admitted.limitMs(), answerTimes.silenceLimitMs(admitted.route(), 0));
     }
 }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/RunWithoutCaller.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/RunWithoutCaller.java
@@ -17,6 +17,13 @@
         this.attempt = attempt;
     }
 
+    /** Returns an instance without a request, which has ended. */
+    static RunWithoutCaller none() {
+        RunWithoutCaller run = new RunWithoutCaller(null, null);
+        run.ended = true;
+        return run;
+    }
+
     static RunWithoutCaller of(GatewayContext context, UpstreamAttempt attempt, long leftMs) {
         RunWithoutCaller run = new RunWithoutCaller(context, attempt);
         context.drain().opened();
