--- a/jayhead-scenarios/src/main/java/io/jayhead/scenarios/link/Link.java
+++ b/jayhead-scenarios/src/main/java/io/jayhead/scenarios/link/Link.java
@@ -3,6 +3,8 @@
 import io.jayhead.scenarios.language.LinkState;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.IntPredicate;
+import java.util.stream.IntStream;
 
 /** Holds the state and the open connections of the link from one process to another. */
 final class Link {
@@ -32,6 +34,17 @@
         connections.remove(connection);
     }
 
+    /**
+     * Makes connections that are open now silent for good; later ones are not affected.
+     *
+     * @param chosen selects connections by their position, from the oldest open one
+     */
+    synchronized void silenceOpen(IntPredicate chosen) {
+        IntStream.range(0, connections.size())
+                .filter(chosen)
+                .forEach(index -> connections.get(index).silence());
+    }
+
     /** Waits until the link forwards bytes in a direction, then for the delay of its state. */
     void awaitForwarding(boolean towardsTarget) throws InterruptedException {
         Thread.sleep(awaitOpen(towardsTarget));
--- a/jayhead-scenarios/src/main/java/io/jayhead/scenarios/link/Relay.java
+++ b/jayhead-scenarios/src/main/java/io/jayhead/scenarios/link/Relay.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.IntFunction;
+import java.util.function.IntPredicate;
 
 /** Forwards TCP connections to one process. The link from each connecting process has its own {@link LinkState}. */
 public final class Relay implements AutoCloseable {
@@ -62,6 +63,16 @@
         link(source).set(state);
     }
 
+    /**
+     * Makes connections from a process silent for good that are open now, while new ones work.
+     *
+     * @param source the name of the connecting process
+     * @param chosen selects connections by their position, from the oldest open one
+     */
+    public void silenceOpen(String source, IntPredicate chosen) {
+        link(source).silenceOpen(chosen);
+    }
+
     /**
      * Stops listening, so that new connections are refused like those to a dead process.
      *
--- a/jayhead-scenarios/src/main/java/io/jayhead/scenarios/link/RelayedConnection.java
+++ b/jayhead-scenarios/src/main/java/io/jayhead/scenarios/link/RelayedConnection.java
@@ -18,6 +18,7 @@
     private final Socket clientSocket;
     private final Socket targetSocket = new Socket();
     private final AtomicInteger openDirections = new AtomicInteger(DIRECTIONS);
+    private volatile boolean silent;
 
     RelayedConnection(Link link, Socket clientSocket) {
         this.link = link;
@@ -50,6 +51,11 @@
         }
     }
 
+    /** Keeps the connection open and forwards nothing from now on; its kernels go on to acknowledge. */
+    void silence() {
+        silent = true;
+    }
+
     /** Closes both sockets with a TCP reset, which both processes see as a lost connection. */
     void close() {
         reset(clientSocket);
@@ -63,10 +69,14 @@
             OutputStream output = to.getOutputStream();
             for (int count = input.read(buffer); count >= 0; count = input.read(buffer)) {
                 link.awaitForwarding(towardsTarget);
-                output.write(buffer, 0, count);
+                if (!silent) {
+                    output.write(buffer, 0, count);
+                }
             }
             link.awaitForwarding(towardsTarget);
-            to.shutdownOutput();
+            if (!silent) {
+                to.shutdownOutput();
+            }
         } catch (IOException e) {
             close();
         } catch (InterruptedException e) {
