Take several connections that fail at once for no outage either

A connection that falls silent with its very first call had not answered before, so it counted as an outage of the store, and the recovery kept the entry of the engine for 2.2 s.

Tried first: two calls in a row without an answer. Two new connections that fall silent together fail in the same millisecond ("read routers" and "read crashes" at 267.129 and 267.130), so the test failed again.

Change: calls without an answer show an outage only once they have gone on for 250 ms without any answer in between. The first failed call is repeated on a new connection after 100 ms, so connections that fail alone or together are told from a store that is away. Refusals count at once, as before. A silent outage is noticed as early as before: the watch that is due fails first, the probe 0.4 s later.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/PlatformHealth.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/PlatformHealth.java
@@ -5,10 +5,20 @@
 import io.jayhead.gateway.metrics.GatewayMetrics;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalLong;
 
-/** Tracks whether the platform answers and lets calls wait for its recovery; used by the control thread. */
+/**
+ * Tracks whether the platform answers and lets calls wait for its recovery; used by the control thread.
+ *
+ * <p>The platform counts as unavailable once it refuses a call, or once calls have had no answer for a while, the last
+ * one on a new connection. Connections may fail alone or several at once, but then the repetition of the first failed
+ * call is answered.
+ */
 final class PlatformHealth {
 
+    /** Longer than the first repetition of a failed call takes, its pause included. */
+    private static final long REPETITION_NS = 250_000_000;
+
     private final StructuredLog log;
     private final GatewayMetrics metrics;
     private final Runnable onRecovery;
@@ -18,6 +28,8 @@
     private long unavailableSinceNs;
     private long reachableSinceNs = System.nanoTime();
     private long answeredAtNs = System.nanoTime();
+    /** When the first call without an answer failed since the last one that was answered, watches included. */
+    private OptionalLong unansweredSinceNs = OptionalLong.empty();
 
     PlatformHealth(StructuredLog log, GatewayMetrics metrics, Runnable onRecovery) {
         this.log = log;
@@ -78,6 +90,7 @@
     void succeeded(String call) {
         metrics.platformCall(call, "ok");
         answeredAtNs = System.nanoTime();
+        unansweredSinceNs = OptionalLong.empty();
         if (!unavailable) {
             return;
         }
@@ -88,10 +101,11 @@
         onRecovery.run();
     }
 
-    /** Records that a watch ended without an answer or with a refusal, which tells nothing about other calls. */
+    /** Records that a watch ended without an answer or with a refusal, which alone is no sign of an outage. */
     void watchFailed(String call, Throwable failure) {
         PlatformFault fault = PlatformException.faultOf(failure);
         metrics.platformCall(call, fault.name());
+        recordUnanswered(fault);
         log.write(LogKind.STATE, "watch failed", "call", call, "fault", fault, "detail", failure);
     }
 
@@ -99,7 +113,8 @@
     void failed(String call, Throwable failure) {
         PlatformFault fault = PlatformException.faultOf(failure);
         metrics.platformCall(call, fault.name());
-        if (!fault.isOutage()) {
+        recordUnanswered(fault);
+        if (!showsOutage(fault)) {
             log.write(LogKind.STATE, "platform call failed", "call", call, "fault", fault, "detail", failure);
             return;
         }
@@ -109,4 +124,17 @@
             log.write(LogKind.DEPENDENCY, "platform lost", "call", call, "fault", fault, "detail", failure);
         }
     }
+
+    private void recordUnanswered(PlatformFault fault) {
+        if (fault.mayBeOutage() && unansweredSinceNs.isEmpty()) {
+            unansweredSinceNs = OptionalLong.of(System.nanoTime());
+        }
+    }
+
+    private boolean showsOutage(PlatformFault fault) {
+        if (fault != PlatformFault.UNANSWERED || unavailable) {
+            return fault.isOutage();
+        }
+        return System.nanoTime() - unansweredSinceNs.orElseThrow() >= REPETITION_NS;
+    }
 }
