Name the upstreams that left or are kept in the lines of the registry

A line "registry in force" had numbers only, so nobody could tell from it whether a router had heard that a given upstream left, or kept it because its registration may have lapsed in an outage. It names both now (at most 20 each). The line of an answered request has the time from choosing its upstream to sending, and the line of a rejected attempt says whether the rejection named the request. No decision has changed; Departures uses the registry's new set of ready incarnations in place of its own.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/RegistryUpdater.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/RegistryUpdater.java
@@ -7,7 +7,10 @@
 import io.jayhead.routing.registry.Upstream;
 import io.jayhead.routing.registry.UpstreamRegistry;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.function.Consumer;
 
 /** Decides from the platform's list of upstreams which ones may be used; used by the control thread. */
@@ -15,6 +18,8 @@
 
     /** Upstreams lapse after this many heartbeats without one. */
     private static final int LAPSE_HEARTBEATS = 3;
+    /** Bounds the length of a line when many upstreams leave at once. */
+    private static final int MAX_LOGGED_UPSTREAMS = 20;
 
     private final StructuredLog log;
     private final long distrustMs;
@@ -81,6 +86,8 @@
 
     private void publish(RegistryTracker next, String cause) {
         departures = departures.changed(tracker.registry(), next.registry(), nowMs());
+        Set<String> left = new TreeSet<>(tracker.registry().readyIncarnations());
+        left.removeAll(next.registry().readyIncarnations());
         tracker = next;
         log.write(
                 LogKind.STATE,
@@ -90,10 +97,18 @@
                 "upstreams",
                 next.registry().ids().size(),
                 "missing",
-                next.missing().size());
+                next.missing().size(),
+                "left_upstreams",
+                firstOf(left),
+                "kept_upstreams",
+                firstOf(new TreeSet<>(next.missing())));
         listener.accept(next.registry());
     }
 
+    private static List<String> firstOf(Set<String> names) {
+        return names.stream().limit(MAX_LOGGED_UPSTREAMS).toList();
+    }
+
     private static long nowMs() {
         return System.nanoTime() / 1_000_000;
     }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/ExchangeRecorder.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/ExchangeRecorder.java
@@ -70,6 +70,8 @@
                         context.snapshot().get().catalog().version(),
                         "upstream",
                         upstream(lastAttempt),
+                        "sent_after_ms",
+                        lastAttempt == null ? 0 : lastAttempt.sentAfterMs(),
                         "tries",
                         counts.tries(),
                         "may_have_run",
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamAttempt.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamAttempt.java
@@ -30,6 +30,7 @@
     private boolean promptPending;
     private boolean ended;
     private boolean streaming;
+    private long placedAtNs;
     private long sentAtNs;
     private double expectedFirstEventMs;
     private boolean firstEventSeen;
@@ -58,7 +59,13 @@
         return head;
     }
 
+    /** Returns the milliseconds from choosing the upstream to sending the request; 0 if it was not sent. */
+    long sentAfterMs() {
+        return sent ? (sentAtNs - placedAtNs) / 1_000_000 : 0;
+    }
+
     void start(int maxConnections) {
+        placedAtNs = System.nanoTime();
         upstream.started(tokensToRead);
         promptPending = true;
         upstream.acquire(maxConnections, this);
@@ -136,7 +143,8 @@
         }
         if (metadata.provenNotRun()) {
             upstream.rejected();
-            finish(AttemptOutcome.REJECTED, "rejected with " + head.status().code());
+            String unnamed = metadata.requestId().isPresent() ? "" : ", without a request id";
+            finish(AttemptOutcome.REJECTED, "rejected with " + head.status().code() + unnamed);
             return;
         }
         if (head.status().code() >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code()) {
--- a/jayhead-routing/src/main/java/io/jayhead/routing/registry/Departures.java
+++ b/jayhead-routing/src/main/java/io/jayhead/routing/registry/Departures.java
@@ -3,7 +3,6 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
-import java.util.stream.Collectors;
 
 /**
  * Remembers which upstreams have left, so that a platform that comes back from an older copy does not bring them back;
@@ -45,14 +44,13 @@
     public Departures changed(UpstreamRegistry before, UpstreamRegistry after, long nowMs) {
         Map<String, Long> next = new HashMap<>(leftAtMs);
         next.values().removeIf(leftMs -> nowMs - leftMs > REMEMBERED_MS);
-        for (String id : before.ids()) {
-            String incarnation = before.find(id).orElseThrow().incarnation();
-            if (!isReady(incarnation, id, after)) {
-                next.putIfAbsent(incarnation, nowMs);
-            }
-        }
+        Set<String> ready = after.readyIncarnations();
+        before.ids().stream()
+                .map(id -> before.find(id).orElseThrow().incarnation())
+                .filter(incarnation -> !ready.contains(incarnation))
+                .forEach(incarnation -> next.putIfAbsent(incarnation, nowMs));
         if (nowMs >= heldUntilMs) {
-            next.keySet().removeAll(readyIncarnations(after));
+            next.keySet().removeAll(ready);
         }
         return new Departures(next, heldUntilMs);
     }
@@ -78,18 +76,4 @@
         boolean held = nowMs < heldUntilMs && leftAtMs.containsKey(listed.incarnation());
         return held ? listed.asDraining() : listed;
     }
-
-    private static boolean isReady(String incarnation, String id, UpstreamRegistry registry) {
-        return registry.find(id)
-                .filter(found -> !found.draining() && found.incarnation().equals(incarnation))
-                .isPresent();
-    }
-
-    private static Set<String> readyIncarnations(UpstreamRegistry registry) {
-        return registry.ids().stream()
-                .map(id -> registry.find(id).orElseThrow())
-                .filter(upstream -> !upstream.draining())
-                .map(Upstream::incarnation)
-                .collect(Collectors.toSet());
-    }
 }
--- a/jayhead-routing/src/main/java/io/jayhead/routing/registry/UpstreamRegistry.java
+++ b/jayhead-routing/src/main/java/io/jayhead/routing/registry/UpstreamRegistry.java
@@ -83,6 +83,18 @@
         return Optional.ofNullable(byId.get(id));
     }
 
+    /**
+     * Returns the incarnations that accept new requests, of all services.
+     *
+     * @return the incarnations
+     */
+    public Set<String> readyIncarnations() {
+        return readyByService.values().stream()
+                .flatMap(List::stream)
+                .map(Upstream::incarnation)
+                .collect(Collectors.toSet());
+    }
+
     /**
      * Returns the identities of all entries.
      *
