Keep no entries of upstreams after an outage in which none can have lapsed

Callers' requests went on reaching upstreams that had left: with a store that refuses updates with 429 and answers all else, 48 of 79 requests from 2 s after the entry was removed on, without an end.

Cause: one call that failed alone was an outage, also a 429 or a connection that was not opened in time, and the next answer opened a new time of 2.2 s in which entries that are no longer listed are kept, for those that were already missing too. Evidence: lines "platform lost" (429) and "platform regained" 76 to 233 ms later, each followed by "registry in force" with the upstream in kept_upstreams.

Fix: an entry lapses after three heartbeats without renewal, so an outage of less than one leaves nothing to keep. The length of an outage is the time since the platform last showed that it is alive; a 429 shows that too (THROTTLED). A connection that cannot be opened is no outage until a repetition fails (UNREACHABLE), as for calls without an answer.

Ruled out: telling outages of the store from those of one router, which a router cannot.

New in PlatformHealthTest: four tests, in RegistryUpdaterTest: one.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlPlane.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlPlane.java
@@ -278,8 +278,8 @@
         ledgers.forEach(LedgerUpdater::pagesMayBeCreated);
     }
 
-    private void platformRecovered() {
-        registry.platformRecovered();
+    private void platformRecovered(long unansweredMs) {
+        registry.platformRecovered(unansweredMs);
         loop.execute(catalogLoop::restartWaitingWatch);
         loop.execute(registryLoop::restartWaitingWatch);
         loop.execute(routersLoop::restartWaitingWatch);
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/PlatformFault.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/PlatformFault.java
@@ -4,6 +4,10 @@
 public enum PlatformFault {
     /** The platform refused the call; nothing was done. */
     REFUSED,
+    /** The platform refused the call because it gets too many; nothing was done, and the platform is alive. */
+    THROTTLED,
+    /** No connection could be opened; nothing was done. */
+    UNREACHABLE,
     /** There was no answer on a new connection; the call may have been executed or may still be executed. */
     UNANSWERED,
     /**
@@ -26,10 +30,19 @@
     /**
      * Tells whether the fault suggests that the platform itself is unavailable.
      *
-     * @return true for refused and unanswered calls
+     * @return true for refused and unanswered calls, and without a connection
      */
     public boolean isOutage() {
-        return this == REFUSED || this == UNANSWERED;
+        return this == REFUSED || this == THROTTLED || mayBeOfOneConnection();
+    }
+
+    /**
+     * Tells whether the fault may concern one connection only, so that an outage shows in repetitions.
+     *
+     * @return true for unanswered calls and without a connection
+     */
+    public boolean mayBeOfOneConnection() {
+        return this == UNREACHABLE || this == UNANSWERED;
     }
 
     /**
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/PlatformHealth.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/PlatformHealth.java
@@ -6,12 +6,13 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalLong;
+import java.util.function.LongConsumer;
 
 /**
  * Tracks whether the platform answers and lets calls wait for its recovery; used by the control thread.
  *
  * <p>The platform counts as unavailable once it refuses a call, or once calls have had no answer for a while, the last
- * one on a new connection. Connections may fail alone or several at once, but then the repetition of the first failed
+ * one on a new connection or without one. Connections may fail alone or several at once, but then the repetition of the first failed
  * call is answered.
  */
 final class PlatformHealth {
@@ -21,7 +22,7 @@
 
     private final StructuredLog log;
     private final GatewayMetrics metrics;
-    private final Runnable onRecovery;
+    private final LongConsumer onRecovery;
     private final List<Runnable> awaitingRecovery = new ArrayList<>();
     private boolean unavailable;
     private boolean probing;
@@ -31,7 +32,15 @@
     /** When the first call without an answer failed since the last one that was answered, watches included. */
     private OptionalLong unansweredSinceNs = OptionalLong.empty();
 
-    PlatformHealth(StructuredLog log, GatewayMetrics metrics, Runnable onRecovery) {
+    /**
+     * Creates an instance for a platform that is available.
+     *
+     * @param log receives losses and recoveries
+     * @param metrics counts the calls
+     * @param onRecovery receives, when the platform answers again after an outage, the milliseconds since it last
+     *     showed that it is alive, which the outage did not exceed
+     */
+    PlatformHealth(StructuredLog log, GatewayMetrics metrics, LongConsumer onRecovery) {
         this.log = log;
         this.metrics = metrics;
         this.onRecovery = onRecovery;
@@ -46,7 +55,7 @@
         return probing;
     }
 
-    /** Returns the nanoseconds since the platform last answered a call. */
+    /** Returns the nanoseconds since the platform last answered a call, or said that it gets too many. */
     long quietNs() {
         return System.nanoTime() - answeredAtNs;
     }
@@ -89,6 +98,7 @@
 
     void succeeded(String call) {
         metrics.platformCall(call, "ok");
+        long quietMs = quietNs() / 1_000_000;
         answeredAtNs = System.nanoTime();
         unansweredSinceNs = OptionalLong.empty();
         if (!unavailable) {
@@ -97,15 +107,23 @@
         unavailable = false;
         reachableSinceNs = System.nanoTime();
         long unavailableMs = (System.nanoTime() - unavailableSinceNs) / 1_000_000;
-        log.write(LogKind.DEPENDENCY, "platform regained", "call", call, "away_ms", unavailableMs);
-        onRecovery.run();
+        log.write(
+                LogKind.DEPENDENCY,
+                "platform regained",
+                "call",
+                call,
+                "away_ms",
+                unavailableMs,
+                "unanswered_ms",
+                quietMs);
+        onRecovery.accept(quietMs);
     }
 
     /** Records that a watch ended without an answer or with a refusal, which alone is no sign of an outage. */
     void watchFailed(String call, Throwable failure) {
         PlatformFault fault = PlatformException.faultOf(failure);
         metrics.platformCall(call, fault.name());
-        recordUnanswered(fault);
+        record(fault);
         log.write(LogKind.STATE, "watch failed", "call", call, "fault", fault, "detail", failure);
     }
 
@@ -113,7 +131,7 @@
     void failed(String call, Throwable failure) {
         PlatformFault fault = PlatformException.faultOf(failure);
         metrics.platformCall(call, fault.name());
-        recordUnanswered(fault);
+        record(fault);
         if (!showsOutage(fault)) {
             log.write(LogKind.STATE, "platform call failed", "call", call, "fault", fault, "detail", failure);
             return;
@@ -125,14 +143,17 @@
         }
     }
 
-    private void recordUnanswered(PlatformFault fault) {
+    private void record(PlatformFault fault) {
+        if (fault == PlatformFault.THROTTLED) {
+            answeredAtNs = System.nanoTime();
+        }
         if (fault.mayBeOutage() && unansweredSinceNs.isEmpty()) {
             unansweredSinceNs = OptionalLong.of(System.nanoTime());
         }
     }
 
     private boolean showsOutage(PlatformFault fault) {
-        if (fault != PlatformFault.UNANSWERED || unavailable) {
+        if (unavailable || !fault.mayBeOfOneConnection()) {
             return fault.isOutage();
         }
         return System.nanoTime() - unansweredSinceNs.orElseThrow() >= REPETITION_NS;
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/RegistryUpdater.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/RegistryUpdater.java
@@ -22,6 +22,7 @@
     private static final int MAX_LOGGED_UPSTREAMS = 20;
 
     private final StructuredLog log;
+    private final long heartbeatMs;
     private final long distrustMs;
     private final Consumer<UpstreamRegistry> listener;
     private RegistryTracker tracker = RegistryTracker.empty();
@@ -35,6 +36,7 @@
      * @param listener receives the upstreams that may be used, after each change
      */
     RegistryUpdater(long heartbeatMs, StructuredLog log, Consumer<UpstreamRegistry> listener) {
+        this.heartbeatMs = heartbeatMs;
         this.distrustMs = LAPSE_HEARTBEATS * heartbeatMs + RegistryTracker.REREGISTRATION_MS;
         this.log = log;
         this.listener = listener;
@@ -67,9 +69,16 @@
         }
     }
 
-    /** Keeps entries that lapsed in an outage until their upstreams could register again. */
-    void platformRecovered() {
-        tracker = tracker.platformRecovered(nowMs());
+    /**
+     * Keeps entries that lapsed in an outage until their upstreams could register again. In an outage of less than a
+     * heartbeat none lapses, as two more may be missing before that.
+     *
+     * @param outageMs the milliseconds for which the platform may have been away
+     */
+    void platformRecovered(long outageMs) {
+        if (outageMs >= heartbeatMs) {
+            tracker = tracker.platformRecovered(nowMs());
+        }
     }
 
     /**
@@ -79,7 +88,7 @@
      *     lapsed or have been written again
      */
     long platformRestored() {
-        platformRecovered();
+        tracker = tracker.platformRecovered(nowMs());
         departures = departures.restored(nowMs() + distrustMs);
         return distrustMs;
     }
--- a/jayhead-gateway/src/test/java/io/jayhead/gateway/control/PlatformHealthTest.java
+++ b/jayhead-gateway/src/test/java/io/jayhead/gateway/control/PlatformHealthTest.java
@@ -21,9 +21,11 @@
 
     private final AtomicInteger recoveries = new AtomicInteger();
     private final PlatformHealth health = new PlatformHealth(
-            new StructuredLog(new PrintStream(OutputStream.nullOutputStream())),
-            new GatewayMetrics(),
-            recoveries::incrementAndGet);
+            new StructuredLog(new PrintStream(OutputStream.nullOutputStream())), new GatewayMetrics(), unansweredMs -> {
+                recoveries.incrementAndGet();
+                lastUnansweredMs = unansweredMs;
+            });
+    private long lastUnansweredMs;
 
     @Test
     void callsWithoutAnAnswerAreNoOutageWhileOthersAreAnswered() {
@@ -71,6 +73,39 @@
         assertTrue(health.isUnavailable());
     }
 
+    @Test
+    void anOutageThatOneRefusedCallShowedIsNoLongerThanTheTimeWithoutAnswers() throws Exception {
+        Thread.sleep(REPETITION_MS);
+        health.succeeded("watch registry");
+        health.failed("update ledger", failure(PlatformFault.REFUSED));
+        health.succeeded("probe");
+        assertEquals(1, recoveries.get());
+        assertTrue(lastUnansweredMs < REPETITION_MS, lastUnansweredMs + " ms");
+    }
+
+    @Test
+    void anOutageMayHaveBegunRightAfterTheLastAnswer() throws Exception {
+        Thread.sleep(REPETITION_MS);
+        health.failed("update ledger", failure(PlatformFault.REFUSED));
+        health.succeeded("probe");
+        assertTrue(lastUnansweredMs >= REPETITION_MS, lastUnansweredMs + " ms");
+    }
+
+    @Test
+    void aPlatformThatGetsTooManyCallsIsAlive() throws Exception {
+        Thread.sleep(REPETITION_MS);
+        health.failed("update ledger", failure(PlatformFault.THROTTLED));
+        assertTrue(health.isUnavailable());
+        health.succeeded("probe");
+        assertTrue(lastUnansweredMs < REPETITION_MS, lastUnansweredMs + " ms");
+    }
+
+    @Test
+    void oneConnectionThatCannotBeOpenedIsNoOutage() {
+        health.failed("read ledger", failure(PlatformFault.UNREACHABLE));
+        assertFalse(health.isUnavailable());
+    }
+
     private static PlatformException failure(PlatformFault fault) {
         return new PlatformException(fault, "no answer");
     }
--- a/jayhead-gateway/src/test/java/io/jayhead/gateway/control/RegistryUpdaterTest.java
+++ b/jayhead-gateway/src/test/java/io/jayhead/gateway/control/RegistryUpdaterTest.java
@@ -33,11 +33,19 @@
     @Test
     void theLineNamesTheUpstreamsThatAreKeptAfterAnOutage() throws Exception {
         list("a", "b");
-        updater.platformRecovered();
+        updater.platformRecovered(HEARTBEAT_MS);
         list("a");
         assertLine("\"left_upstreams\":\"[]\",\"kept_upstreams\":\"[b]\"");
     }
 
+    @Test
+    void anUpstreamThatIsGoneIsNotKeptAfterAnOutageTooShortForItsEntryToLapse() throws Exception {
+        list("a", "b");
+        updater.platformRecovered(HEARTBEAT_MS - 1);
+        list("a");
+        assertLine("\"left_upstreams\":\"[b@7]\",\"kept_upstreams\":\"[]\"");
+    }
+
     private void list(String... ids) {
         Map<String, Upstream> byId = new HashMap<>();
         for (String id : ids) {
--- a/jayhead-gateway/src/test/java/io/jayhead/gateway/control/WatchLoopTest.java
+++ b/jayhead-gateway/src/test/java/io/jayhead/gateway/control/WatchLoopTest.java
@@ -28,7 +28,8 @@
     private final DefaultEventLoop loop = new DefaultEventLoop();
     private final StructuredLog log = new StructuredLog(new PrintStream(new ByteArrayOutputStream()));
     private final AtomicInteger outages = new AtomicInteger();
-    private final PlatformHealth health = new PlatformHealth(log, new GatewayMetrics(), outages::incrementAndGet);
+    private final PlatformHealth health =
+            new PlatformHealth(log, new GatewayMetrics(), unansweredMs -> outages.incrementAndGet());
     private final AtomicInteger reads = new AtomicInteger();
     private final CountDownLatch readAgain = new CountDownLatch(3);
 
