Take a platform that gets too many calls for no outage

A 429 says that the platform is alive and that calls should come later, so each caller backs off by itself. Waiting for the end of an outage instead would not slow them down: reads that may be old, as the probe is one, do not count towards the rate, and are answered meanwhile.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/PlatformFault.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/PlatformFault.java
@@ -33,7 +33,7 @@
      * @return true for refused and unanswered calls, and without a connection
      */
     public boolean isOutage() {
-        return this == REFUSED || this == THROTTLED || mayBeOfOneConnection();
+        return this == REFUSED || mayBeOfOneConnection();
     }
 
     /**
