Notice the end of an outage of the store at once

Cause: entries that are no longer listed are kept for 2.2 s after the end of an outage, and that end was noticed up to 2.3 s late. Only the loop of the configuration called the store then; its reading waits 1.5 s for an answer, and the next one follows after up to 0.8 s.

Fix: in an outage LivenessProbe sends a read on a new connection every 250 ms, also while earlier ones still wait; those that fail after a later one was answered show nothing. What waits for the end of the outage goes on with the first answer to any call, not with that of the configuration's loop, and readings that were sent in the outage are replaced like watches. Entries that are kept are removed when their time ends, not at the next check up to 250 ms later.

Ruled out: a shorter time for which entries are kept, since upstreams need two seconds to register again.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlPlane.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlPlane.java
@@ -16,6 +16,7 @@
 import io.jayhead.peer.pb.ReplicateEntries;
 import io.jayhead.routing.catalog.Catalog;
 import io.jayhead.routing.catalog.Organisation;
+import io.jayhead.routing.registry.RegistryTracker;
 import io.jayhead.routing.registry.UpstreamRegistry;
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
@@ -175,7 +176,8 @@
         loop.execute(routersLoop::run);
         loop.execute(crashesLoop::run);
         GuardedTask expiry = new GuardedTask("expire entries", log, this::expireEntries);
-        GuardedTask probe = new GuardedTask("probe platform", log, new LivenessProbe(platform, health, self)::check);
+        LivenessProbe liveness = new LivenessProbe(() -> platform.probe(self), health);
+        GuardedTask probe = new GuardedTask("probe platform", log, liveness::check);
         loop.scheduleWithFixedDelay(probe, PROBE_CHECK_MS, PROBE_CHECK_MS, TimeUnit.MILLISECONDS);
         loop.scheduleWithFixedDelay(expiry, EXPIRY_CHECK_MS, EXPIRY_CHECK_MS, TimeUnit.MILLISECONDS);
     }
@@ -280,10 +282,11 @@
 
     private void platformRecovered(long unansweredMs) {
         registry.platformRecovered(unansweredMs);
-        loop.execute(catalogLoop::restartWaitingWatch);
-        loop.execute(registryLoop::restartWaitingWatch);
-        loop.execute(routersLoop::restartWaitingWatch);
-        loop.execute(crashesLoop::restartWaitingWatch);
+        loop.schedule(registry::expire, RegistryTracker.REREGISTRATION_MS + 1, TimeUnit.MILLISECONDS);
+        long recoveredAtNs = System.nanoTime();
+        for (WatchLoop<?, ?> watchLoop : List.of(catalogLoop, registryLoop, routersLoop, crashesLoop)) {
+            loop.execute(() -> watchLoop.platformRecovered(recoveredAtNs));
+        }
     }
 
     private void eraChanged(long era) {
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/LivenessProbe.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/LivenessProbe.java
@@ -1,40 +1,57 @@
 package io.jayhead.gateway.control;
 
+import java.util.concurrent.CompletionStage;
+import java.util.function.Supplier;
+
 /**
- * Checks that the platform still answers a router whose only calls are watches that wait; used by the control thread.
+ * Checks whether the platform answers; used by the control thread.
+ *
+ * <p>While it does, only a router whose calls are all watches that wait needs a check: a platform that has become silent
+ * may never answer these.
  *
- * <p>A platform that has become silent may never answer such a watch. Without other calls, the router would notice only
- * when the watch times out, and would miss all changes until then.
+ * <p>In an outage a probe is sent at each check, although earlier ones have not failed yet. Entries of upstreams are kept
+ * for a fixed time after the outage, so its end must be noticed at once, and a probe that was sent before it may get no
+ * answer for as long as calls wait.
  */
 final class LivenessProbe {
 
     /** After this time without an answer, the platform is probed. */
     private static final long QUIET_NS = 1_500_000_000L;
 
-    private final PlatformClient platform;
+    private final Supplier<CompletionStage<Void>> call;
     private final PlatformHealth health;
-    private final RouterAddress self;
-    private boolean inFlight;
+    private int inFlight;
 
-    LivenessProbe(PlatformClient platform, PlatformHealth health, RouterAddress self) {
-        this.platform = platform;
+    /**
+     * Creates a probe.
+     *
+     * @param call calls the platform on a new connection
+     * @param health tracks whether the platform answers
+     */
+    LivenessProbe(Supplier<CompletionStage<Void>> call, PlatformHealth health) {
+        this.call = call;
         this.health = health;
-        this.self = self;
     }
 
     /** Probes the platform if that is due; must be called several times a second. */
     void check() {
-        boolean otherCallProbes = health.isProbing();
-        boolean due = health.isUnavailable() || health.quietNs() > QUIET_NS;
-        if (inFlight || otherCallProbes || !due) {
-            return;
+        if (health.isUnavailable() || isQuiet()) {
+            probe();
         }
-        inFlight = true;
-        platform.probe(self).whenComplete((done, failure) -> {
-            inFlight = false;
+    }
+
+    private boolean isQuiet() {
+        return inFlight == 0 && !health.isProbing() && health.quietNs() > QUIET_NS;
+    }
+
+    private void probe() {
+        inFlight++;
+        long sentAtNs = System.nanoTime();
+        call.get().whenComplete((done, failure) -> {
+            inFlight--;
             if (failure == null) {
                 health.succeeded("probe");
-            } else {
+            } else if (!health.hasAnsweredSince(sentAtNs)) {
                 health.failed("probe", failure);
             }
         });
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/PlatformHealth.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/PlatformHealth.java
@@ -60,6 +60,17 @@
         return System.nanoTime() - answeredAtNs;
     }
 
+    /**
+     * Tells whether the platform has answered a call since a point in time, so that calls that were sent before it and
+     * get no answer show no outage.
+     *
+     * @param timeNs the time of {@link System#nanoTime()}
+     * @return true if a call was answered after it
+     */
+    boolean hasAnsweredSince(long timeNs) {
+        return answeredAtNs - timeNs > 0;
+    }
+
     /**
      * Returns for how long the platform has been reachable.
      *
@@ -88,7 +99,7 @@
         probing = true;
     }
 
-    /** Records that the probe was answered, and repeats the queued calls. */
+    /** Records that a caller need not probe any more, and repeats the queued calls. */
     void probeSucceeded() {
         probing = false;
         List<Runnable> retries = List.copyOf(awaitingRecovery);
@@ -117,6 +128,7 @@
                 "unanswered_ms",
                 quietMs);
         onRecovery.accept(quietMs);
+        probeSucceeded();
     }
 
     /** Records that a watch ended without an answer or with a refusal, which alone is no sign of an outage. */
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/WatchLoop.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/WatchLoop.java
@@ -40,8 +40,8 @@
     /** Increases with each restart; answers to calls and delayed calls of an earlier run are ignored. */
     private long runNumber;
 
-    private boolean watchInFlight;
-    private long watchStartedAtNs;
+    private boolean callInFlight;
+    private long callSentAtNs;
 
     /**
      * Creates a loop that has read nothing.
@@ -79,6 +79,8 @@
 
     void run() {
         long currentRun = runNumber;
+        callInFlight = true;
+        callSentAtNs = System.nanoTime();
         if (mustRead) {
             read.get().whenComplete((listing, failure) -> {
                 if (currentRun == runNumber) {
@@ -87,36 +89,33 @@
             });
             return;
         }
-        watchInFlight = true;
-        watchStartedAtNs = System.nanoTime();
         watch.apply(revision).whenComplete((changes, failure) -> {
             if (currentRun == runNumber) {
-                watchInFlight = false;
                 handleAnswer("watch " + name, changes, failure, onChange);
             }
         });
     }
 
     /**
-     * Replaces a watch that is waiting by a new reading. Its answer may have been lost in an outage that other calls
-     * have noticed.
+     * Reads anew in place of a call that was sent in an outage, whose answer may have been lost.
+     *
+     * @param recoveredAtNs the time of {@link System#nanoTime()} when the platform answered again
      */
-    void restartWaitingWatch() {
-        if (!watchInFlight) {
-            return;
+    void platformRecovered(long recoveredAtNs) {
+        if (callInFlight && callSentAtNs - recoveredAtNs < 0) {
+            readAnew();
         }
-        readAnew();
     }
 
     /** Reads all objects at once, and ignores what earlier calls bring, which may belong to a lost time. */
     void readAnew() {
         runNumber++;
-        watchInFlight = false;
         mustRead = true;
         run();
     }
 
     private <T> void handleAnswer(String call, Versioned<T> answer, Throwable failure, Consumer<T> consumer) {
+        callInFlight = false;
         boolean watched = !mustRead;
         if (failure != null && watched) {
             health.watchFailed(call, failure);
@@ -177,7 +176,7 @@
      * probes in an outage reads first, so that the others wait for it if the platform does not answer.
      */
     private void readAfterFailedWatch(PlatformFault fault) {
-        long watchedMs = (System.nanoTime() - watchStartedAtNs) / 1_000_000;
+        long watchedMs = (System.nanoTime() - callSentAtNs) / 1_000_000;
         boolean atOnce = watchSucceeded || watchedMs >= Backoff.MAX_MS;
         watchSucceeded = false;
         long firstDelayMs = probes || !fault.mayBeOutage() ? 0 : Backoff.FIRST_MS;
--- a/jayhead-gateway/src/test/java/io/jayhead/gateway/control/PlatformHealthTest.java
+++ b/jayhead-gateway/src/test/java/io/jayhead/gateway/control/PlatformHealthTest.java
@@ -107,6 +107,17 @@
         assertFalse(health.isUnavailable());
     }
 
+    @Test
+    void callsThatAwaitTheEndOfAnOutageGoOnWithTheFirstAnswerToAnyCall() {
+        health.failed("read configuration", failure(PlatformFault.REFUSED));
+        health.probeFailed();
+        AtomicInteger repeated = new AtomicInteger();
+        assertTrue(health.awaitRecovery(repeated::incrementAndGet));
+        health.succeeded("probe");
+        assertEquals(1, repeated.get());
+        assertFalse(health.awaitRecovery(repeated::incrementAndGet));
+    }
+
     private static PlatformException failure(PlatformFault fault) {
         return new PlatformException(fault, "no answer");
     }
--- a/jayhead-gateway/src/test/java/io/jayhead/gateway/control/WatchLoopTest.java
+++ b/jayhead-gateway/src/test/java/io/jayhead/gateway/control/WatchLoopTest.java
@@ -96,6 +96,27 @@
         assertEquals(0, outages.get());
     }
 
+    @Test
+    void aReadingThatWasSentInAnOutageIsReplacedWhenThePlatformAnswersAgain() throws Exception {
+        CountDownLatch sent = new CountDownLatch(2);
+        WatchLoop<Integer, Integer> watch = new WatchLoop<>(
+                "numbers",
+                loop,
+                health,
+                false,
+                () -> 0,
+                () -> {
+                    sent.countDown();
+                    return new CompletableFuture<>();
+                },
+                revision -> new CompletableFuture<>(),
+                value -> {},
+                value -> {});
+        loop.execute(watch::run);
+        loop.execute(() -> watch.platformRecovered(System.nanoTime()));
+        assertTrue(sent.await(5, TimeUnit.SECONDS), "readings left: " + sent.getCount());
+    }
+
     /** Each failure costs two calls to the platform. */
     @Test
     void watchesThatFailAsSoonAsTheyBeginAreRepeatedWithPauses() throws Exception {
