Use no connection again after an answer that names no request

Cause: answers to other requests are recognised by their request id. A refusal without one, as the platform's examples show it, was taken for the answer to whatever request was open.

Fix: such an answer is still valid, since it was the first one after its request on a connection that has brought only named answers; but the connection is closed after it, so that no copy can reach a later request.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamConnection.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamConnection.java
@@ -123,7 +123,8 @@
         }
         answerState = AnswerState.OPEN;
         metadata.idleTimeoutMs().ifPresent(timeout -> idleLimitMs = Math.min(defaultIdleLimitMs, timeout));
-        reusable &= HttpUtil.isKeepAlive(head);
+        // A second copy of an answer without an id could not be told from the answer to the next request.
+        reusable &= HttpUtil.isKeepAlive(head) && metadata.requestId().isPresent();
         listener.head(head, metadata);
     }
 
