Continue a stream that broke off with nothing but its next events

Callers got a stream that ended as complete after the text of another answer with status 200, or one that never ended: for a 3xx or 4xx the router wrote a second head, which its encoder refused, and the connection stayed open.

Cause: only 5xx answers and proofs of "not run" were kept from a caller who had received events already.

Fix: any answer but a success is a failed attempt then, and so is a success of another content type, one whose first new event has no id, and one that ends inside an event. The request goes on at another engine if it may, or its connection is reset. An empty rest is still complete: the first engine may have broken off after its last event.

ResumedStreamContractTest: eight of eleven cases failed before (five stayed open, three looked complete), all pass. ForwardingContractTest, UnframedStreamContractTest, EndlessAnswerContractTest: 61 pass.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
@@ -194,6 +194,10 @@
         if (relay.add(bytes)) {
             silence.progressed();
         }
+        if (relay.isForeign()) {
+            attempt.giveUp("the answer does not continue the stream");
+            return;
+        }
         if (relay.isTooLong()) {
             attempt.giveUp("an event is too long");
             return;
@@ -207,8 +211,13 @@
         return relay.eventsOfAttempt();
     }
 
-    boolean streamEndsAfterEvent() {
-        return relay.endsAfterEvent();
+    boolean streamMayEnd(boolean framed) {
+        return relay.mayEnd(framed);
+    }
+
+    /** Tells whether the caller has received the head of an answer, which another answer cannot replace. */
+    boolean hasAnswerStarted() {
+        return answerStarted;
     }
 
     private void startStream(UpstreamAttempt attempt) {
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/StreamRelay.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/StreamRelay.java
@@ -18,6 +18,8 @@
     private int events;
     private int eventsOfAttempt;
     private boolean forwardedInAttempt;
+    private boolean resumed;
+    private boolean foreign;
 
     StreamRelay(CallerChannel caller) {
         this.caller = caller;
@@ -28,6 +30,7 @@
         framer = new EventFramer();
         eventsOfAttempt = 0;
         forwardedInAttempt = false;
+        resumed = events > 0;
     }
 
     /** Forwards the events that the bytes complete; returns whether there were any. */
@@ -38,6 +41,10 @@
             if (isRepeated(event)) {
                 continue;
             }
+            if (isForeign(event)) {
+                foreign = true;
+                return false;
+            }
             caller.stream(event.bytes());
             events++;
             forwardedInAttempt = true;
@@ -57,9 +64,23 @@
         caller.endStream();
     }
 
-    /** Tells whether the current attempt brought an event, and no bytes of another one after it. */
-    boolean endsAfterEvent() {
-        return forwardedInAttempt && framer.incompleteEvent().length == 0;
+    /**
+     * Tells whether the stream is complete if the answer of the current attempt ends here. An answer without a length
+     * may have been broken off, and one that continues the stream of another may be no stream at all.
+     *
+     * @param framed whether the answer names its own end
+     */
+    boolean mayEnd(boolean framed) {
+        boolean insideEvent = framer.incompleteEvent().length > 0;
+        if (!framed) {
+            return forwardedInAttempt && !insideEvent;
+        }
+        return !resumed || !insideEvent;
+    }
+
+    /** Tells whether the answer of the current attempt does not continue the stream. */
+    boolean isForeign() {
+        return foreign;
     }
 
     /** Tells whether the stream has an event that is too long to be buffered. */
@@ -80,6 +101,14 @@
         return lastId;
     }
 
+    /** Streams are resumed by the ids of their events, so the first event that continues one has an id too. */
+    private boolean isForeign(StreamEvent event) {
+        return resumed
+                && !forwardedInAttempt
+                && lastNumericId.isPresent()
+                && event.numericId().isEmpty();
+    }
+
     private boolean isRepeated(StreamEvent event) {
         OptionalLong numericId = event.numericId();
         return numericId.isPresent() && lastNumericId.isPresent() && numericId.getAsLong() <= lastNumericId.getAsLong();
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamAttempt.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamAttempt.java
@@ -6,9 +6,12 @@
 import io.jayhead.gateway.upstream.UpstreamHandle;
 import io.jayhead.gateway.wire.AnswerMetadata;
 import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
+import io.netty.util.AsciiString;
 import java.io.ByteArrayOutputStream;
 
 /** Sends the request of an exchange to one upstream and receives the answer; used by the traffic thread. */
@@ -111,6 +114,9 @@
             return;
         }
         streaming = isSuccess() && exchange.isStreaming();
+        if (streaming && exchange.hasAnswerStarted() && !mayBeEvents()) {
+            giveUp("the answer does not continue the stream");
+        }
     }
 
     @Override
@@ -152,7 +158,12 @@
             finish(AttemptOutcome.FAILED, "failed with " + head.status().code());
             return;
         }
-        if (streaming && !isFramed() && !exchange.streamEndsAfterEvent()) {
+        if (!isSuccess() && exchange.hasAnswerStarted()) {
+            upstream.reportedFailure();
+            finish(AttemptOutcome.FAILED, "answered with " + head.status().code() + " to go on with a stream");
+            return;
+        }
+        if (streaming && !exchange.streamMayEnd(isFramed())) {
             broken("stream ended inside an event");
             return;
         }
@@ -232,6 +243,11 @@
         return HttpUtil.isTransferEncodingChunked(head) || HttpUtil.isContentLengthSet(head);
     }
 
+    private boolean mayBeEvents() {
+        String type = head.headers().get(HttpHeaderNames.CONTENT_TYPE);
+        return type == null || AsciiString.of(type).toLowerCase().startsWith(HttpHeaderValues.TEXT_EVENT_STREAM);
+    }
+
     private boolean isGenuine() {
         return metadata.requestId().isPresent() && metadata.sealed() && !metadata.encoded();
     }
