Take the pause between changes of upstreams from the time to drain

Changes of upstreams are collected for 0.4 to 1 s, longer in larger fleets, whatever time a deployment leaves an upstream to drain. With a DrainMs of 1 s and 66 routers or more, requests would reach an upstream after its time.

The pause is a third of DrainMs at most, and a function of ControlTimes, out of the control plane.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlPlane.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlPlane.java
@@ -33,12 +33,6 @@
  */
 public final class ControlPlane implements CrashListener {
 
-    /** Changes of upstreams are collected for at least this time, so that one answer brings several. */
-    private static final int REGISTRY_MIN_PAUSE_MS = 400;
-    /** A change must take effect well within the shortest time in which an upstream leaves. */
-    private static final int REGISTRY_MAX_PAUSE_MS = 1_000;
-    /** Each change costs one call by every router, so larger fleets collect changes for longer. */
-    private static final int REGISTRY_PAUSE_PER_ROUTER_MS = 15;
     /**
      * Many routers announce themselves at the same time when a fleet starts, so changes are collected for this time.
      */
@@ -71,6 +65,7 @@
     private final ReplicatedEntries replicas = new ReplicatedEntries();
     private final PlatformClient platform;
     private final RouterAddress self;
+    private final ControlTimes times;
     private final Runnable onChange;
     private volatile RoutingSnapshot snapshot = RoutingSnapshot.empty();
 
@@ -106,6 +101,7 @@
         this.platform = platform;
         this.holder = holder;
         this.self = self;
+        this.times = times;
         this.onChange = onChange;
         this.health = new PlatformHealth(log, metrics, this::platformRecovered);
         WatchTimes watchTimes = new WatchTimes(times.reconnectMs());
@@ -226,8 +222,7 @@
     }
 
     private int registryPauseMs() {
-        int pauseMs = REGISTRY_PAUSE_PER_ROUTER_MS * snapshot.routers().size();
-        return Math.max(REGISTRY_MIN_PAUSE_MS, Math.min(REGISTRY_MAX_PAUSE_MS, pauseMs));
+        return times.registryPauseMs(snapshot.routers().size());
     }
 
     private OptionalLong prepaidTokens(String organisation) {
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlTimes.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlTimes.java
@@ -5,8 +5,18 @@
  *
  * @param heartbeatMs the time in milliseconds between two heartbeats by which upstreams stay registered
  * @param reconnectMs the time in milliseconds within which changes must be noticed again after connections were lost
+ * @param drainMs the time in milliseconds for which requests may still reach an upstream that leaves
  */
-public record ControlTimes(long heartbeatMs, long reconnectMs) {
+public record ControlTimes(long heartbeatMs, long reconnectMs, long drainMs) {
+
+    /** Changes of upstreams are collected for at least this time, so that one answer brings several. */
+    private static final long REGISTRY_MIN_PAUSE_MS = 400;
+
+    private static final long REGISTRY_MAX_PAUSE_MS = 1_000;
+    /** Each change costs one call by every router, so larger fleets collect changes for longer. */
+    private static final long REGISTRY_PAUSE_PER_ROUTER_MS = 15;
+    /** Leaves the rest of the time for the answer of the platform, and for requests that wait for a connection. */
+    private static final long DRAIN_SHARE_DIVISOR = 3;
 
     /**
      * Validates the values.
@@ -14,11 +24,26 @@
      * @throws IllegalArgumentException if a time is not positive
      */
     public ControlTimes {
-        if (heartbeatMs <= 0) {
-            throw new IllegalArgumentException("the time between heartbeats is not positive: " + heartbeatMs);
-        }
-        if (reconnectMs <= 0) {
-            throw new IllegalArgumentException("the time to replace connections is not positive: " + reconnectMs);
+        requirePositive("time between heartbeats", heartbeatMs);
+        requirePositive("time to replace connections", reconnectMs);
+        requirePositive("time to drain", drainMs);
+    }
+
+    /**
+     * Returns for how long changes of upstreams are collected before the platform is asked for more.
+     *
+     * @param routers the number of routers of the fleet
+     * @return the time in milliseconds, which leaves enough of the time to drain to take a change in force
+     */
+    int registryPauseMs(int routers) {
+        long longestMs = Math.min(REGISTRY_MAX_PAUSE_MS, drainMs / DRAIN_SHARE_DIVISOR);
+        long pauseMs = Math.max(REGISTRY_MIN_PAUSE_MS, REGISTRY_PAUSE_PER_ROUTER_MS * routers);
+        return (int) Math.min(longestMs, pauseMs);
+    }
+
+    private static void requirePositive(String name, long valueMs) {
+        if (valueMs <= 0) {
+            throw new IllegalArgumentException("the " + name + " is not positive: " + valueMs);
         }
     }
 }
