Send no request to an upstream that left while it waited for a connection

A request that waits for a connection to its upstream, up to 0.5 s, was sent although the upstream had said meanwhile that it leaves. Alone this stays below the bound; it adds to the time that a change takes to be in force.

The registry is looked at again when the connection is there; a request whose upstream has left goes on like one that was not sent. UpstreamTable uses the same check.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
@@ -132,6 +132,11 @@
         }
     }
 
+    /** Tells whether an upstream that was chosen before a connection was available still takes requests. */
+    boolean isReady(UpstreamHandle upstream) {
+        return context.snapshot().get().registry().isReady(upstream.upstream());
+    }
+
     void send(UpstreamAttempt attempt, UpstreamConnection connection) {
         Optional<String> resumeAfter = relay.events() > 0 ? Optional.of(relay.lastId()) : Optional.empty();
         FullHttpRequest message = forwarded.build(attempt.upstream().upstream().id(), deadline.leftMs(), resumeAfter);
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamAttempt.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamAttempt.java
@@ -81,6 +81,11 @@
             end();
             return;
         }
+        if (!exchange.isReady(upstream)) {
+            acquired.abort();
+            finish(AttemptOutcome.NOT_SENT, "the upstream has left");
+            return;
+        }
         connection = acquired;
         sent = true;
         sentAtNs = System.nanoTime();
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamTable.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamTable.java
@@ -76,21 +76,14 @@
     public void sweep(UpstreamRegistry registry) {
         long nowNs = System.nanoTime();
         handles.values().forEach(handle -> sweep(handle, registry, nowNs));
-        handles.values().removeIf(handle -> !isListed(handle, registry) && handle.isIdle());
+        handles.values().removeIf(handle -> !registry.isReady(handle.upstream()) && handle.isIdle());
     }
 
     private static void sweep(UpstreamHandle handle, UpstreamRegistry registry, long nowNs) {
-        if (isListed(handle, registry)) {
+        if (registry.isReady(handle.upstream())) {
             handle.pool().closeExpired(nowNs);
         } else {
             handle.pool().closeIdle();
         }
     }
-
-    private static boolean isListed(UpstreamHandle handle, UpstreamRegistry registry) {
-        return registry.find(handle.upstream().id())
-                .filter(listed -> !listed.draining())
-                .filter(listed -> listed.incarnation().equals(handle.upstream().incarnation()))
-                .isPresent();
-    }
 }
--- a/jayhead-routing/src/main/java/io/jayhead/routing/registry/UpstreamRegistry.java
+++ b/jayhead-routing/src/main/java/io/jayhead/routing/registry/UpstreamRegistry.java
@@ -83,6 +83,18 @@
         return Optional.ofNullable(byId.get(id));
     }
 
+    /**
+     * Tells whether an upstream accepts new requests.
+     *
+     * @param upstream an entry of this or an earlier registry
+     * @return true if its incarnation is listed and not draining
+     */
+    public boolean isReady(Upstream upstream) {
+        return find(upstream.id())
+                .filter(listed -> !listed.draining() && listed.incarnation().equals(upstream.incarnation()))
+                .isPresent();
+    }
+
     /**
      * Returns the incarnations that accept new requests, of all services.
      *
