Record probes that fail late, and write answers to callers in a class of their own

- A probe that failed after a later one was answered left no trace; it is counted and has a line now, and shows no outage.
Lines over 120 characters are wrapped.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/LivenessProbe.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/LivenessProbe.java
@@ -6,12 +6,12 @@
 /**
  * Checks whether the platform answers; used by the control thread.
  *
- * <p>While it does, only a router whose calls are all watches that wait needs a check: a platform that has become silent
- * may never answer these.
+ * <p>While it does, only a router whose calls are all watches that wait needs a check: a platform that has become
+ * silent may never answer these.
  *
- * <p>In an outage a probe is sent at each check, although earlier ones have not failed yet. Entries of upstreams are kept
- * for a fixed time after the outage, so its end must be noticed at once, and a probe that was sent before it may get no
- * answer for as long as calls wait.
+ * <p>In an outage a probe is sent at each check, although earlier ones have not failed yet. Entries of upstreams are
+ * kept for a fixed time after the outage, so its end must be noticed at once, and a probe that was sent before it may
+ * get no answer for as long as calls wait.
  */
 final class LivenessProbe {
 
@@ -51,8 +51,8 @@
             inFlight--;
             if (failure == null) {
                 health.succeeded("probe");
-            } else if (!health.hasAnsweredSince(sentAtNs)) {
-                health.failed("probe", failure);
+            } else {
+                health.failed("probe", failure, sentAtNs);
             }
         });
     }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/PlatformHealth.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/PlatformHealth.java
@@ -12,8 +12,8 @@
  * Tracks whether the platform answers and lets calls wait for its recovery; used by the control thread.
  *
  * <p>The platform counts as unavailable once it refuses a call, or once calls have had no answer for a while, the last
- * one on a new connection or without one. Connections may fail alone or several at once, but then the repetition of the first failed
- * call is answered.
+ * one on a new connection or for want of one. Connections may fail alone or several at once, but then the repetition of
+ * the first failed call is answered.
  */
 final class PlatformHealth {
 
@@ -60,17 +60,6 @@
         return System.nanoTime() - answeredAtNs;
     }
 
-    /**
-     * Tells whether the platform has answered a call since a point in time, so that calls that were sent before it and
-     * get no answer show no outage.
-     *
-     * @param timeNs the time of {@link System#nanoTime()}
-     * @return true if a call was answered after it
-     */
-    boolean hasAnsweredSince(long timeNs) {
-        return answeredAtNs - timeNs > 0;
-    }
-
     /**
      * Returns for how long the platform has been reachable.
      *
@@ -139,6 +128,24 @@
         log.write(LogKind.STATE, "watch failed", "call", call, "fault", fault, "detail", failure);
     }
 
+    /**
+     * Records that a call other than a watch failed. If the platform has answered a call that was sent later, this one
+     * shows no outage.
+     *
+     * @param call the call, for log lines and metrics
+     * @param failure why it failed
+     * @param sentAtNs the time of {@link System#nanoTime()} at which it was sent
+     */
+    void failed(String call, Throwable failure, long sentAtNs) {
+        if (answeredAtNs - sentAtNs <= 0) {
+            failed(call, failure);
+            return;
+        }
+        PlatformFault fault = PlatformException.faultOf(failure);
+        metrics.platformCall(call, fault.name());
+        log.write(LogKind.STATE, "platform call failed", "call", call, "fault", fault, "detail", failure);
+    }
+
     /** Records that a call other than a watch failed. */
     void failed(String call, Throwable failure) {
         PlatformFault fault = PlatformException.faultOf(failure);
--- /dev/null
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/AnswerWriter.java
@@ -0,0 +1,45 @@
+package io.jayhead.gateway.exchange;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+
+/** Writes the answer of one exchange to its caller; used by the traffic thread. */
+final class AnswerWriter {
+
+    private final GatewayContext context;
+    private final CallerChannel caller;
+
+    AnswerWriter(GatewayContext context, CallerChannel caller) {
+        this.context = context;
+        this.caller = caller;
+    }
+
+    /**
+     * Refuses the request.
+     *
+     * @param refusal the refusal
+     * @param causeMs the milliseconds for which its cause, such as an outage, has lasted
+     */
+    void refuse(Refusal refusal, long causeMs) {
+        HttpHeaders headers = new DefaultHttpHeaders();
+        RetryAfter.of(refusal, causeMs).ifPresent(value -> headers.set(HttpHeaderNames.RETRY_AFTER, value));
+        caller.answer(refusal.status(), headers, new byte[0]);
+    }
+
+    /** Passes the head of a stream on. */
+    void startStream(UpstreamAttempt attempt) {
+        caller.startStream(attempt.head().status(), headersOf(attempt));
+    }
+
+    /** Passes a complete answer on. */
+    void passOn(UpstreamAttempt attempt, byte[] body) {
+        caller.answer(attempt.head().status(), headersOf(attempt), body);
+    }
+
+    private HttpHeaders headersOf(UpstreamAttempt attempt) {
+        HttpHeaders headers = new DefaultHttpHeaders();
+        context.dialect().copyAnswer(attempt.head().headers(), headers);
+        return headers;
+    }
+}
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
@@ -15,10 +15,8 @@
 import io.jayhead.routing.placement.Placement;
 import io.jayhead.routing.placement.PlacementCandidate;
 import io.jayhead.routing.placement.PlacementChoice;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.HashSet;
 import java.util.List;
@@ -33,6 +31,7 @@
     private final FullHttpRequest request;
     private final CallerMetadata metadata;
     private final long startNs = System.nanoTime();
+    private final AnswerWriter answers;
     private final StreamRelay relay;
     private final ExchangeRecorder recorder;
     private final SilenceWatch silence;
@@ -62,6 +61,7 @@
         this.caller = caller;
         this.request = request;
         this.metadata = context.dialect().readCaller(request.headers());
+        this.answers = new AnswerWriter(context, caller);
         this.relay = new StreamRelay(caller);
         this.silence = new SilenceWatch(context.loop(), this::silenceLimitMs, this::silent);
         this.recorder = new ExchangeRecorder(context, metadata, startNs);
@@ -199,12 +199,9 @@
         if (relay.add(bytes)) {
             silence.progressed();
         }
-        if (relay.isForeign()) {
-            attempt.giveUp("the answer does not continue the stream");
-            return;
-        }
-        if (relay.isTooLong()) {
-            attempt.giveUp("an event is too long");
+        Optional<String> fault = relay.fault();
+        if (fault.isPresent()) {
+            attempt.giveUp(fault.get());
             return;
         }
         if (!caller.channel().isWritable()) {
@@ -212,12 +209,8 @@
         }
     }
 
-    int eventsOfAttempt() {
-        return relay.eventsOfAttempt();
-    }
-
-    boolean streamMayEnd(boolean framed) {
-        return relay.mayEnd(framed);
+    StreamRelay relay() {
+        return relay;
     }
 
     /** Tells whether the caller has received the head of an answer, which another answer cannot replace. */
@@ -230,7 +223,7 @@
             return;
         }
         answerStarted = true;
-        caller.startStream(attempt.head().status(), callerHeaders(attempt));
+        answers.startStream(attempt);
         recorder.firstByte(admitted.route().name());
     }
 
@@ -257,16 +250,10 @@
 
     private void passOn(UpstreamAttempt attempt, byte[] body) {
         answerStarted = attempt.isSuccess();
-        caller.answer(attempt.head().status(), callerHeaders(attempt), body);
+        answers.passOn(attempt, body);
         recorder.firstByte(admitted.route().name());
     }
 
-    private HttpHeaders callerHeaders(UpstreamAttempt attempt) {
-        HttpHeaders headers = new DefaultHttpHeaders();
-        context.dialect().copyAnswer(attempt.head().headers(), headers);
-        return headers;
-    }
-
     void attemptEnded(UpstreamAttempt attempt, AttemptOutcome outcome, String reason) {
         if (attempt.isSent() && outcome.isNotRun()) {
             mayHaveRun--;
@@ -330,9 +317,7 @@
     }
 
     private void refuse(Refusal refusal) {
-        HttpHeaders headers = new DefaultHttpHeaders();
-        RetryAfter.of(refusal, causeMs(refusal)).ifPresent(value -> headers.set(HttpHeaderNames.RETRY_AFTER, value));
-        caller.answer(refusal.status(), headers, new byte[0]);
+        answers.refuse(refusal, causeMs(refusal));
         end(refusal.name(), currentAttempt);
     }
 
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/StreamRelay.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/StreamRelay.java
@@ -3,6 +3,7 @@
 import io.jayhead.dispatch.forward.EventFramer;
 import io.jayhead.dispatch.forward.StreamEvent;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 
 /**
@@ -11,6 +12,9 @@
  */
 final class StreamRelay {
 
+    /** The fault of an answer that has something else than the next events of a stream that broke off. */
+    static final String FOREIGN = "the answer does not continue the stream";
+
     private final CallerChannel caller;
     private EventFramer framer = new EventFramer();
     private String lastId = "";
@@ -78,14 +82,12 @@
         return !resumed || !insideEvent;
     }
 
-    /** Tells whether the answer of the current attempt does not continue the stream. */
-    boolean isForeign() {
-        return foreign;
-    }
-
-    /** Tells whether the stream has an event that is too long to be buffered. */
-    boolean isTooLong() {
-        return framer.isTooLong();
+    /** Returns why the answer of the current attempt cannot be passed on further; empty if it can. */
+    Optional<String> fault() {
+        if (foreign) {
+            return Optional.of(FOREIGN);
+        }
+        return framer.isTooLong() ? Optional.of("an event is too long") : Optional.empty();
     }
 
     int events() {
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamAttempt.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamAttempt.java
@@ -120,7 +120,7 @@
         }
         streaming = isSuccess() && exchange.isStreaming();
         if (streaming && exchange.hasAnswerStarted() && !mayBeEvents()) {
-            giveUp("the answer does not continue the stream");
+            giveUp(StreamRelay.FOREIGN);
         }
     }
 
@@ -135,7 +135,7 @@
         if (streaming) {
             recordFirstEvent();
             exchange.streamBytes(this, copy);
-            if (exchange.eventsOfAttempt() >= ANSWERING_EVENTS) {
+            if (exchange.relay().eventsOfAttempt() >= ANSWERING_EVENTS) {
                 promptAnswered();
             }
             return;
@@ -168,7 +168,7 @@
             finish(AttemptOutcome.FAILED, "answered with " + head.status().code() + " to go on with a stream");
             return;
         }
-        if (streaming && !exchange.streamMayEnd(isFramed())) {
+        if (streaming && !exchange.relay().mayEnd(isFramed())) {
             broken("stream ended inside an event");
             return;
         }
--- a/jayhead-gateway/src/test/java/io/jayhead/gateway/control/LivenessProbeTest.java
+++ b/jayhead-gateway/src/test/java/io/jayhead/gateway/control/LivenessProbeTest.java
@@ -14,8 +14,8 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * Guards against the end of an outage that is noticed late because calls of the outage still wait, and against an outage
- * that these calls show after it has ended.
+ * Guards against the end of an outage that is noticed late because calls of the outage still wait, and against an
+ * outage that these calls show after it has ended.
  */
 class LivenessProbeTest {
 
