Show the bytes of upstreams that belong to no open request

Nothing told the four hypotheses apart: an answer that is passed on left only 'served', and neither a skipped answer nor bytes on an idle connection left a line. Now 'unsolicited bytes' says which upstream sent them and when (OTHER_REQUEST, AFTER_ANSWER, WHILE_IDLE), a metric counts them, and the line of an answered request has the status that was read and how many requests its connection had carried before.

The decoder of answers becomes a class of its own, which sees bytes before they are decoded: a part of a head is no message, so the handler behind the decoder never heard of it. What is read as an answer is unchanged.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/Gateway.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/Gateway.java
@@ -19,6 +19,7 @@
 import io.jayhead.gateway.log.StructuredLog;
 import io.jayhead.gateway.metrics.GatewayMetrics;
 import io.jayhead.gateway.quarantine.PromptGuard;
+import io.jayhead.gateway.upstream.ConnectionRecorder;
 import io.jayhead.gateway.upstream.UpstreamTable;
 import io.jayhead.gateway.wire.WireDialect;
 import io.jayhead.peer.PeerClient;
@@ -101,7 +102,8 @@
                 budgets,
                 this::snapshotChanged);
         controlReference[0] = control;
-        this.upstreams = new UpstreamTable(traffic, dialect, settings.availabilityZone(), metrics::connectionOpened);
+        this.upstreams =
+                new UpstreamTable(traffic, dialect, settings.availabilityZone(), new ConnectionRecorder(log, metrics));
         this.meter = new LinkMeter(settings.linkMbps(), log);
         GatewayContext context = new GatewayContext(
                 traffic,
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamAttempt.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamAttempt.java
@@ -39,6 +39,7 @@
     private boolean firstEventSeen;
     private boolean promptAnswered;
     private boolean silenceReported;
+    private int earlierRequests;
 
     UpstreamAttempt(Exchange exchange, UpstreamHandle upstream, long tokensToRead) {
         this.exchange = exchange;
@@ -67,6 +68,16 @@
         return sent ? (sentAtNs - placedAtNs) / 1_000_000 : 0;
     }
 
+    /** Returns the status that the upstream answered with; 0 if it did not answer. */
+    int statusCode() {
+        return head == null ? 0 : head.status().code();
+    }
+
+    /** Returns how many requests the connection had carried before this one. */
+    int earlierRequests() {
+        return earlierRequests;
+    }
+
     void start(int maxConnections) {
         placedAtNs = System.nanoTime();
         upstream.started(tokensToRead);
@@ -87,6 +98,7 @@
             return;
         }
         connection = acquired;
+        earlierRequests = acquired.requests();
         sent = true;
         sentAtNs = System.nanoTime();
         expectedFirstEventMs = upstream.expectedFirstEventMs();
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/metrics/GatewayMetrics.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/metrics/GatewayMetrics.java
@@ -38,6 +38,11 @@
             .name("jayhead_upstream_connections_total")
             .help("Connections opened to upstreams")
             .register(registry);
+    private final Counter unsolicited = Counter.builder()
+            .name("jayhead_unsolicited_upstream_bytes_total")
+            .help("Bytes of upstreams outside the answer to an open request, by when they arrived")
+            .labelNames("arrived")
+            .register(registry);
     private final Counter attempts = Counter.builder()
             .name("jayhead_failed_attempts_total")
             .help("Attempts that brought no answer, by outcome")
@@ -97,6 +102,15 @@
         connections.inc();
     }
 
+    /**
+     * Counts bytes of an upstream that do not belong to the answer to an open request.
+     *
+     * @param arrived when they arrived
+     */
+    public void unsolicitedBytes(String arrived) {
+        unsolicited.labelValues(arrived).inc();
+    }
+
     /**
      * Counts an attempt that was not sent, was rejected, failed, or got no complete answer.
      *
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamConnection.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamConnection.java
@@ -28,12 +28,14 @@
     private final WireDialect dialect;
     private final UpstreamConnectionPool pool;
     private final long defaultIdleLimitMs;
+    private final AnswerDecoder decoder = new AnswerDecoder(this::idleBytes);
     private Channel channel;
     private AttemptListener listener;
     private String requestId = "";
     private ChannelFuture requestWritten;
     private AnswerState answerState = AnswerState.NONE;
     private int ignoredAnswers;
+    private int requests;
     private boolean reusable = true;
     private long idleSinceNs;
     private long idleLimitMs;
@@ -57,9 +59,25 @@
         requestId = id;
         answerState = AnswerState.AWAITED;
         ignoredAnswers = 0;
+        requests++;
+        decoder.requestOpened(request.method());
         requestWritten = channel.writeAndFlush(request);
     }
 
+    /**
+     * Returns how many requests have been sent on this connection.
+     *
+     * @return the number of requests
+     */
+    public int requests() {
+        return requests;
+    }
+
+    /** Returns the decoder that precedes this handler in the pipeline. */
+    AnswerDecoder decoder() {
+        return decoder;
+    }
+
     /** Closes the connection without notifying the attempt, so that the upstream can stop working on the request. */
     public void abort() {
         listener = null;
@@ -115,6 +133,9 @@
                 metadata.requestId().isPresent() && !metadata.requestId().get().equals(requestId);
         if (interim || ofOtherRequest) {
             answerState = interim ? AnswerState.INTERIM : AnswerState.SKIPPED;
+            if (ofOtherRequest) {
+                pool.unsolicited(UnsolicitedBytes.OTHER_REQUEST, requestId);
+            }
             ignoredAnswers++;
             if (ignoredAnswers > MAX_IGNORED_ANSWERS) {
                 fail("too many answers that are not the one to the request");
@@ -146,6 +167,9 @@
         AttemptListener finishedAttempt = listener;
         listener = null;
         answerState = AnswerState.NONE;
+        if (decoder.requestClosed()) {
+            pool.unsolicited(UnsolicitedBytes.AFTER_ANSWER, requestId);
+        }
         idleSinceNs = System.nanoTime();
         if (!requestWritten.isDone()) {
             reusable = false;
@@ -159,6 +183,10 @@
         }
     }
 
+    private void idleBytes() {
+        pool.unsolicited(UnsolicitedBytes.WHILE_IDLE, requestId);
+    }
+
     private void fail(String reason) {
         AttemptListener failedAttempt = listener;
         listener = null;
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamConnectionPool.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamConnectionPool.java
@@ -3,7 +3,7 @@
 import io.jayhead.gateway.wire.WireDialect;
 import io.jayhead.routing.registry.Upstream;
 import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -32,14 +32,10 @@
     /** The longest wait for a connection that another request uses. */
     private static final long MAX_WAIT_MS = 250;
 
-    private static final int MAX_LINE_BYTES = 4_096;
-    private static final int MAX_HEAD_BYTES = 65_536;
-    private static final int MAX_CHUNK_BYTES = 8_192;
-
     private final Upstream upstream;
     private final EventLoop loop;
     private final WireDialect dialect;
-    private final Runnable onNewConnection;
+    private final ConnectionListener listener;
     private final Deque<UpstreamConnection> idle = new ArrayDeque<>();
     /** The attempts that wait for a connection, because all that this router may have are in use. */
     private final Deque<AttemptListener> waiting = new ArrayDeque<>();
@@ -49,31 +45,31 @@
 
     private int openConnections;
 
-    UpstreamConnectionPool(Upstream upstream, EventLoop loop, WireDialect dialect, Runnable onNewConnection) {
+    UpstreamConnectionPool(Upstream upstream, EventLoop loop, WireDialect dialect, ConnectionListener listener) {
         this.upstream = upstream;
         this.loop = loop;
         this.dialect = dialect;
-        this.onNewConnection = onNewConnection;
+        this.listener = listener;
     }
 
     int openConnections() {
         return openConnections;
     }
 
-    void acquire(int maxConnections, AttemptListener listener) {
+    void acquire(int maxConnections, AttemptListener attempt) {
         long nowNs = System.nanoTime();
         for (UpstreamConnection next = idle.pollFirst(); next != null; next = idle.pollFirst()) {
             if (next.isUsable(nowNs)) {
-                listener.connected(next);
+                attempt.connected(next);
                 return;
             }
             next.close();
         }
         if (openConnections >= maxConnections) {
-            awaitConnection(listener);
+            awaitConnection(attempt);
             return;
         }
-        connect(listener);
+        connect(attempt);
     }
 
     /** Opens a connection, which stays in the pool, and runs the action if that fails. */
@@ -95,38 +91,42 @@
         actions.forEach(Runnable::run);
     }
 
-    private void connect(AttemptListener listener) {
-        connect(listener::connected, listener::notConnected);
+    private void connect(AttemptListener attempt) {
+        connect(attempt::connected, attempt::notConnected);
     }
 
     private void connect(Consumer<UpstreamConnection> onConnected, Runnable onFailure) {
         openConnections++;
-        onNewConnection.run();
+        listener.opened();
         UpstreamConnection connection = new UpstreamConnection(dialect, this, IDLE_LIMIT_MS);
         InetSocketAddress address = new InetSocketAddress(upstream.host(), upstream.port());
-        HttpClientCodec codec = new HttpClientCodec(MAX_LINE_BYTES, MAX_HEAD_BYTES, MAX_CHUNK_BYTES);
-        Connector.connect(loop, address, CONNECT_TIMEOUT_MS, codec, connection).addListener(future -> {
-            if (future.isSuccess()) {
-                onConnected.accept(connection);
-            } else {
-                openConnections--;
-                onFailure.run();
-            }
-        });
+        Connector.connect(loop, address, CONNECT_TIMEOUT_MS, new HttpRequestEncoder(), connection.decoder(), connection)
+                .addListener(future -> {
+                    if (future.isSuccess()) {
+                        onConnected.accept(connection);
+                    } else {
+                        openConnections--;
+                        onFailure.run();
+                    }
+                });
     }
 
-    private void awaitConnection(AttemptListener listener) {
-        waiting.add(listener);
+    private void awaitConnection(AttemptListener attempt) {
+        waiting.add(attempt);
         loop.schedule(
                 () -> {
-                    if (waiting.remove(listener)) {
-                        listener.allConnectionsInUse();
+                    if (waiting.remove(attempt)) {
+                        attempt.allConnectionsInUse();
                     }
                 },
                 MAX_WAIT_MS,
                 TimeUnit.MILLISECONDS);
     }
 
+    void unsolicited(UnsolicitedBytes kind, String requestId) {
+        listener.unsolicited(upstream.incarnation(), kind, requestId);
+    }
+
     void released(UpstreamConnection connection) {
         AttemptListener next = waiting.poll();
         if (next == null) {
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamTable.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamTable.java
@@ -18,7 +18,7 @@
     private final EventLoop loop;
     private final WireDialect dialect;
     private final String availabilityZone;
-    private final Runnable onNewConnection;
+    private final ConnectionListener listener;
     private final Map<String, UpstreamHandle> handles = new HashMap<>();
 
     /**
@@ -27,13 +27,13 @@
      * @param loop the traffic thread
      * @param dialect reads the answers
      * @param availabilityZone the availability zone of this router
-     * @param onNewConnection is called for each connection that is opened
+     * @param listener is notified of the connections to all upstreams
      */
-    public UpstreamTable(EventLoop loop, WireDialect dialect, String availabilityZone, Runnable onNewConnection) {
+    public UpstreamTable(EventLoop loop, WireDialect dialect, String availabilityZone, ConnectionListener listener) {
         this.loop = loop;
         this.dialect = dialect;
         this.availabilityZone = availabilityZone;
-        this.onNewConnection = onNewConnection;
+        this.listener = listener;
     }
 
     /**
@@ -61,7 +61,7 @@
                 upstream.incarnation(),
                 incarnation -> new UpstreamHandle(
                         upstream,
-                        new UpstreamConnectionPool(upstream, loop, dialect, onNewConnection),
+                        new UpstreamConnectionPool(upstream, loop, dialect, listener),
                         upstream.availabilityZone().equals(availabilityZone)));
         handle.update(upstream);
         return handle;
