Send no request on a connection on which bytes have arrived since the last answer

What callers saw: a success where the upstream had answered with a failure, and bookings without an answer until their time limit. Cause: an answer is matched to a request by its place on the connection, and the place was taken at whole messages. A part of a repeated answer that ends inside its head is no message: it stayed in the decoder, and the next answer was read as the rest of that head. Change: bytes that arrive while no request is open close the connection before they are decoded; so do bytes behind a complete answer, and bytes or an end that are in the socket when the next request is about to be sent (one read of one byte). Ruled out: closing only on a decoded message, as before.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/AnswerDecoder.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/AnswerDecoder.java
@@ -4,8 +4,12 @@
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.util.ReferenceCountUtil;
 
-/** Decodes the answers on a connection that carries one request at a time. */
+/**
+ * Decodes the answers on a connection that carries one request at a time. Bytes that arrive while no request is open
+ * are not decoded, since they would become the beginning of the answer to the next request.
+ */
 final class AnswerDecoder extends HttpResponseDecoder {
 
     private static final int MAX_LINE_BYTES = 4_096;
@@ -48,10 +52,12 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object bytes) throws Exception {
-        if (!requestOpen) {
-            onIdleBytes.run();
+        if (requestOpen) {
+            super.channelRead(context, bytes);
+            return;
         }
-        super.channelRead(context, bytes);
+        ReferenceCountUtil.release(bytes);
+        onIdleBytes.run();
     }
 
     @Override
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/Connector.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/Connector.java
@@ -8,7 +8,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioChannelOption;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
 import jdk.net.ExtendedSocketOptions;
 
@@ -34,7 +33,7 @@
             EventLoop loop, InetSocketAddress address, int timeoutMs, ChannelHandler... handlers) {
         return new Bootstrap()
                 .group(loop)
-                .channel(NioSocketChannel.class)
+                .channelFactory(UpstreamChannel::new)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMs)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.SO_KEEPALIVE, true)
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UnsolicitedBytes.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UnsolicitedBytes.java
@@ -7,5 +7,7 @@
     /** Bytes that follow a complete answer. */
     AFTER_ANSWER,
     /** Bytes that arrive while no request is open. */
-    WHILE_IDLE
+    WHILE_IDLE,
+    /** Bytes that have arrived but not been read when the next request is about to be sent. */
+    BEFORE_REQUEST
 }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamConnection.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamConnection.java
@@ -1,5 +1,6 @@
 package io.jayhead.gateway.upstream;
 
+import io.jayhead.gateway.upstream.UpstreamChannel.Unread;
 import io.jayhead.gateway.wire.AnswerMetadata;
 import io.jayhead.gateway.wire.WireDialect;
 import io.netty.channel.Channel;
@@ -17,8 +18,9 @@
 /**
  * A connection to an upstream that carries one request at a time.
  *
- * <p>An answer that names another request is skipped, since it is a late second answer to an earlier request. An answer
- * that arrives while no request is open closes the connection.
+ * <p>An answer that names another request is skipped, since it is a late second answer to an earlier request. A
+ * connection on which bytes arrive while no request is open is closed: they may be a part of such an answer, which the
+ * next answer would complete.
  */
 public final class UpstreamConnection extends SimpleChannelInboundHandler<HttpObject> {
 
@@ -98,6 +100,18 @@
         return channel.isActive() && reusable && (nowNs - idleSinceNs) / 1_000_000 < idleLimitMs;
     }
 
+    /**
+     * Tells whether the next request can be sent, since nothing has arrived that its answer could be mixed with. A
+     * connection that is not quiet must be closed.
+     */
+    boolean isQuiet() {
+        Unread unread = ((UpstreamChannel) channel).unread();
+        if (unread == Unread.BYTES) {
+            pool.unsolicited(UnsolicitedBytes.BEFORE_REQUEST, requestId);
+        }
+        return unread == Unread.NOTHING;
+    }
+
     void close() {
         channel.close();
     }
@@ -169,6 +183,7 @@
         answerState = AnswerState.NONE;
         if (decoder.requestClosed()) {
             pool.unsolicited(UnsolicitedBytes.AFTER_ANSWER, requestId);
+            reusable = false;
         }
         idleSinceNs = System.nanoTime();
         if (!requestWritten.isDone()) {
@@ -184,7 +199,11 @@
     }
 
     private void idleBytes() {
+        if (!channel.isActive()) {
+            return;
+        }
         pool.unsolicited(UnsolicitedBytes.WHILE_IDLE, requestId);
+        fail("bytes without a request");
     }
 
     private void fail(String reason) {
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamConnectionPool.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamConnectionPool.java
@@ -59,7 +59,7 @@
     void acquire(int maxConnections, AttemptListener attempt) {
         long nowNs = System.nanoTime();
         for (UpstreamConnection next = idle.pollFirst(); next != null; next = idle.pollFirst()) {
-            if (next.isUsable(nowNs)) {
+            if (next.isUsable(nowNs) && next.isQuiet()) {
                 attempt.connected(next);
                 return;
             }
@@ -128,11 +128,12 @@
     }
 
     void released(UpstreamConnection connection) {
-        AttemptListener next = waiting.poll();
-        if (next == null) {
+        if (waiting.isEmpty()) {
             idle.addFirst(connection);
+        } else if (connection.isQuiet()) {
+            waiting.poll().connected(connection);
         } else {
-            next.connected(connection);
+            connection.close();
         }
     }
 
