Take a head that has swallowed another status line for no answer

What callers saw: a success where the upstream had answered with a failure. The status line of the answer becomes the end of a reason phrase or of a header value of the part, and the id behind it is that of the request. Change: a head whose reason phrase or one of whose header values has a status line, or that begins with something else than HTTP/1, breaks the attempt. Header names need no look: a status line in one has a slash, which the decoder refuses. Evidence: RepeatedAnswerContractTest.aPartThatArrivesBeforeAnAnswerIsNotItsHead and aPartInOneWriteWithAnAnswerIsNotItsHead failed with 52 of 163 lengths each before and pass now: the caller hears that the outcome is unknown.

--- /dev/null
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/AnswerHead.java
@@ -0,0 +1,42 @@
+package io.jayhead.gateway.upstream;
+
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.Map;
+import java.util.regex.Pattern;
+
+/** Checks that the head of an answer is one head, and not what the beginnings of two answers formed together. */
+final class AnswerHead {
+
+    private static final String PROTOCOL = "HTTP/";
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] \\d{3}(?: |$)");
+
+    private AnswerHead() {}
+
+    /**
+     * Tells whether a head can be that of a single answer. A head that breaks off swallows the status line of the
+     * answer that follows it, as part of its own status line or of a header.
+     *
+     * @param head the head as it was decoded
+     * @return false if it has more than one status line, or none of HTTP/1
+     */
+    static boolean isWhole(HttpResponse head) {
+        HttpVersion version = head.protocolVersion();
+        if (!version.equals(HttpVersion.HTTP_1_1) && !version.equals(HttpVersion.HTTP_1_0)) {
+            return false;
+        }
+        if (hasStatusLine(head.status().reasonPhrase())) {
+            return false;
+        }
+        for (Map.Entry<String, String> header : head.headers()) {
+            if (hasStatusLine(header.getValue())) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static boolean hasStatusLine(String text) {
+        return text.contains(PROTOCOL) && STATUS_LINE.matcher(text).find();
+    }
+}
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamConnection.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamConnection.java
@@ -141,6 +141,10 @@
             abort();
             return;
         }
+        if (!AnswerHead.isWhole(head)) {
+            fail("head with the beginning of another answer");
+            return;
+        }
         AnswerMetadata metadata = dialect.readAnswer(head);
         boolean interim = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
         boolean ofOtherRequest =
