Believe an answer that names no request only as the first one of its connection

What callers saw: 503, 'not run', for bookings that ran, when an engine named its refusal and wrote the copy of it without the id before the answer to the next request. Cause: the fix of the repeated refusal believed an answer without an id where every earlier answer of the connection was named; the copy need not look like the original. The class is the same: an answer matched by its place. Change: on a connection that has carried a request before, an answer without an id breaks the attempt. Evidence: RepeatedRefusalContractTest.aNamedRefusalThatIsWrittenAgainWithoutItsIdIs- NotTakenForTheNextAnswer failed with 503 for r0 before and passes now. Price: a real refusal without an id on a connection in use again becomes 'outcome unknown' for a booking; what may be repeated goes to another upstream.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamConnection.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamConnection.java
@@ -20,7 +20,7 @@
  *
  * <p>An answer that names another request is skipped, since it is a late second answer to an earlier request. A
  * connection on which bytes arrive while no request is open is closed: they may be a part of such an answer, which the
- * next answer would complete.
+ * next answer would complete. An answer that names no request is believed only as the first one of a connection.
  */
 public final class UpstreamConnection extends SimpleChannelInboundHandler<HttpObject> {
 
@@ -160,9 +160,13 @@
             }
             return;
         }
+        if (metadata.requestId().isEmpty() && requests > 1) {
+            fail("answer without a request id on a connection in use again");
+            return;
+        }
         answerState = AnswerState.OPEN;
         metadata.idleTimeoutMs().ifPresent(timeout -> idleLimitMs = Math.min(defaultIdleLimitMs, timeout));
-        // A second copy of an answer without an id could not be told from the answer to the next request.
+        // A second copy of an answer without an id may arrive behind the next request.
         reusable &= HttpUtil.isKeepAlive(head) && metadata.requestId().isPresent();
         listener.head(head, metadata);
     }
