Take an answer without a length for broken off if its request was not written whole

Cause: a reset that a pending write meets closes the connection without an exception, so the decoder takes the end of the connection for the end of the answer. Change: an answer without a length counts as whole only if its request was written whole before the connection ended. An upstream that answers early and closes before it has read the request resets the connection, and a reset answer is not whole.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamConnection.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamConnection.java
@@ -43,6 +43,7 @@
     private String requestId = "";
     private ChannelFuture requestWritten;
     private AnswerState answerState = AnswerState.NONE;
+    private boolean endsWithConnection;
     private int ignoredAnswers;
     private int requests;
     private final Set<String> requestIds = new LinkedHashSet<>();
@@ -179,6 +180,7 @@
             return;
         }
         answerState = AnswerState.OPEN;
+        endsWithConnection = !HttpUtil.isContentLengthSet(head) && !HttpUtil.isTransferEncodingChunked(head);
         metadata.idleTimeoutMs().ifPresent(timeout -> idleLimitMs = Math.min(defaultIdleLimitMs, timeout));
         // A second copy of an answer without an id may arrive behind the next request.
         reusable &= HttpUtil.isKeepAlive(head) && metadata.requestId().isPresent();
@@ -216,6 +218,10 @@
     }
 
     private void finish() {
+        if (endsWithConnection && !requestWritten.isSuccess()) {
+            fail("connection ended while the request was being written");
+            return;
+        }
         String following = decoder.requestClosed();
         if (embeddedAnswer.isShownBy(following)) {
             fail("answer with a part of another one");
