--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamAttempt.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamAttempt.java
@@ -1,6 +1,7 @@
 package io.jayhead.gateway.exchange;
 
 import io.jayhead.dispatch.forward.AttemptOutcome;
+import io.jayhead.gateway.upstream.AnswerHead;
 import io.jayhead.gateway.upstream.AttemptListener;
 import io.jayhead.gateway.upstream.UpstreamConnection;
 import io.jayhead.gateway.upstream.UpstreamHandle;
@@ -10,7 +11,6 @@
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.AsciiString;
 import java.io.ByteArrayOutputStream;
 
@@ -180,7 +180,7 @@
             finish(AttemptOutcome.FAILED, "answered with " + head.status().code() + " to go on with a stream");
             return;
         }
-        if (streaming && !exchange.relay().mayEnd(isFramed())) {
+        if (streaming && !exchange.relay().mayEnd(AnswerHead.isFramed(head))) {
             broken("stream ended inside an event");
             return;
         }
@@ -255,11 +255,6 @@
         return code >= 200 && code < 300;
     }
 
-    /** Tells whether the answer names its end; otherwise the end of the connection ends it, as a crash does too. */
-    private boolean isFramed() {
-        return HttpUtil.isTransferEncodingChunked(head) || HttpUtil.isContentLengthSet(head);
-    }
-
     private boolean mayBeEvents() {
         String type = head.headers().get(HttpHeaderNames.CONTENT_TYPE);
         return type == null || AsciiString.of(type).toLowerCase().startsWith(HttpHeaderValues.TEXT_EVENT_STREAM);
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/AnswerHead.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/AnswerHead.java
@@ -1,12 +1,13 @@
 package io.jayhead.gateway.upstream;
 
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.Map;
 import java.util.regex.Pattern;
 
-/** Checks that the head of an answer is one head, and not what the beginnings of two answers formed together. */
-final class AnswerHead {
+/** Reads from the head of an answer whether it can be believed, and where the answer ends. */
+public final class AnswerHead {
 
     private static final String PROTOCOL = "HTTP/";
     private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] \\d{3}(?: |$)");
@@ -36,6 +37,16 @@
         return true;
     }
 
+    /**
+     * Tells whether an answer names its own end; otherwise the end of the connection ends it, as a crash does too.
+     *
+     * @param head the head of the answer
+     * @return true if the answer has a length or comes in chunks
+     */
+    public static boolean isFramed(HttpResponse head) {
+        return HttpUtil.isTransferEncodingChunked(head) || HttpUtil.isContentLengthSet(head);
+    }
+
     private static boolean hasStatusLine(String text) {
         return text.contains(PROTOCOL) && STATUS_LINE.matcher(text).find();
     }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamConnection.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamConnection.java
@@ -17,8 +17,6 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import java.util.LinkedHashSet;
-import java.util.Set;
 
 /**
  * A connection to an upstream that carries one request at a time.
@@ -31,22 +29,19 @@
 
     /** More informational answers, or answers to other requests, than this before the answer indicate a fault. */
     private static final int MAX_IGNORED_ANSWERS = 16;
-    /** A second answer follows the first one after a few others at most. */
-    private static final int MAX_REMEMBERED_REQUESTS = 32;
 
     private final WireDialect dialect;
     private final UpstreamConnectionPool pool;
     private final long defaultIdleLimitMs;
+    private final SentRequests sentRequests = new SentRequests();
     private final AnswerDecoder decoder = new AnswerDecoder(this::idleBytes);
     private Channel channel;
     private AttemptListener listener;
     private String requestId = "";
     private ChannelFuture requestWritten;
     private AnswerState answerState = AnswerState.NONE;
-    private boolean endsWithConnection;
+    private boolean framed;
     private int ignoredAnswers;
-    private int requests;
-    private final Set<String> requestIds = new LinkedHashSet<>();
     private EmbeddedAnswer embeddedAnswer = new EmbeddedAnswer(this::namesRequest);
     private boolean reusable = true;
     private long idleSinceNs;
@@ -71,11 +66,7 @@
         requestId = id;
         answerState = AnswerState.AWAITED;
         ignoredAnswers = 0;
-        requests++;
-        requestIds.add(id);
-        if (requestIds.size() > MAX_REMEMBERED_REQUESTS) {
-            requestIds.remove(requestIds.iterator().next());
-        }
+        sentRequests.add(id);
         decoder.requestOpened(request.method());
         requestWritten = channel.writeAndFlush(request);
     }
@@ -86,7 +77,7 @@
      * @return the number of requests
      */
     public int requests() {
-        return requests;
+        return sentRequests.count();
     }
 
     /** Returns the decoder that precedes this handler in the pipeline. */
@@ -175,12 +166,12 @@
             }
             return;
         }
-        if (metadata.requestId().isEmpty() && requests > 1) {
+        if (metadata.requestId().isEmpty() && sentRequests.count() > 1) {
             fail("answer without a request id on a connection in use again");
             return;
         }
         answerState = AnswerState.OPEN;
-        endsWithConnection = !HttpUtil.isContentLengthSet(head) && !HttpUtil.isTransferEncodingChunked(head);
+        framed = AnswerHead.isFramed(head);
         metadata.idleTimeoutMs().ifPresent(timeout -> idleLimitMs = Math.min(defaultIdleLimitMs, timeout));
         // A second copy of an answer without an id may arrive behind the next request.
         reusable &= HttpUtil.isKeepAlive(head) && metadata.requestId().isPresent();
@@ -209,16 +200,17 @@
     private boolean namesRequest(String line) {
         int colon = line.indexOf(':');
         String value = line.substring(colon + 1).strip();
-        if (colon <= 0 || !requestIds.contains(value)) {
+        if (colon <= 0 || !sentRequests.contains(value)) {
             return false;
         }
-        HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+        HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK, false);
         head.headers().set(line.substring(0, colon), value);
         return dialect.readAnswer(head).requestId().isPresent();
     }
 
     private void finish() {
-        if (endsWithConnection && !requestWritten.isSuccess()) {
+        boolean endedByConnection = !framed && !channel.isActive();
+        if (endedByConnection && !requestWritten.isSuccess()) {
             fail("connection ended while the request was being written");
             return;
         }
--- a/jayhead-gateway/src/test/java/io/jayhead/gateway/upstream/UpstreamConnectionTest.java
+++ b/jayhead-gateway/src/test/java/io/jayhead/gateway/upstream/UpstreamConnectionTest.java
@@ -73,10 +73,20 @@
         assertEquals(List.of("head", "content", "complete"), attempt.events);
     }
 
+    @Test
+    void anAnswerWithoutABodyIsWholeBeforeTheRequestIsWritten() {
+        answer("HTTP/1.1 204 No Content\r\nRequest-Id: r1\r\n\r\n");
+        assertEquals(List.of("head", "complete"), attempt.events);
+    }
+
     private void answerUnframed() {
+        answer(UNFRAMED_HEAD + "part");
+    }
+
+    private void answer(String text) {
         channel.pipeline().addLast(writes, connection.decoder(), connection);
         connection.send(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/a"), "r1", attempt);
-        channel.writeInbound(Unpooled.copiedBuffer(UNFRAMED_HEAD + "part", StandardCharsets.US_ASCII));
+        channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII));
     }
 
     /** Keeps the request from being written until the test decides. */
