--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/EmbeddedAnswer.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/EmbeddedAnswer.java
@@ -46,12 +46,13 @@
         if (found || pending.isEmpty() && !mayBegin) {
             return found;
         }
-        pending += bytes.toString(StandardCharsets.ISO_8859_1);
-        protocolNamed |= pending.contains(PROTOCOL);
-        skipToHead(0);
-        while (!pending.isEmpty() && isRefuted()) {
-            skipToHead(1);
+        String text = pending + bytes.toString(StandardCharsets.ISO_8859_1);
+        protocolNamed |= text.contains(PROTOCOL);
+        int head = nextHead(text, 0);
+        while (head < text.length() && isRefuted(text, head)) {
+            head = nextHead(text, head + 1);
         }
+        pending = text.substring(head);
         return found;
     }
 
@@ -71,13 +72,13 @@
         return protocolNamed || goesOn;
     }
 
-    /** Drops what precedes the next place at which a head may begin. */
-    private void skipToHead(int from) {
+    /** Returns the next place at which a head may begin, or the length of the text. */
+    private static int nextHead(String text, int from) {
         int at = from;
-        while (at < pending.length() && !beginsHead(pending, at)) {
+        while (at < text.length() && !beginsHead(text, at)) {
             at++;
         }
-        pending = pending.substring(at);
+        return at;
     }
 
     private static boolean beginsHead(String text, int at) {
@@ -93,16 +94,16 @@
         return true;
     }
 
-    /** Reads the complete lines behind the status line; returns whether they are not those of another answer's head. */
-    private boolean isRefuted() {
-        int start = pending.indexOf(LINE_END);
-        while (start >= 0) {
-            start += LINE_END.length();
-            int end = pending.indexOf(LINE_END, start);
-            if (end < 0) {
+    /** Reads the complete lines behind a status line; returns whether they are not those of another answer's head. */
+    private boolean isRefuted(String text, int head) {
+        int lineEnd = text.indexOf(LINE_END, head);
+        while (lineEnd >= 0 && lineEnd - head <= MAX_HEAD_BYTES) {
+            int start = lineEnd + LINE_END.length();
+            lineEnd = text.indexOf(LINE_END, start);
+            if (lineEnd < 0) {
                 break;
             }
-            String line = pending.substring(start, end);
+            String line = text.substring(start, lineEnd);
             if (isHeaderOfConnection.test(line)) {
                 found = true;
                 return false;
@@ -110,8 +111,7 @@
             if (line.indexOf(':') <= 0) {
                 return true;
             }
-            start = end;
         }
-        return pending.length() > MAX_HEAD_BYTES;
+        return text.length() - head > MAX_HEAD_BYTES;
     }
 }
