--- /dev/null
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/AnswerDecoder.java
@@ -0,0 +1,72 @@
+package io.jayhead.gateway.upstream;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.util.ReferenceCountUtil;
+import java.nio.charset.StandardCharsets;
+
+/**
+ * Decodes the answers on a connection that carries one request at a time. Bytes that arrive while no request is open
+ * are not decoded, since they would become the beginning of the answer to the next request.
+ */
+final class AnswerDecoder extends HttpResponseDecoder {
+
+    private static final int MAX_LINE_BYTES = 4_096;
+    private static final int MAX_HEAD_BYTES = 65_536;
+    private static final int MAX_CHUNK_BYTES = 8_192;
+    private static final int MAX_FOLLOWING_BYTES = 64;
+
+    private final Runnable onIdleBytes;
+    private HttpMethod method = HttpMethod.GET;
+    private boolean requestOpen;
+
+    /**
+     * Creates a decoder of a connection without a request.
+     *
+     * @param onIdleBytes is called for bytes that arrive while no request is open
+     */
+    AnswerDecoder(Runnable onIdleBytes) {
+        super(MAX_LINE_BYTES, MAX_HEAD_BYTES, MAX_CHUNK_BYTES);
+        this.onIdleBytes = onIdleBytes;
+    }
+
+    /**
+     * Starts to expect an answer.
+     *
+     * @param requestMethod the method of the request, since answers to some have no body
+     */
+    void requestOpened(HttpMethod requestMethod) {
+        method = requestMethod;
+        requestOpen = true;
+    }
+
+    /**
+     * Stops expecting an answer.
+     *
+     * @return the first bytes that have been received behind the answer, one character each; empty if there are none
+     */
+    String requestClosed() {
+        requestOpen = false;
+        ByteBuf following = internalBuffer();
+        int length = Math.min(following.readableBytes(), MAX_FOLLOWING_BYTES);
+        return following.toString(following.readerIndex(), length, StandardCharsets.ISO_8859_1);
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object bytes) throws Exception {
+        if (requestOpen) {
+            super.channelRead(context, bytes);
+            return;
+        }
+        ReferenceCountUtil.release(bytes);
+        onIdleBytes.run();
+    }
+
+    @Override
+    protected boolean isContentAlwaysEmpty(HttpMessage answer) {
+        return HttpMethod.HEAD.equals(method) || super.isContentAlwaysEmpty(answer);
+    }
+}
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamConnection.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamConnection.java
@@ -1,24 +1,29 @@
 package io.jayhead.gateway.upstream;
 
+import io.jayhead.gateway.upstream.UpstreamChannel.Unread;
 import io.jayhead.gateway.wire.AnswerMetadata;
 import io.jayhead.gateway.wire.WireDialect;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 
 /**
  * A connection to an upstream that carries one request at a time.
  *
- * <p>An answer that names another request is skipped, since it is a late second answer to an earlier request. An answer
- * that arrives while no request is open closes the connection.
+ * <p>An answer that names another request is skipped, since it is a late second answer to an earlier request. A
+ * connection on which bytes arrive while no request is open is closed: they may be a part of such an answer, which the
+ * next answer would complete. An answer that names no request is believed only as the first one of a connection.
  */
 public final class UpstreamConnection extends SimpleChannelInboundHandler<HttpObject> {
 
@@ -28,12 +33,16 @@
     private final WireDialect dialect;
     private final UpstreamConnectionPool pool;
     private final long defaultIdleLimitMs;
+    private final SentRequests sentRequests = new SentRequests();
+    private final AnswerDecoder decoder = new AnswerDecoder(this::idleBytes);
     private Channel channel;
     private AttemptListener listener;
     private String requestId = "";
     private ChannelFuture requestWritten;
     private AnswerState answerState = AnswerState.NONE;
+    private boolean framed;
     private int ignoredAnswers;
+    private EmbeddedAnswer embeddedAnswer = new EmbeddedAnswer(this::namesRequest);
     private boolean reusable = true;
     private long idleSinceNs;
     private long idleLimitMs;
@@ -57,9 +66,25 @@
         requestId = id;
         answerState = AnswerState.AWAITED;
         ignoredAnswers = 0;
+        sentRequests.add(id);
+        decoder.requestOpened(request.method());
         requestWritten = channel.writeAndFlush(request);
     }
 
+    /**
+     * Returns how many requests have been sent on this connection.
+     *
+     * @return the number of requests
+     */
+    public int requests() {
+        return sentRequests.count();
+    }
+
+    /** Returns the decoder that precedes this handler in the pipeline. */
+    AnswerDecoder decoder() {
+        return decoder;
+    }
+
     /** Closes the connection without notifying the attempt, so that the upstream can stop working on the request. */
     public void abort() {
         listener = null;
@@ -80,6 +105,18 @@
         return channel.isActive() && reusable && (nowNs - idleSinceNs) / 1_000_000 < idleLimitMs;
     }
 
+    /**
+     * Tells whether the next request can be sent, since nothing has arrived that its answer could be mixed with. A
+     * connection that is not quiet must be closed.
+     */
+    boolean isQuiet() {
+        Unread unread = ((UpstreamChannel) channel).unread();
+        if (unread == Unread.BYTES) {
+            pool.unsolicited(UnsolicitedBytes.BEFORE_REQUEST, requestId);
+        }
+        return unread == Unread.NOTHING;
+    }
+
     void close() {
         channel.close();
     }
@@ -109,27 +146,44 @@
             abort();
             return;
         }
+        if (!AnswerHead.isWhole(head)) {
+            fail("head with the beginning of another answer");
+            return;
+        }
         AnswerMetadata metadata = dialect.readAnswer(head);
+        embeddedAnswer = new EmbeddedAnswer(this::namesRequest);
         boolean interim = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
         boolean ofOtherRequest =
                 metadata.requestId().isPresent() && !metadata.requestId().get().equals(requestId);
         if (interim || ofOtherRequest) {
             answerState = interim ? AnswerState.INTERIM : AnswerState.SKIPPED;
+            if (ofOtherRequest) {
+                pool.unsolicited(UnsolicitedBytes.OTHER_REQUEST, requestId);
+            }
             ignoredAnswers++;
             if (ignoredAnswers > MAX_IGNORED_ANSWERS) {
                 fail("too many answers that are not the one to the request");
             }
             return;
         }
+        if (metadata.requestId().isEmpty() && sentRequests.count() > 1) {
+            fail("answer without a request id on a connection in use again");
+            return;
+        }
         answerState = AnswerState.OPEN;
+        framed = AnswerHead.isFramed(head);
         metadata.idleTimeoutMs().ifPresent(timeout -> idleLimitMs = Math.min(defaultIdleLimitMs, timeout));
-        // A second copy of an answer without an id could not be told from the answer to the next request.
+        // A second copy of an answer without an id may arrive behind the next request.
         reusable &= HttpUtil.isKeepAlive(head) && metadata.requestId().isPresent();
         listener.head(head, metadata);
     }
 
     private void readContent(HttpContent content) {
         boolean last = content instanceof LastHttpContent;
+        if (embeddedAnswer.add(content.content())) {
+            fail("another answer inside an answer");
+            return;
+        }
         if (answerState != AnswerState.OPEN) {
             answerState = last && answerState != AnswerState.NONE ? AnswerState.AWAITED : answerState;
             return;
@@ -142,10 +196,36 @@
         }
     }
 
+    /** Tells whether a header line names a request that was sent on this connection. */
+    private boolean namesRequest(String line) {
+        int colon = line.indexOf(':');
+        String value = line.substring(colon + 1).strip();
+        if (colon <= 0 || !sentRequests.contains(value)) {
+            return false;
+        }
+        HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK, false);
+        head.headers().set(line.substring(0, colon), value);
+        return dialect.readAnswer(head).requestId().isPresent();
+    }
+
     private void finish() {
+        boolean endedByConnection = !framed && !channel.isActive();
+        if (endedByConnection && !requestWritten.isSuccess()) {
+            fail("connection ended while the request was being written");
+            return;
+        }
+        String following = decoder.requestClosed();
+        if (embeddedAnswer.isShownBy(following)) {
+            fail("answer with a part of another one");
+            return;
+        }
         AttemptListener finishedAttempt = listener;
         listener = null;
         answerState = AnswerState.NONE;
+        if (!following.isEmpty()) {
+            pool.unsolicited(UnsolicitedBytes.AFTER_ANSWER, requestId);
+            reusable = false;
+        }
         idleSinceNs = System.nanoTime();
         if (!requestWritten.isDone()) {
             reusable = false;
@@ -159,6 +239,14 @@
         }
     }
 
+    private void idleBytes() {
+        if (!channel.isActive()) {
+            return;
+        }
+        pool.unsolicited(UnsolicitedBytes.WHILE_IDLE, requestId);
+        fail("bytes without a request");
+    }
+
     private void fail(String reason) {
         AttemptListener failedAttempt = listener;
         listener = null;
