Send a request again on a connection that has not carried it

What callers saw: 503, 'not run', for a booking that ran when it was sent once more. Cause: the id tells answers of two requests apart, not those of one that is sent twice. Change: a connection that has carried the id of the next request is closed. Evidence: RepeatedRefusalContractTest.aRefusalThatIsWrittenAgainIsNotTakenForTheAnswerTo- TheSameBookingSentOnceMore failed with 503 for r0 before and passes now.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
@@ -119,7 +119,8 @@
                 context.upstreams().handle(chosen.get().candidate().upstream());
         triedIncarnations.add(upstream.upstream().incarnation());
         tries++;
-        currentAttempt = new UpstreamAttempt(this, upstream, chosen.get().tokensToRead());
+        currentAttempt = new UpstreamAttempt(
+                this, metadata.requestId(), upstream, chosen.get().tokensToRead());
         currentAttempt.start(forwarded.maxConnections());
     }
 
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamAttempt.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamAttempt.java
@@ -23,6 +23,7 @@
     private static final int MAX_ANSWER_BYTES = 16 * 1024 * 1024;
 
     private final Exchange exchange;
+    private final String requestId;
     private final UpstreamHandle upstream;
     private final long tokensToRead;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
@@ -41,8 +42,9 @@
     private boolean silenceReported;
     private int earlierRequests;
 
-    UpstreamAttempt(Exchange exchange, UpstreamHandle upstream, long tokensToRead) {
+    UpstreamAttempt(Exchange exchange, String requestId, UpstreamHandle upstream, long tokensToRead) {
         this.exchange = exchange;
+        this.requestId = requestId;
         this.upstream = upstream;
         this.tokensToRead = tokensToRead;
     }
@@ -85,6 +87,11 @@
         upstream.acquire(maxConnections, this);
     }
 
+    @Override
+    public String requestId() {
+        return requestId;
+    }
+
     @Override
     public void connected(UpstreamConnection acquired) {
         if (ended || exchange.isEnded()) {
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/AttemptListener.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/AttemptListener.java
@@ -7,6 +7,13 @@
 /** Receives the events of one attempt; called on the traffic thread. */
 public interface AttemptListener {
 
+    /**
+     * Returns the id of the request, by which its answer is told from others.
+     *
+     * @return the id
+     */
+    String requestId();
+
     /**
      * Receives a connection that is ready for the request.
      *
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamConnection.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamConnection.java
@@ -106,10 +106,14 @@
     }
 
     /**
-     * Tells whether the next request can be sent, since nothing has arrived that its answer could be mixed with. A
-     * connection that is not quiet must be closed.
+     * Tells whether a request can be sent: nothing has arrived that its answer could be mixed with, and no answer to an
+     * earlier request has its id. A connection that is not fit must be closed.
      */
-    boolean isQuiet() {
+    boolean isFit(String nextId) {
+        return !sentRequests.contains(nextId) && isQuiet();
+    }
+
+    private boolean isQuiet() {
         Unread unread = ((UpstreamChannel) channel).unread();
         if (unread == Unread.BYTES) {
             pool.unsolicited(UnsolicitedBytes.BEFORE_REQUEST, requestId);
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamConnectionPool.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamConnectionPool.java
@@ -59,7 +59,7 @@
     void acquire(int maxConnections, AttemptListener attempt) {
         long nowNs = System.nanoTime();
         for (UpstreamConnection next = idle.pollFirst(); next != null; next = idle.pollFirst()) {
-            if (next.isUsable(nowNs) && next.isQuiet()) {
+            if (next.isUsable(nowNs) && next.isFit(attempt.requestId())) {
                 attempt.connected(next);
                 return;
             }
@@ -130,7 +130,7 @@
     void released(UpstreamConnection connection) {
         if (waiting.isEmpty()) {
             idle.addFirst(connection);
-        } else if (connection.isQuiet()) {
+        } else if (connection.isFit(waiting.peek().requestId())) {
             waiting.poll().connected(connection);
         } else {
             connection.close();
--- a/jayhead-gateway/src/test/java/io/jayhead/gateway/upstream/UpstreamConnectionTest.java
+++ b/jayhead-gateway/src/test/java/io/jayhead/gateway/upstream/UpstreamConnectionTest.java
@@ -104,6 +104,11 @@
     private static final class RecordedAttempt implements AttemptListener {
         private final List<String> events = new ArrayList<>();
 
+        @Override
+        public String requestId() {
+            return "r1";
+        }
+
         @Override
         public void connected(UpstreamConnection acquired) {
             events.add("connected");
