Take a body that starts with the name of the protocol for no answer

A review showed that a part of an earlier answer between head and body reached the caller when the bytes that it displaces came later, or were not read yet: nothing followed the answer when it was judged.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/EmbeddedAnswer.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/EmbeddedAnswer.java
@@ -8,7 +8,8 @@
  * Looks for the head of another answer in the body of an answer, where it stands if the upstream wrote an answer once
  * more before the first one was complete.
  *
- * <p>A body may quote a head, so one inside the body counts only if it names a request of the connection.
+ * <p>A body may quote a head, so one inside the body counts only if it names a request of the connection. No
+ * body starts with one, so there the name of the protocol is enough.
  */
 final class EmbeddedAnswer {
 
@@ -23,6 +24,9 @@
     /** The body from the first place on at which a head may have begun; empty if there is none. */
     private String pending = "";
 
+    /** The first bytes of the body, as many as the protocol has. */
+    private String start = "";
+
     private boolean protocolNamed;
     private boolean found;
 
@@ -42,6 +46,8 @@
      * @return true if the body has the head of another answer
      */
     boolean add(ByteBuf bytes) {
+        addToStart(bytes);
+        found |= start.equals(PROTOCOL);
         boolean mayBegin = bytes.indexOf(bytes.readerIndex(), bytes.writerIndex(), (byte) STATUS_LINE.charAt(0)) >= 0;
         if (found || pending.isEmpty() && !mayBegin) {
             return found;
@@ -72,6 +78,14 @@
         return protocolNamed || goesOn;
     }
 
+    private void addToStart(ByteBuf bytes) {
+        int missing = PROTOCOL.length() - start.length();
+        if (missing > 0) {
+            int length = Math.min(missing, bytes.readableBytes());
+            start += bytes.toString(bytes.readerIndex(), length, StandardCharsets.ISO_8859_1);
+        }
+    }
+
     /** Returns the next place at which a head may begin, or the length of the text. */
     private static int nextHead(String text, int from) {
         int at = from;
