--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/AnswerDecoder.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/AnswerDecoder.java
@@ -12,7 +12,7 @@
  * Decodes the answers on a connection that carries one request at a time. Bytes that arrive while no request is open
  * are not decoded, since they would become the beginning of the answer to the next request.
  */
-final class AnswerDecoder extends HttpResponseDecoder {
+public final class AnswerDecoder extends HttpResponseDecoder {
 
     private static final int MAX_LINE_BYTES = 4_096;
     private static final int MAX_HEAD_BYTES = 65_536;
@@ -28,7 +28,7 @@
      *
      * @param onIdleBytes is called for bytes that arrive while no request is open
      */
-    AnswerDecoder(Runnable onIdleBytes) {
+    public AnswerDecoder(Runnable onIdleBytes) {
         super(MAX_LINE_BYTES, MAX_HEAD_BYTES, MAX_CHUNK_BYTES);
         this.onIdleBytes = onIdleBytes;
     }
@@ -38,7 +38,7 @@
      *
      * @param requestMethod the method of the request, since answers to some have no body
      */
-    void requestOpened(HttpMethod requestMethod) {
+    public void requestOpened(HttpMethod requestMethod) {
         method = requestMethod;
         requestOpen = true;
     }
@@ -48,7 +48,7 @@
      *
      * @return the first bytes that have been received behind the answer, one character each; empty if there are none
      */
-    String requestClosed() {
+    public String requestClosed() {
         requestOpen = false;
         ByteBuf following = internalBuffer();
         int length = Math.min(following.readableBytes(), MAX_FOLLOWING_BYTES);
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/AnswerHead.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/AnswerHead.java
@@ -6,7 +6,7 @@
 import java.util.regex.Pattern;
 
 /** Checks that the head of an answer is one head, and not what the beginnings of two answers formed together. */
-final class AnswerHead {
+public final class AnswerHead {
 
     private static final String PROTOCOL = "HTTP/";
     private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] \\d{3}(?: |$)");
@@ -20,7 +20,7 @@
      * @param head the head as it was decoded
      * @return false if it has more than one status line, or none of HTTP/1
      */
-    static boolean isWhole(HttpResponse head) {
+    public static boolean isWhole(HttpResponse head) {
         HttpVersion version = head.protocolVersion();
         if (!version.equals(HttpVersion.HTTP_1_1) && !version.equals(HttpVersion.HTTP_1_0)) {
             return false;
