Refuse a pipelined request in its place, not before the answer to the one before

What callers could see: a 413 or a 100 Continue that belongs to a pipelined request in the place of the answer to the request that is being served, and a stream that broke off because a 413 was written into it. Netty's aggregator answers a body that is too long, and a request that asks to continue, as soon as it reads the head, whatever is being served. Change: a request with a too long body goes through the queue of the connection and is refused in its place; its body is skipped and the connection stays open, as before. A request that asks to continue while another is served gets no interim answer. No request is served behind one that ends the connection. Evidence: PipelinedRequestContractTest, three of its tests failed before: 413 in front of the 200 of the first request, 100 in front of it, and no second event of a stream. Ruled out, by tests that passed before: pipelined requests out of order, the late answer to a request past its limit, requests in the body of another (both framings at once), behind a broken one, or one that breaks off.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/edge/CallerConnection.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/edge/CallerConnection.java
@@ -26,6 +26,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpContentException;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
@@ -63,8 +64,10 @@
             ReferenceCountUtil.release(message);
             return;
         }
-        if (exchange == null) {
+        if (exchange == null && keepAlive) {
             serve(request);
+        } else if (exchange == null) {
+            request.release();
         } else if (pipelined.size() < MAX_PIPELINED) {
             pipelined.add(request);
         } else {
@@ -84,15 +87,25 @@
     }
 
     private void refuseMalformed(FullHttpRequest request) {
-        boolean tooLong = request.decoderResult().cause() instanceof TooLongFrameException;
+        Throwable cause = request.decoderResult().cause();
+        keepAlive = cause instanceof TooLongHttpContentException && HttpUtil.isKeepAlive(request);
         request.release();
-        keepAlive = false;
-        HttpResponseStatus status =
-                tooLong ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE : HttpResponseStatus.BAD_REQUEST;
-        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status);
+        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, refusalOf(cause));
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
-        response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-        channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+        setConnectionHeader(response);
+        ChannelFuture written = channel.writeAndFlush(response);
+        if (!keepAlive) {
+            written.addListener(ChannelFutureListener.CLOSE);
+        }
+    }
+
+    private static HttpResponseStatus refusalOf(Throwable cause) {
+        if (cause instanceof TooLongHttpContentException) {
+            return HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE;
+        }
+        return cause instanceof TooLongFrameException
+                ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+                : HttpResponseStatus.BAD_REQUEST;
     }
 
     @Override
@@ -149,9 +162,8 @@
 
     private void serveNext() {
         exchange = null;
-        FullHttpRequest next = pipelined.poll();
-        if (next != null) {
-            serve(next);
+        while (exchange == null && keepAlive && !pipelined.isEmpty()) {
+            serve(pipelined.poll());
         }
     }
 
@@ -186,6 +198,11 @@
         channel.close();
     }
 
+    /** Tells whether a request is being served, so that no other may be answered. */
+    boolean isServing() {
+        return exchange != null;
+    }
+
     /** Ends the open request with a final answer, or closes the connection if none is open. */
     void stop() {
         if (exchange == null) {
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/edge/CallerServer.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/edge/CallerServer.java
@@ -8,7 +8,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.timeout.IdleStateHandler;
 import java.net.InetSocketAddress;
@@ -78,7 +77,7 @@
                 .addLast(meter)
                 .addLast(new IdleStateHandler(0, 0, limits.idleTimeoutMs() + IDLE_MARGIN_MS, TimeUnit.MILLISECONDS))
                 .addLast(new HttpServerCodec(MAX_LINE_BYTES, limits.maxHeaderBytes(), MAX_CHUNK_BYTES))
-                .addLast(new HttpObjectAggregator(limits.maxBodyBytes()))
+                .addLast(new RequestAggregator(limits.maxBodyBytes(), connection::isServing))
                 .addLast(connection);
     }
 
