--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/AnswerHead.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/AnswerHead.java
@@ -21,7 +21,7 @@
      * @param head the head as it was decoded
      * @return false if it has more than one status line, or none of HTTP/1
      */
-    static boolean isWhole(HttpResponse head) {
+    public static boolean isWhole(HttpResponse head) {
         HttpVersion version = head.protocolVersion();
         if (!version.equals(HttpVersion.HTTP_1_1) && !version.equals(HttpVersion.HTTP_1_0)) {
             return false;
