Look for a part of another answer at the end of an answer without a length

What callers saw: a part of an earlier answer at the end of a body without a length. Cause: such a body ends with its connection, so nothing follows it that shows the part. Change: an answer without a length is broken if it ends inside a head, or has a whole one. A remedy of the review, to refuse every such answer that names the protocol, was not taken: a stream may speak of it.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/EmbeddedAnswer.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/EmbeddedAnswer.java
@@ -9,7 +9,8 @@
  * more before the first one was complete.
  *
  * <p>A body may quote a head, so one inside the body counts only if it names a request of the connection. No
- * body starts with one, so there the name of the protocol is enough.
+ * body starts with one, so there the name of the protocol is enough. In an answer that does not name its own end every
+ * head counts, since another answer may follow it unnoticed.
  */
 final class EmbeddedAnswer {
 
@@ -21,6 +22,7 @@
     private static final String LINE_END = "\r\n";
 
     private final Predicate<String> isHeaderOfConnection;
+    private final boolean framed;
     /** The body from the first place on at which a head may have begun; empty if there is none. */
     private String pending = "";
 
@@ -34,9 +36,11 @@
      * Creates a search in an empty body.
      *
      * @param isHeaderOfConnection tells whether a header line names a request of the connection
+     * @param framed whether the answer names its own end
      */
-    EmbeddedAnswer(Predicate<String> isHeaderOfConnection) {
+    EmbeddedAnswer(Predicate<String> isHeaderOfConnection, boolean framed) {
         this.isHeaderOfConnection = isHeaderOfConnection;
+        this.framed = framed;
     }
 
     /**
@@ -78,6 +82,15 @@
         return protocolNamed || goesOn;
     }
 
+    /**
+     * Tells whether the body of an answer that does not name its own end has a part of another answer at its end.
+     *
+     * @return true if the body ends inside a head
+     */
+    boolean endsInsideHead() {
+        return !framed && pending.length() >= PROTOCOL.length();
+    }
+
     private void addToStart(ByteBuf bytes) {
         int missing = PROTOCOL.length() - start.length();
         if (missing > 0) {
@@ -110,6 +123,7 @@
 
     /** Reads the complete lines behind a status line; returns whether they are not those of another answer's head. */
     private boolean isRefuted(String text, int head) {
+        boolean hasHeader = false;
         int lineEnd = text.indexOf(LINE_END, head);
         while (lineEnd >= 0 && lineEnd - head <= MAX_HEAD_BYTES) {
             int start = lineEnd + LINE_END.length();
@@ -122,7 +136,12 @@
                 found = true;
                 return false;
             }
-            if (line.indexOf(':') <= 0) {
+            if (line.isEmpty() && hasHeader && !framed) {
+                found = true;
+                return false;
+            }
+            hasHeader = line.indexOf(':') > 0;
+            if (!hasHeader) {
                 return true;
             }
         }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamConnection.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamConnection.java
@@ -42,7 +42,7 @@
     private AnswerState answerState = AnswerState.NONE;
     private boolean framed;
     private int ignoredAnswers;
-    private EmbeddedAnswer embeddedAnswer = new EmbeddedAnswer(this::namesRequest);
+    private EmbeddedAnswer embeddedAnswer;
     private boolean reusable = true;
     private long idleSinceNs;
     private long idleLimitMs;
@@ -155,7 +155,8 @@
             return;
         }
         AnswerMetadata metadata = dialect.readAnswer(head);
-        embeddedAnswer = new EmbeddedAnswer(this::namesRequest);
+        framed = AnswerHead.isFramed(head);
+        embeddedAnswer = new EmbeddedAnswer(this::namesRequest, framed);
         boolean interim = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
         boolean ofOtherRequest =
                 metadata.requestId().isPresent() && !metadata.requestId().get().equals(requestId);
@@ -175,7 +176,6 @@
             return;
         }
         answerState = AnswerState.OPEN;
-        framed = AnswerHead.isFramed(head);
         metadata.idleTimeoutMs().ifPresent(timeout -> idleLimitMs = Math.min(defaultIdleLimitMs, timeout));
         // A second copy of an answer without an id may arrive behind the next request.
         reusable &= HttpUtil.isKeepAlive(head) && metadata.requestId().isPresent();
@@ -219,7 +219,7 @@
             return;
         }
         String following = decoder.requestClosed();
-        if (embeddedAnswer.isShownBy(following)) {
+        if (embeddedAnswer.endsInsideHead() || embeddedAnswer.isShownBy(following)) {
             fail("answer with a part of another one");
             return;
         }
--- a/jayhead-gateway/src/test/java/io/jayhead/gateway/upstream/EmbeddedAnswerTest.java
+++ b/jayhead-gateway/src/test/java/io/jayhead/gateway/upstream/EmbeddedAnswerTest.java
@@ -16,15 +16,17 @@
     private static final String HEAD = "HTTP/1.1 200 OK\r\nServer: x\r\nId: r1\r\nServer-Seal: s\r\n\r\n";
 
     private final AtomicInteger linesRead = new AtomicInteger();
-    private final EmbeddedAnswer body = new EmbeddedAnswer(line -> {
-        linesRead.incrementAndGet();
-        return line.equals("Id: r1");
-    });
+    private final EmbeddedAnswer body = new EmbeddedAnswer(
+            line -> {
+                linesRead.incrementAndGet();
+                return line.equals("Id: r1");
+            },
+            true);
 
     @Test
     void aHeadOfTheConnectionIsNoticedHoweverItIsDividedIntoReads() {
         for (int length = 1; length < HEAD.length(); length++) {
-            EmbeddedAnswer divided = new EmbeddedAnswer(line -> line.equals("Id: r1"));
+            EmbeddedAnswer divided = new EmbeddedAnswer(line -> line.equals("Id: r1"), true);
             boolean found = false;
             String text = "some text HTTP " + HEAD;
             for (int from = 0; from < text.length(); from += length) {
@@ -49,12 +51,28 @@
     @Test
     void aStatusLineThatGoesOnBehindTheBodyIsNoticed() {
         for (int length = 1; length < "HTTP/1.1 200".length(); length++) {
-            EmbeddedAnswer cut = new EmbeddedAnswer(line -> false);
+            EmbeddedAnswer cut = new EmbeddedAnswer(line -> false, true);
             assertFalse(cut.add(bytes("a body " + HEAD.substring(0, length))));
             assertTrue(cut.isShownBy(HEAD.substring(length)), "after " + length);
         }
     }
 
+    @Test
+    void aHeadAtTheEndOfABodyWithoutALengthIsNoticed() {
+        for (int length = "HTTP/1.".length(); length < HEAD.length(); length++) {
+            EmbeddedAnswer unframed = new EmbeddedAnswer(line -> false, false);
+            boolean found = unframed.add(bytes("a body " + HEAD.substring(0, length)));
+            assertTrue(found || unframed.endsInsideHead(), "after " + length);
+        }
+    }
+
+    @Test
+    void aBodyWithoutALengthMayNameTheProtocol() {
+        EmbeddedAnswer unframed = new EmbeddedAnswer(line -> false, false);
+        assertFalse(unframed.add(bytes("data: HTTP/1.1 is older than HTTP/2; HTTP/1.1 404 says\r\n\r\n")));
+        assertFalse(unframed.endsInsideHead());
+    }
+
     @Test
     void bytesBehindABodySayNothingAgainstIt() {
         assertFalse(body.add(bytes("a body that ends with H")));
