Remember all requests of a connection, and end it after 500

What a caller could see: the head of an answer of 39 requests ago in the body of a success (the ids of the newest 32 requests were kept). Change: the ids are marks in a filter of 1 KB, so that none is forgotten; a connection carries 500 requests at most, up to which the filter takes about one in a hundred other requests for a sent one. Evidence: MixedBodyContractTest.anAnswerThatIsManyRequestsOldIsNoPartOfTheBodyEither failed at the fortieth request before and passes now; SentRequestsTest has the bounds. Price: a connection more for each 500 requests, and for few of those that are sent on one whose marks they meet by chance.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamConnection.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamConnection.java
@@ -110,7 +110,7 @@
      * earlier request has its id. A connection that is not fit must be closed.
      */
     boolean isFit(String nextId) {
-        return !sentRequests.contains(nextId) && isQuiet();
+        return !sentRequests.mayContain(nextId) && isQuiet();
     }
 
     private boolean isQuiet() {
@@ -178,7 +178,7 @@
         answerState = AnswerState.OPEN;
         metadata.idleTimeoutMs().ifPresent(timeout -> idleLimitMs = Math.min(defaultIdleLimitMs, timeout));
         // A second copy of an answer without an id may arrive behind the next request.
-        reusable &= HttpUtil.isKeepAlive(head) && metadata.requestId().isPresent();
+        reusable &= HttpUtil.isKeepAlive(head) && metadata.requestId().isPresent() && !sentRequests.isFull();
         listener.head(head, metadata);
     }
 
@@ -204,7 +204,7 @@
     private boolean namesRequest(String line) {
         int colon = line.indexOf(':');
         String value = line.substring(colon + 1).strip();
-        if (colon <= 0 || !sentRequests.contains(value)) {
+        if (colon <= 0 || !sentRequests.mayContain(value)) {
             return false;
         }
         HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK, false);
