Pass on no event that has a part of another answer

What callers saw: 'Server-Seid: 2' in place of the id of an event. Cause: a stream is passed on event by event, before its end shows that bytes were added. Change: an event with a line that begins with the protocol is foreign; no field does. Evidence: two tests of UnframedStreamContractTest failed before and pass now.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/StreamRelay.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/StreamRelay.java
@@ -2,6 +2,7 @@
 
 import io.jayhead.dispatch.forward.EventFramer;
 import io.jayhead.dispatch.forward.StreamEvent;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -15,6 +16,9 @@
     /** The fault of an answer that has something else than the next events of a stream that broke off. */
     static final String FOREIGN = "the answer does not continue the stream";
 
+    /** No field of an event begins in this way. */
+    private static final String PROTOCOL = "HTTP/1.";
+
     private final CallerChannel caller;
     private EventFramer framer = new EventFramer();
     private String lastId = "";
@@ -42,13 +46,13 @@
         List<StreamEvent> complete = framer.add(bytes);
         eventsOfAttempt += complete.size();
         for (StreamEvent event : complete) {
-            if (isRepeated(event)) {
-                continue;
-            }
-            if (isForeign(event)) {
+            if (hasPartOfAnswer(event) || isForeign(event)) {
                 foreign = true;
                 return false;
             }
+            if (isRepeated(event)) {
+                continue;
+            }
             caller.stream(event.bytes());
             events++;
             forwardedInAttempt = true;
@@ -111,6 +115,11 @@
                 && event.numericId().isEmpty();
     }
 
+    private static boolean hasPartOfAnswer(StreamEvent event) {
+        String text = new String(event.bytes(), StandardCharsets.ISO_8859_1);
+        return text.startsWith(PROTOCOL) || text.contains("\n" + PROTOCOL);
+    }
+
     private boolean isRepeated(StreamEvent event) {
         OptionalLong numericId = event.numericId();
         return numericId.isPresent() && lastNumericId.isPresent() && numericId.getAsLong() <= lastNumericId.getAsLong();
