Read no answer with a transfer encoding other than chunked

What callers could see: the sizes of chunks in a body, because a part of an earlier answer stood inside the head of the answer, before 'chunked'. Cause: an unknown transfer encoding was read as an answer that its connection ends. Evidence: UpstreamConnectionTest.anAnswerWithAGarbledTransferEncodingIsNotReadUntilThe- EndOfTheConnection reported a complete answer before.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/AnswerHead.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/AnswerHead.java
@@ -1,5 +1,7 @@
 package io.jayhead.gateway.upstream;
 
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -19,13 +21,18 @@
      * answer that follows it, as part of its own status line or of a header.
      *
      * @param head the head as it was decoded
-     * @return false if it has more than one status line, or none of HTTP/1
+     * @return false if it has more than one status line, none of HTTP/1, or a transfer encoding other than chunked
      */
     public static boolean isWhole(HttpResponse head) {
         HttpVersion version = head.protocolVersion();
         if (!version.equals(HttpVersion.HTTP_1_1) && !version.equals(HttpVersion.HTTP_1_0)) {
             return false;
         }
+        for (String encoding : head.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING)) {
+            if (!HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(encoding.strip())) {
+                return false;
+            }
+        }
         if (hasStatusLine(head.status().reasonPhrase())) {
             return false;
         }
--- a/jayhead-gateway/src/test/java/io/jayhead/gateway/upstream/UpstreamConnectionTest.java
+++ b/jayhead-gateway/src/test/java/io/jayhead/gateway/upstream/UpstreamConnectionTest.java
@@ -79,6 +79,14 @@
         assertEquals(List.of("head", "complete"), attempt.events);
     }
 
+    @Test
+    void anAnswerWithAGarbledTransferEncodingIsNotReadUntilTheEndOfTheConnection() {
+        answer("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nTransfer-Encoding: HTTP/1.chunked\r\n\r\n4\r\npart\r\n0\r\n\r\n");
+        writes.promise.setSuccess();
+        channel.close();
+        assertEquals(List.of("broken"), attempt.events);
+    }
+
     private void answerUnframed() {
         answer(UNFRAMED_HEAD + "part");
     }
