Search bodies for other answers in one pass

The review measured 10 and 29 s of the traffic thread for 16 MiB of status lines in one body: each false start was scanned to its end again. EmbeddedAnswerTest bounds the lines that are read. Status lines in a head are noticed in any case, as the decoder reads them. Also renamed: what the decoder is told about a request, and the check of a head.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/AnswerDecoder.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/AnswerDecoder.java
@@ -38,7 +38,7 @@
      *
      * @param requestMethod the method of the request, since answers to some have no body
      */
-    public void requestOpened(HttpMethod requestMethod) {
+    public void openRequest(HttpMethod requestMethod) {
         method = requestMethod;
         requestOpen = true;
     }
@@ -48,7 +48,7 @@
      *
      * @return the first bytes that have been received behind the answer, one character each; empty if there are none
      */
-    public String requestClosed() {
+    public String closeRequest() {
         requestOpen = false;
         ByteBuf following = internalBuffer();
         int length = Math.min(following.readableBytes(), MAX_FOLLOWING_BYTES);
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/AnswerHead.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/AnswerHead.java
@@ -11,8 +11,8 @@
 /** Reads from the head of an answer whether it can be believed, and where the answer ends. */
 public final class AnswerHead {
 
-    private static final String PROTOCOL = "HTTP/";
-    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] \\d{3}(?: |$)");
+    private static final String VERSION = "/1.";
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] \\d{3}(?: |$)", Pattern.CASE_INSENSITIVE);
 
     private AnswerHead() {}
 
@@ -23,7 +23,7 @@
      * @param head the head as it was decoded
      * @return false if it has more than one status line, none of HTTP/1, or a transfer encoding other than chunked
      */
-    public static boolean isWhole(HttpResponse head) {
+    public static boolean isSingle(HttpResponse head) {
         HttpVersion version = head.protocolVersion();
         if (!version.equals(HttpVersion.HTTP_1_1) && !version.equals(HttpVersion.HTTP_1_0)) {
             return false;
@@ -55,6 +55,6 @@
     }
 
     private static boolean hasStatusLine(String text) {
-        return text.contains(PROTOCOL) && STATUS_LINE.matcher(text).find();
+        return text.contains(VERSION) && STATUS_LINE.matcher(text).find();
     }
 }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/EmbeddedAnswer.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/EmbeddedAnswer.java
@@ -1,16 +1,15 @@
 package io.jayhead.gateway.upstream;
 
 import io.netty.buffer.ByteBuf;
-import java.nio.charset.StandardCharsets;
 import java.util.function.Predicate;
 
 /**
  * Looks for the head of another answer in the body of an answer, where it stands if the upstream wrote an answer once
- * more before the first one was complete.
+ * more before the first one was complete. Reads each byte once.
  *
- * <p>A body may quote a head, so one inside the body counts only if it names a request of the connection. No
- * body starts with one, so there the name of the protocol is enough. In an answer that does not name its own end every
- * head counts, since another answer may follow it unnoticed.
+ * <p>A body may quote a head, so one inside the body counts only if it names a request of the connection. No body
+ * starts with one, so there the name of the protocol is enough. In an answer that does not name its own end every head
+ * counts, since another answer may follow it unnoticed.
  */
 final class EmbeddedAnswer {
 
@@ -19,17 +18,19 @@
 
     private static final String PROTOCOL = "HTTP/1.";
     private static final int MAX_HEAD_BYTES = 4_096;
-    private static final String LINE_END = "\r\n";
 
     private final Predicate<String> isHeaderOfConnection;
     private final boolean framed;
-    /** The body from the first place on at which a head may have begun; empty if there is none. */
-    private String pending = "";
-
-    /** The first bytes of the body, as many as the protocol has. */
-    private String start = "";
+    private final StringBuilder line = new StringBuilder(0);
+    private long readBytes;
+    /** How many characters of a status line the body ends with, unless it ends with a whole one. */
+    private int matchedCharacters;
 
     private boolean protocolNamed;
+    private boolean insideHead;
+    private boolean insideStatusLine;
+    private boolean headHasHeader;
+    private int headBytes;
     private boolean found;
 
     /**
@@ -50,19 +51,17 @@
      * @return true if the body has the head of another answer
      */
     boolean add(ByteBuf bytes) {
-        addToStart(bytes);
-        found |= start.equals(PROTOCOL);
-        boolean mayBegin = bytes.indexOf(bytes.readerIndex(), bytes.writerIndex(), (byte) STATUS_LINE.charAt(0)) >= 0;
-        if (found || pending.isEmpty() && !mayBegin) {
-            return found;
-        }
-        String text = pending + bytes.toString(StandardCharsets.ISO_8859_1);
-        protocolNamed |= text.contains(PROTOCOL);
-        int head = nextHead(text, 0);
-        while (head < text.length() && isRefuted(text, head)) {
-            head = nextHead(text, head + 1);
+        int index = bytes.readerIndex();
+        while (index < bytes.writerIndex() && !found) {
+            boolean mayBegin = matchedCharacters == 0 && !insideHead;
+            int next = mayBegin ? bytes.indexOf(index, bytes.writerIndex(), (byte) STATUS_LINE.charAt(0)) : index;
+            if (next < 0) {
+                break;
+            }
+            read((char) bytes.getUnsignedByte(next), readBytes + next - bytes.readerIndex());
+            index = next + 1;
         }
-        pending = text.substring(head);
+        readBytes += bytes.readableBytes();
         return found;
     }
 
@@ -74,12 +73,7 @@
      * @return true if the body has a part of another answer
      */
     boolean isShownBy(String following) {
-        if (following.isEmpty()) {
-            return false;
-        }
-        String head = pending + following;
-        boolean goesOn = !pending.isEmpty() && head.length() >= STATUS_LINE.length() && beginsHead(head, 0);
-        return protocolNamed || goesOn;
+        return !following.isEmpty() && (protocolNamed || completesStatusLine(following));
     }
 
     /**
@@ -88,63 +82,77 @@
      * @return true if the body ends inside a head
      */
     boolean endsInsideHead() {
-        return !framed && pending.length() >= PROTOCOL.length();
+        return !framed && (insideHead || matchedCharacters >= PROTOCOL.length());
     }
 
-    private void addToStart(ByteBuf bytes) {
-        int missing = PROTOCOL.length() - start.length();
-        if (missing > 0) {
-            int length = Math.min(missing, bytes.readableBytes());
-            start += bytes.toString(bytes.readerIndex(), length, StandardCharsets.ISO_8859_1);
+    private boolean completesStatusLine(String following) {
+        int missing = STATUS_LINE.length() - matchedCharacters;
+        if (matchedCharacters == 0 || following.length() < missing) {
+            return false;
         }
+        for (int index = 0; index < missing; index++) {
+            if (!matches(matchedCharacters + index, following.charAt(index))) {
+                return false;
+            }
+        }
+        return true;
     }
 
-    /** Returns the next place at which a head may begin, or the length of the text. */
-    private static int nextHead(String text, int from) {
-        int at = from;
-        while (at < text.length() && !beginsHead(text, at)) {
-            at++;
-        }
-        return at;
+    private static boolean matches(int position, char actual) {
+        char expected = STATUS_LINE.charAt(position);
+        return expected == '0' ? Character.isDigit(actual) : expected == actual;
     }
 
-    private static boolean beginsHead(String text, int at) {
-        int length = Math.min(STATUS_LINE.length(), text.length() - at);
-        for (int index = 0; index < length; index++) {
-            char expected = STATUS_LINE.charAt(index);
-            char actual = text.charAt(at + index);
-            boolean matches = expected == '0' ? Character.isDigit(actual) : expected == actual;
-            if (!matches) {
-                return false;
-            }
+    private void read(char next, long position) {
+        if (matches(matchedCharacters, next)) {
+            matchedCharacters++;
+        } else {
+            matchedCharacters = matches(0, next) ? 1 : 0;
+        }
+        if (matchedCharacters == PROTOCOL.length()) {
+            protocolNamed = true;
+            found |= position + 1 == PROTOCOL.length();
+        }
+        if (matchedCharacters == STATUS_LINE.length()) {
+            matchedCharacters = 0;
+            openHead();
+        } else if (insideHead) {
+            readHead(next);
         }
-        return true;
     }
 
-    /** Reads the complete lines behind a status line; returns whether they are not those of another answer's head. */
-    private boolean isRefuted(String text, int head) {
-        boolean hasHeader = false;
-        int lineEnd = text.indexOf(LINE_END, head);
-        while (lineEnd >= 0 && lineEnd - head <= MAX_HEAD_BYTES) {
-            int start = lineEnd + LINE_END.length();
-            lineEnd = text.indexOf(LINE_END, start);
-            if (lineEnd < 0) {
-                break;
-            }
-            String line = text.substring(start, lineEnd);
-            if (isHeaderOfConnection.test(line)) {
-                found = true;
-                return false;
-            }
-            if (line.isEmpty() && hasHeader && !framed) {
-                found = true;
-                return false;
-            }
-            hasHeader = line.indexOf(':') > 0;
-            if (!hasHeader) {
-                return true;
-            }
+    private void openHead() {
+        insideHead = true;
+        insideStatusLine = true;
+        headHasHeader = false;
+        headBytes = 0;
+        line.setLength(0);
+    }
+
+    private void readHead(char next) {
+        headBytes++;
+        if (headBytes > MAX_HEAD_BYTES) {
+            insideHead = false;
+            return;
+        }
+        int last = line.length() - 1;
+        if (next != '\n' || last < 0 || line.charAt(last) != '\r') {
+            line.append(next);
+            return;
         }
-        return text.length() - head > MAX_HEAD_BYTES;
+        String text = line.substring(0, last);
+        line.setLength(0);
+        if (insideStatusLine) {
+            insideStatusLine = false;
+        } else {
+            readHeader(text);
+        }
+    }
+
+    private void readHeader(String text) {
+        boolean endsHead = text.isEmpty() && headHasHeader;
+        found |= isHeaderOfConnection.test(text) || endsHead && !framed;
+        headHasHeader = text.indexOf(':') > 0;
+        insideHead = headHasHeader;
     }
 }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamConnection.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamConnection.java
@@ -67,7 +67,7 @@
         answerState = AnswerState.AWAITED;
         ignoredAnswers = 0;
         sentRequests.add(id);
-        decoder.requestOpened(request.method());
+        decoder.openRequest(request.method());
         requestWritten = channel.writeAndFlush(request);
     }
 
@@ -150,7 +150,7 @@
             abort();
             return;
         }
-        if (!AnswerHead.isWhole(head)) {
+        if (!AnswerHead.isSingle(head)) {
             fail("head with the beginning of another answer");
             return;
         }
@@ -218,7 +218,7 @@
             fail("connection ended while the request was being written");
             return;
         }
-        String following = decoder.requestClosed();
+        String following = decoder.closeRequest();
         if (embeddedAnswer.endsInsideHead() || embeddedAnswer.isShownBy(following)) {
             fail("answer with a part of another one");
             return;
--- a/jayhead-gateway/src/test/java/io/jayhead/gateway/upstream/EmbeddedAnswerTest.java
+++ b/jayhead-gateway/src/test/java/io/jayhead/gateway/upstream/EmbeddedAnswerTest.java
@@ -1,6 +1,5 @@
 package io.jayhead.gateway.upstream;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -81,10 +80,11 @@
     }
 
     @Test
-    void manyStatusLinesInABodyAreReadOnceEach() {
+    void noHeaderIsReadMoreThanOnceHoweverManyStatusLinesABodyHas() {
         int count = 1_000;
-        assertFalse(body.add(bytes("Log:\r\n" + "HTTP/1.1 200 OK\r\n".repeat(count))));
-        assertEquals(count - 1, linesRead.get());
+        String text = "Log:\r\n" + "HTTP/1.1 200 HTTP/1.1 200:\r\nx: HTTP/1.1 404 y\r\nz: 1\r\n".repeat(count);
+        assertFalse(body.add(bytes(text)));
+        assertTrue(linesRead.get() <= 2 * count, linesRead + " lines");
     }
 
     private static ByteBuf bytes(String text) {
