--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamConnection.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamConnection.java
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import java.util.Optional;
 
 /**
  * A connection to an upstream that carries one request at a time.
@@ -147,6 +148,7 @@
 
     private void readHead(HttpResponse head) {
         if (listener == null) {
+            // The answer was given up, or bytes that had been received behind it are decoded.
             abort();
             return;
         }
@@ -154,27 +156,31 @@
             fail("head with the beginning of another answer");
             return;
         }
-        AnswerMetadata metadata = dialect.readAnswer(head);
         framed = AnswerHead.isFramed(head);
         embeddedAnswer = new EmbeddedAnswer(this::namesRequest, framed);
-        boolean interim = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-        boolean ofOtherRequest =
-                metadata.requestId().isPresent() && !metadata.requestId().get().equals(requestId);
-        if (interim || ofOtherRequest) {
-            answerState = interim ? AnswerState.INTERIM : AnswerState.SKIPPED;
-            if (ofOtherRequest) {
-                pool.unsolicited(UnsolicitedBytes.OTHER_REQUEST, requestId);
-            }
-            ignoredAnswers++;
-            if (ignoredAnswers > MAX_IGNORED_ANSWERS) {
-                fail("too many answers that are not the one to the request");
-            }
-            return;
-        }
-        if (metadata.requestId().isEmpty() && sentRequests.count() > 1) {
+        AnswerMetadata metadata = dialect.readAnswer(head);
+        Optional<String> answeredId = metadata.requestId();
+        if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+            ignore(AnswerState.INTERIM);
+        } else if (answeredId.isPresent() && !answeredId.get().equals(requestId)) {
+            pool.unsolicited(UnsolicitedBytes.OTHER_REQUEST, requestId);
+            ignore(AnswerState.SKIPPED);
+        } else if (answeredId.isEmpty() && sentRequests.count() > 1) {
             fail("answer without a request id on a connection in use again");
-            return;
+        } else {
+            accept(head, metadata);
         }
+    }
+
+    private void ignore(AnswerState state) {
+        answerState = state;
+        ignoredAnswers++;
+        if (ignoredAnswers > MAX_IGNORED_ANSWERS) {
+            fail("too many answers that are not the one to the request");
+        }
+    }
+
+    private void accept(HttpResponse head, AnswerMetadata metadata) {
         answerState = AnswerState.OPEN;
         metadata.idleTimeoutMs().ifPresent(timeout -> idleLimitMs = Math.min(defaultIdleLimitMs, timeout));
         // A second copy of an answer without an id may arrive behind the next request.
