--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamConnection.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamConnection.java
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import java.util.Optional;
 
 /**
  * A connection to an upstream that carries one request at a time.
@@ -42,7 +43,7 @@
     private AnswerState answerState = AnswerState.NONE;
     private boolean framed;
     private int ignoredAnswers;
-    private EmbeddedAnswer embeddedAnswer = new EmbeddedAnswer(this::namesRequest);
+    private EmbeddedAnswer embeddedAnswer;
     private boolean reusable = true;
     private long idleSinceNs;
     private long idleLimitMs;
@@ -67,7 +68,7 @@
         answerState = AnswerState.AWAITED;
         ignoredAnswers = 0;
         sentRequests.add(id);
-        decoder.requestOpened(request.method());
+        decoder.openRequest(request.method());
         requestWritten = channel.writeAndFlush(request);
     }
 
@@ -106,10 +107,14 @@
     }
 
     /**
-     * Tells whether the next request can be sent, since nothing has arrived that its answer could be mixed with. A
-     * connection that is not quiet must be closed.
+     * Tells whether a request can be sent: nothing has arrived that its answer could be mixed with, and no answer to an
+     * earlier request has its id. A connection that is not fit must be closed.
      */
-    boolean isQuiet() {
+    boolean isFit(String nextId) {
+        return !sentRequests.mayContain(nextId) && isQuiet();
+    }
+
+    private boolean isQuiet() {
         Unread unread = ((UpstreamChannel) channel).unread();
         if (unread == Unread.BYTES) {
             pool.unsolicited(UnsolicitedBytes.BEFORE_REQUEST, requestId);
@@ -143,38 +148,43 @@
 
     private void readHead(HttpResponse head) {
         if (listener == null) {
+            // The answer was given up, or bytes that had been received behind it are decoded.
             abort();
             return;
         }
-        if (!AnswerHead.isWhole(head)) {
+        if (!AnswerHead.isSingle(head)) {
             fail("head with the beginning of another answer");
             return;
         }
+        framed = AnswerHead.isFramed(head);
+        embeddedAnswer = new EmbeddedAnswer(this::namesRequest, framed);
         AnswerMetadata metadata = dialect.readAnswer(head);
-        embeddedAnswer = new EmbeddedAnswer(this::namesRequest);
-        boolean interim = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-        boolean ofOtherRequest =
-                metadata.requestId().isPresent() && !metadata.requestId().get().equals(requestId);
-        if (interim || ofOtherRequest) {
-            answerState = interim ? AnswerState.INTERIM : AnswerState.SKIPPED;
-            if (ofOtherRequest) {
-                pool.unsolicited(UnsolicitedBytes.OTHER_REQUEST, requestId);
-            }
-            ignoredAnswers++;
-            if (ignoredAnswers > MAX_IGNORED_ANSWERS) {
-                fail("too many answers that are not the one to the request");
-            }
-            return;
-        }
-        if (metadata.requestId().isEmpty() && sentRequests.count() > 1) {
+        Optional<String> answeredId = metadata.requestId();
+        if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+            ignore(AnswerState.INTERIM);
+        } else if (answeredId.isPresent() && !answeredId.get().equals(requestId)) {
+            pool.unsolicited(UnsolicitedBytes.OTHER_REQUEST, requestId);
+            ignore(AnswerState.SKIPPED);
+        } else if (answeredId.isEmpty() && sentRequests.count() > 1) {
             fail("answer without a request id on a connection in use again");
-            return;
+        } else {
+            accept(head, metadata);
         }
+    }
+
+    private void ignore(AnswerState state) {
+        answerState = state;
+        ignoredAnswers++;
+        if (ignoredAnswers > MAX_IGNORED_ANSWERS) {
+            fail("too many answers that are not the one to the request");
+        }
+    }
+
+    private void accept(HttpResponse head, AnswerMetadata metadata) {
         answerState = AnswerState.OPEN;
-        framed = AnswerHead.isFramed(head);
         metadata.idleTimeoutMs().ifPresent(timeout -> idleLimitMs = Math.min(defaultIdleLimitMs, timeout));
         // A second copy of an answer without an id may arrive behind the next request.
-        reusable &= HttpUtil.isKeepAlive(head) && metadata.requestId().isPresent();
+        reusable &= HttpUtil.isKeepAlive(head) && metadata.requestId().isPresent() && !sentRequests.isFull();
         listener.head(head, metadata);
     }
 
@@ -200,7 +210,7 @@
     private boolean namesRequest(String line) {
         int colon = line.indexOf(':');
         String value = line.substring(colon + 1).strip();
-        if (colon <= 0 || !sentRequests.contains(value)) {
+        if (colon <= 0 || !sentRequests.mayContain(value)) {
             return false;
         }
         HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK, false);
@@ -214,8 +224,8 @@
             fail("connection ended while the request was being written");
             return;
         }
-        String following = decoder.requestClosed();
-        if (embeddedAnswer.isShownBy(following)) {
+        String following = decoder.closeRequest();
+        if (embeddedAnswer.endsInsideHead() || embeddedAnswer.isShownBy(following)) {
             fail("answer with a part of another one");
             return;
         }
--- a/jayhead-gateway/src/test/java/io/jayhead/gateway/upstream/UpstreamConnectionTest.java
+++ b/jayhead-gateway/src/test/java/io/jayhead/gateway/upstream/UpstreamConnectionTest.java
@@ -79,6 +79,14 @@
         assertEquals(List.of("head", "complete"), attempt.events);
     }
 
+    @Test
+    void anAnswerWithAGarbledTransferEncodingIsNotReadUntilTheEndOfTheConnection() {
+        answer("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nTransfer-Encoding: HTTP/1.chunked\r\n\r\n4\r\npart\r\n0\r\n\r\n");
+        writes.promise.setSuccess();
+        channel.close();
+        assertEquals(List.of("broken"), attempt.events);
+    }
+
     private void answerUnframed() {
         answer(UNFRAMED_HEAD + "part");
     }
@@ -104,6 +112,11 @@
     private static final class RecordedAttempt implements AttemptListener {
         private final List<String> events = new ArrayList<>();
 
+        @Override
+        public String requestId() {
+            return "r1";
+        }
+
         @Override
         public void connected(UpstreamConnection acquired) {
             events.add("connected");
