--- a/jayhead-gateway/src/test/java/io/jayhead/gateway/upstream/EmbeddedAnswerTest.java
+++ b/jayhead-gateway/src/test/java/io/jayhead/gateway/upstream/EmbeddedAnswerTest.java
@@ -12,7 +12,7 @@
 /** Guards against bodies that quote a head and are taken for mixed ones, and mixed ones that are not noticed. */
 class EmbeddedAnswerTest {
 
-    private static final String HEAD = "HTTP/1.1 200 OK\r\nServer: x\r\nId: r1\r\nServer-Seal: s\r\n\r\n";
+    private static final String HEAD = "HTTP/1.1 200 OK\r\nServer: x\r\nId: r1\r\nAge: 1\r\n\r\n";
 
     private final AtomicInteger linesRead = new AtomicInteger();
     private final EmbeddedAnswer body = new EmbeddedAnswer(
