--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
@@ -12,16 +12,10 @@
 import io.jayhead.model.Either;
 import io.jayhead.routing.catalog.Route;
 import io.jayhead.routing.catalog.RouteKind;
-import io.jayhead.routing.placement.Placement;
-import io.jayhead.routing.placement.PlacementCandidate;
-import io.jayhead.routing.placement.PlacementChoice;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import java.util.HashSet;
-import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 
 /** Handles one request of a caller from its arrival to its settlement; used by the traffic thread. */
 public final class Exchange {
@@ -35,9 +29,9 @@
     private final StreamRelay relay;
     private final ExchangeRecorder recorder;
     private final SilenceWatch silence;
-    private final Set<String> triedIncarnations = new HashSet<>();
     private AdmittedRequest admitted;
     private ForwardedRequest forwarded;
+    private UpstreamSelector selector;
     private TokenReservation reservation;
     private GatePass pass;
     private ExchangeDeadline deadline;
@@ -81,6 +75,7 @@
         admitted = decision.get();
         context.retries().recordRequest(admitted.service().name());
         forwarded = new ForwardedRequest(context.dialect(), request, admitted);
+        selector = new UpstreamSelector(context, admitted, forwarded);
         deadline = new ExchangeDeadline(context.loop(), startNs, admitted.limitMs(), this::deadlinePassed);
         reservation = new TokenReservation(context.budgets(), admitted);
         reservation.reserve(this::reserved);
@@ -103,24 +98,14 @@
     }
 
     private void dispatch() {
-        RoutingSnapshot snapshot = context.snapshot().get();
-        if (snapshot.quarantine().blocks(metadata.sharedPartIds())) {
-            endUnsent(Refusal.PROMPT_BLOCKED);
-            return;
-        }
-        List<PlacementCandidate> candidates = context.upstreams()
-                .candidates(snapshot.registry(), admitted.service().name());
-        Optional<PlacementChoice> chosen = Placement.choose(candidates, forwarded.placement(triedIncarnations));
-        if (chosen.isEmpty()) {
-            endUnsent(Refusal.NO_UPSTREAM);
+        Either<Refusal, SelectedUpstream> selected = selector.select();
+        if (!selected.isRight()) {
+            endUnsent(selected.getLeft());
             return;
         }
-        UpstreamHandle upstream =
-                context.upstreams().handle(chosen.get().candidate().upstream());
-        triedIncarnations.add(upstream.upstream().incarnation());
         tries++;
-        currentAttempt = new UpstreamAttempt(
-                this, metadata.requestId(), upstream, chosen.get().tokensToRead());
+        SelectedUpstream upstream = selected.get();
+        currentAttempt = new UpstreamAttempt(this, metadata.requestId(), upstream.upstream(), upstream.tokensToRead());
         currentAttempt.start(forwarded.maxConnections());
     }
 
--- /dev/null
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamSelector.java
@@ -0,0 +1,45 @@
+package io.jayhead.gateway.exchange;
+
+import io.jayhead.gateway.control.RoutingSnapshot;
+import io.jayhead.gateway.upstream.UpstreamHandle;
+import io.jayhead.model.Either;
+import io.jayhead.routing.placement.Placement;
+import io.jayhead.routing.placement.PlacementCandidate;
+import io.jayhead.routing.placement.PlacementChoice;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+/** Selects the upstream of each attempt of one request; used by the traffic thread. */
+final class UpstreamSelector {
+
+    private final GatewayContext context;
+    private final AdmittedRequest admitted;
+    private final ForwardedRequest forwarded;
+    private final Set<String> triedIncarnations = new HashSet<>();
+
+    UpstreamSelector(GatewayContext context, AdmittedRequest admitted, ForwardedRequest forwarded) {
+        this.context = context;
+        this.admitted = admitted;
+        this.forwarded = forwarded;
+    }
+
+    /** Selects an upstream that has not been tried for this request, or returns why there is none. */
+    Either<Refusal, SelectedUpstream> select() {
+        RoutingSnapshot snapshot = context.snapshot().get();
+        if (snapshot.quarantine().blocks(admitted.metadata().sharedPartIds())) {
+            return Either.left(Refusal.PROMPT_BLOCKED);
+        }
+        List<PlacementCandidate> candidates = context.upstreams()
+                .candidates(snapshot.registry(), admitted.service().name());
+        Optional<PlacementChoice> chosen = Placement.choose(candidates, forwarded.placement(triedIncarnations));
+        if (chosen.isEmpty()) {
+            return Either.left(Refusal.NO_UPSTREAM);
+        }
+        UpstreamHandle upstream =
+                context.upstreams().handle(chosen.get().candidate().upstream());
+        triedIncarnations.add(upstream.upstream().incarnation());
+        return Either.right(new SelectedUpstream(upstream, chosen.get().tokensToRead()));
+    }
+}
