Ask for other routers soon until a router knows its replicas

Change: RoutersPause; the pause after an answer is 0.1 s until a router knows two others, and 2 s from then on. A fleet of one or two routers asks no more often than its list changes.

Tests: RoutersPauseTest; with the short pause taken out its first test fails (expected 100 but was 2000).

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlPlane.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlPlane.java
@@ -33,14 +33,6 @@
  */
 public final class ControlPlane implements CrashListener {
 
-    /**
-     * Many routers announce themselves at the same time when a fleet starts, so changes are collected for this time.
-     */
-    private static final int ROUTERS_PAUSE_MS = 2_000;
-
-    /** Collects reports; budgets get no tokens until all routers have reported. */
-    private static final int REPORTS_PAUSE_MS = 100;
-
     /** Collects the changes of several ends at once; requests under the same part go on until then. */
     private static final int CRASHES_PAUSE_MS = 50;
 
@@ -218,7 +210,7 @@
     }
 
     private int routersPauseMs() {
-        return recovery.isAwaitingReports() ? REPORTS_PAUSE_MS : ROUTERS_PAUSE_MS;
+        return RoutersPause.afterAnswerMs(snapshot.routers().size(), recovery.isAwaitingReports());
     }
 
     private int registryPauseMs() {
