Send nothing new to upstreams of an evacuated availability zone

Cause: the operators can ask that an availability zone gets no more requests, and no router read that.

Change: each router follows the evacuations by one watch, only where its settings have a bound for them. ZoneEvacuations (pure) says what is allowed; UpstreamFilter asks it before placement and again before a request is written, so repetitions, resumed streams and requests that waited for a connection are covered. A router that has not read the evacuations yet is not ready.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/Gateway.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/Gateway.java
@@ -14,6 +14,7 @@
 import io.jayhead.gateway.exchange.GatewayContext;
 import io.jayhead.gateway.exchange.RetryBudgets;
 import io.jayhead.gateway.exchange.ServiceGates;
+import io.jayhead.gateway.exchange.UpstreamFilter;
 import io.jayhead.gateway.log.GuardedTask;
 import io.jayhead.gateway.log.LogKind;
 import io.jayhead.gateway.log.StructuredLog;
@@ -119,6 +120,7 @@
                 metrics,
                 drain,
                 new PromptGuard(traffic, control::snapshot, control, log),
+                new UpstreamFilter(control::snapshot, metrics),
                 meter::pressure);
         this.callers = new CallerServer(context, meter);
     }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlPlane.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlPlane.java
@@ -18,6 +18,7 @@
 import io.jayhead.routing.catalog.Organisation;
 import io.jayhead.routing.registry.RegistryTracker;
 import io.jayhead.routing.registry.UpstreamRegistry;
+import io.jayhead.routing.registry.ZoneEvacuations;
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -57,7 +58,7 @@
     private final WatchLoop<Catalog, Catalog> catalogLoop;
     private final WatchLoop<UpstreamListing, UpstreamChanges> registryLoop;
     private final WatchLoop<RouterListing, RouterListing> routersLoop;
-    private final WatchLoop<CrashListing, CrashChanges> crashesLoop;
+    private final List<WatchLoop<?, ?>> loops = new ArrayList<>();
     private final RegistryUpdater registry;
     private final QuarantineUpdater quarantine;
     private final RouterAnnouncer announcer;
@@ -138,16 +139,12 @@
                 this::routersRead);
         this.quarantine = new QuarantineUpdater(
                 platform, health, loop, log, newest -> snapshot = snapshot.withQuarantine(newest));
-        this.crashesLoop = new WatchLoop<>(
-                "crashes",
-                loop,
-                health,
-                false,
-                () -> CRASHES_PAUSE_MS,
-                platform::listCrashes,
-                revision -> platform.watchCrashes(revision, watchTimes.relaxedWaitMs(CRASHES_PAUSE_MS)),
-                quarantine::listed,
-                quarantine::changed);
+        loops.addAll(List.of(catalogLoop, registryLoop, routersLoop, crashesLoop(watchTimes)));
+        if (times.followsEvacuations()) {
+            loops.add(evacuationsLoop());
+        } else {
+            snapshot = snapshot.withEvacuations(ZoneEvacuations.none());
+        }
         this.announcer = new RouterAnnouncer(platform, health, loop, self, this::ledgerReport);
         this.recovery = new LedgerRecovery(
                 holder.vmName(),
@@ -164,13 +161,39 @@
         }
     }
 
+    private WatchLoop<CrashListing, CrashChanges> crashesLoop(WatchTimes watchTimes) {
+        return new WatchLoop<>(
+                "crashes",
+                loop,
+                health,
+                false,
+                () -> CRASHES_PAUSE_MS,
+                platform::listCrashes,
+                revision -> platform.watchCrashes(revision, watchTimes.relaxedWaitMs(CRASHES_PAUSE_MS)),
+                quarantine::listed,
+                quarantine::changed);
+    }
+
+    private WatchLoop<EvacuationListing, EvacuationChanges> evacuationsLoop() {
+        EvacuationUpdater evacuations =
+                new EvacuationUpdater(log, metrics, newest -> snapshot = snapshot.withEvacuations(newest));
+        WatchTimes watchTimes = times.evacuationWatchTimes();
+        return new WatchLoop<>(
+                "evacuations",
+                loop,
+                health,
+                false,
+                () -> 0,
+                platform::listEvacuations,
+                revision -> platform.watchEvacuations(revision, watchTimes.waitMs(0)),
+                evacuations::listed,
+                evacuations::changed);
+    }
+
     /** Starts watching the platform and announces this router. */
     public void start() {
         platform.onEra(this::eraChanged);
-        loop.execute(catalogLoop::run);
-        loop.execute(registryLoop::run);
-        loop.execute(routersLoop::run);
-        loop.execute(crashesLoop::run);
+        loops.forEach(watchLoop -> loop.execute(watchLoop::run));
         GuardedTask expiry = new GuardedTask("expire entries", log, this::expireEntries);
         LivenessProbe liveness = new LivenessProbe(() -> platform.probe(self), health);
         GuardedTask probe = new GuardedTask("probe platform", log, liveness::check);
@@ -279,9 +302,7 @@
         registry.platformRecovered(unansweredMs);
         loop.schedule(registry::expire, RegistryTracker.REREGISTRATION_MS + 1, TimeUnit.MILLISECONDS);
         long recoveredAtNs = System.nanoTime();
-        for (WatchLoop<?, ?> watchLoop : List.of(catalogLoop, registryLoop, routersLoop, crashesLoop)) {
-            loop.execute(() -> watchLoop.platformRecovered(recoveredAtNs));
-        }
+        loops.forEach(watchLoop -> loop.execute(() -> watchLoop.platformRecovered(recoveredAtNs)));
     }
 
     private void eraChanged(long era) {
@@ -300,10 +321,7 @@
         log.write(LogKind.DEPENDENCY, "platform restored", "era", era);
         metrics.platformRestored(era);
         loop.schedule(registryLoop::readAnew, registry.platformRestored(), TimeUnit.MILLISECONDS);
-        loop.execute(catalogLoop::readAnew);
-        loop.execute(registryLoop::readAnew);
-        loop.execute(routersLoop::readAnew);
-        loop.execute(crashesLoop::readAnew);
+        loops.forEach(watchLoop -> loop.execute(watchLoop::readAnew));
     }
 
     @Override
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlTimes.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlTimes.java
@@ -1,13 +1,17 @@
 package io.jayhead.gateway.control;
 
+import java.util.OptionalLong;
+
 /**
  * Holds the times of the deployment that the control plane depends on.
  *
  * @param heartbeatMs the time in milliseconds between two heartbeats by which upstreams stay registered
  * @param reconnectMs the time in milliseconds within which changes must be noticed again after connections were lost
  * @param drainMs the time in milliseconds for which requests may still reach an upstream that leaves
+ * @param evacuationMs the time in milliseconds within which the evacuation of an availability zone must be in force;
+ *     empty if the deployment has no evacuations, which are not followed then
  */
-public record ControlTimes(long heartbeatMs, long reconnectMs, long drainMs) {
+public record ControlTimes(long heartbeatMs, long reconnectMs, long drainMs, OptionalLong evacuationMs) {
 
     /** Changes of upstreams are collected for at least this time, so that one answer brings several. */
     private static final long REGISTRY_MIN_PAUSE_MS = 400;
@@ -27,6 +31,29 @@
         requirePositive("time between heartbeats", heartbeatMs);
         requirePositive("time to replace connections", reconnectMs);
         requirePositive("time to drain", drainMs);
+        evacuationMs.ifPresent(boundMs -> requirePositive("time to evacuate", boundMs));
+    }
+
+    /**
+     * Creates the times of a deployment without evacuations.
+     *
+     * @param heartbeatMs the time in milliseconds between two heartbeats by which upstreams stay registered
+     * @param reconnectMs the time in milliseconds within which changes must be noticed again after connections were
+     *     lost
+     * @param drainMs the time in milliseconds for which requests may still reach an upstream that leaves
+     */
+    public ControlTimes(long heartbeatMs, long reconnectMs, long drainMs) {
+        this(heartbeatMs, reconnectMs, drainMs, OptionalLong.empty());
+    }
+
+    /** Tells whether availability zones may be evacuated. */
+    boolean followsEvacuations() {
+        return evacuationMs.isPresent();
+    }
+
+    /** Returns the times of the watch of evacuations, which must be in force within their own bound too. */
+    WatchTimes evacuationWatchTimes() {
+        return new WatchTimes(Math.min(reconnectMs, evacuationMs.orElse(reconnectMs)));
     }
 
     /**
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/PlatformClient.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/PlatformClient.java
@@ -10,7 +10,8 @@
 import java.util.function.LongConsumer;
 
 /**
- * Calls the platform's store of configuration, registry, router addresses, ledger pages and ended upstreams.
+ * Calls the platform's store of configuration, registry, evacuations, router addresses, ledger pages
+ * and ended upstreams.
  *
  * <p>All stages complete on the control thread; failed stages complete with a {@link PlatformException}.
  */
@@ -61,6 +62,22 @@
      */
     CompletionStage<Versioned<UpstreamChanges>> watchUpstreams(long revision, int waitMs);
 
+    /**
+     * Reads the evacuations of availability zones.
+     *
+     * @return the evacuations in force and the revision from which to watch
+     */
+    CompletionStage<Versioned<EvacuationListing>> listEvacuations();
+
+    /**
+     * Waits for a change of the evacuations.
+     *
+     * @param revision the revision after which changes are reported
+     * @param waitMs the longest time in milliseconds for which the platform waits for a change
+     * @return the changes in the order in which they were made; the value is null if there was no change
+     */
+    CompletionStage<Versioned<EvacuationChanges>> watchEvacuations(long revision, int waitMs);
+
     /**
      * Announces the address on which this router accepts other routers, and what it knows of the ledger.
      *
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/RoutingSnapshot.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/RoutingSnapshot.java
@@ -3,6 +3,7 @@
 import io.jayhead.admission.quarantine.PromptQuarantine;
 import io.jayhead.routing.catalog.Catalog;
 import io.jayhead.routing.registry.UpstreamRegistry;
+import io.jayhead.routing.registry.ZoneEvacuations;
 import java.util.List;
 
 /**
@@ -13,13 +14,15 @@
  * @param registryKnown whether the registry was read at least once
  * @param routers the routers of the fleet, this one included
  * @param quarantine the parts of prompts that are not sent to upstreams
+ * @param evacuations the availability zones whose upstreams get no new requests
  */
 public record RoutingSnapshot(
         Catalog catalog,
         UpstreamRegistry registry,
         boolean registryKnown,
         List<RouterAddress> routers,
-        PromptQuarantine quarantine) {
+        PromptQuarantine quarantine,
+        ZoneEvacuations evacuations) {
 
     /** Makes an immutable copy of the list. */
     public RoutingSnapshot {
@@ -33,31 +36,40 @@
      */
     public static RoutingSnapshot empty() {
         return new RoutingSnapshot(
-                Catalog.empty(), UpstreamRegistry.empty(), false, List.of(), PromptQuarantine.empty());
+                Catalog.empty(),
+                UpstreamRegistry.empty(),
+                false,
+                List.of(),
+                PromptQuarantine.empty(),
+                ZoneEvacuations.unread());
     }
 
     RoutingSnapshot withCatalog(Catalog newest) {
-        return new RoutingSnapshot(newest, registry, registryKnown, routers, quarantine);
+        return new RoutingSnapshot(newest, registry, registryKnown, routers, quarantine, evacuations);
     }
 
     RoutingSnapshot withRegistry(UpstreamRegistry newest) {
-        return new RoutingSnapshot(catalog, newest, true, routers, quarantine);
+        return new RoutingSnapshot(catalog, newest, true, routers, quarantine, evacuations);
     }
 
     RoutingSnapshot withRouters(List<RouterAddress> newest) {
-        return new RoutingSnapshot(catalog, registry, registryKnown, newest, quarantine);
+        return new RoutingSnapshot(catalog, registry, registryKnown, newest, quarantine, evacuations);
     }
 
     RoutingSnapshot withQuarantine(PromptQuarantine newest) {
-        return new RoutingSnapshot(catalog, registry, registryKnown, routers, newest);
+        return new RoutingSnapshot(catalog, registry, registryKnown, routers, newest, evacuations);
+    }
+
+    RoutingSnapshot withEvacuations(ZoneEvacuations newest) {
+        return new RoutingSnapshot(catalog, registry, registryKnown, routers, quarantine, newest);
     }
 
     /**
      * Tells whether requests can be routed.
      *
-     * @return true if the configuration and the registry have been read
+     * @return true if the configuration, the registry and the evacuations have been read
      */
     public boolean isComplete() {
-        return catalog.hasConfiguration() && registryKnown;
+        return catalog.hasConfiguration() && registryKnown && evacuations.known();
     }
 }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
@@ -118,9 +118,9 @@
         }
     }
 
-    /** Tells whether an upstream that was chosen before a connection was available still takes requests. */
-    boolean isReady(UpstreamHandle upstream) {
-        return context.snapshot().get().registry().isReady(upstream.upstream());
+    /** Tells whether a request may be sent to an upstream that was chosen before a connection was available. */
+    boolean maySend(UpstreamHandle upstream) {
+        return context.filter().maySend(upstream.upstream());
     }
 
     void send(UpstreamAttempt attempt, UpstreamConnection connection) {
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/GatewayContext.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/GatewayContext.java
@@ -27,6 +27,7 @@
  * @param metrics the metrics
  * @param drain the state of a planned stop
  * @param promptGuard watches the attempts for parts of prompts under which upstreams end
+ * @param filter excludes upstreams to which requests must not be sent
  * @param link returns the utilisation of the network link of the VM and whether it counts as high
  */
 public record GatewayContext(
@@ -43,4 +44,5 @@
         GatewayMetrics metrics,
         DrainState drain,
         PromptGuard promptGuard,
+        UpstreamFilter filter,
         Supplier<LinkPressure> link) {}
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamAttempt.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamAttempt.java
@@ -99,9 +99,9 @@
             end();
             return;
         }
-        if (!exchange.isReady(upstream)) {
+        if (!exchange.maySend(upstream)) {
             acquired.abort();
-            finish(AttemptOutcome.NOT_SENT, "the upstream has left");
+            finish(AttemptOutcome.NOT_SENT, "the upstream takes no more requests");
             return;
         }
         connection = acquired;
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/metrics/GatewayMetrics.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/metrics/GatewayMetrics.java
@@ -34,6 +34,15 @@
             .name("jayhead_platform_era")
             .help("Era of the platform after its last return from an older copy; 0 if there was none since the start")
             .register(registry);
+    private final Gauge evacuatedZones = Gauge.builder()
+            .name("jayhead_evacuated_zones")
+            .help("Availability zones whose upstreams get no new requests")
+            .register(registry);
+    private final Counter excludedUpstreams = Counter.builder()
+            .name("jayhead_excluded_upstreams_total")
+            .help("Times that ready upstreams were no candidates for an attempt, by reason")
+            .labelNames("reason")
+            .register(registry);
     private final Counter connections = Counter.builder()
             .name("jayhead_upstream_connections_total")
             .help("Connections opened to upstreams")
@@ -97,6 +106,25 @@
         platformEra.set(era);
     }
 
+    /**
+     * Records the evacuations in force.
+     *
+     * @param zones the number of evacuated availability zones
+     */
+    public void evacuatedZones(int zones) {
+        evacuatedZones.set(zones);
+    }
+
+    /**
+     * Counts ready upstreams that were no candidates for an attempt.
+     *
+     * @param reason why they were excluded
+     * @param upstreams the number of upstreams
+     */
+    public void excludedUpstreams(String reason, int upstreams) {
+        excludedUpstreams.labelValues(reason).inc(upstreams);
+    }
+
     /** Counts a connection that is opened to an upstream. */
     public void connectionOpened() {
         connections.inc();
