Send no request on whose caller left while the router was held up

Cause: a router that was held up finds a request and the end of its connection together. Netty reads again from a socket only if the last read filled its buffer, so the end was noticed one turn of the event loop later, when the request had been written to its upstream.

Ruled out: the deadline of the request, which counts from its reading, since a router cannot know when it was sent.

Change: connections of callers are read until nothing is left, and an exchange starts after this turn's reads, if its connection is still open. It costs one read and one task a request.

ForwardingContractTest, PipelinedRequestContractTest pass (26 tests).

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/edge/CallerConnection.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/edge/CallerConnection.java
@@ -82,8 +82,21 @@
             return;
         }
         keepAlive = HttpUtil.isKeepAlive(request);
-        exchange = new Exchange(context, this, request);
-        exchange.start();
+        Exchange opened = new Exchange(context, this, request);
+        exchange = opened;
+        // Started after all that has arrived was read, so that a caller that has left is known to have left.
+        context.loop().execute(() -> start(opened));
+    }
+
+    private void start(Exchange opened) {
+        if (!channel.isActive()) {
+            return;
+        }
+        try {
+            opened.start();
+        } catch (RuntimeException failure) {
+            channel.pipeline().fireExceptionCaught(failure);
+        }
     }
 
     private void refuseMalformed(FullHttpRequest request) {
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/edge/CallerServer.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/edge/CallerServer.java
@@ -3,10 +3,12 @@
 import io.jayhead.gateway.exchange.GatewayContext;
 import io.jayhead.routing.catalog.CallerLimits;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.timeout.IdleStateHandler;
@@ -21,6 +23,8 @@
     private static final int BACKLOG = 1_024;
     private static final int MAX_LINE_BYTES = 8_192;
     private static final int MAX_CHUNK_BYTES = 8_192;
+    /** After this many reads from one connection, the others have their turn. */
+    private static final int MAX_READS_IN_A_ROW = 16;
     /**
      * Callers reuse connections that have been idle for less than the limit, so the router closes them a little after
      * it.
@@ -57,6 +61,7 @@
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.RCVBUF_ALLOCATOR, readsToTheEnd())
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
@@ -68,6 +73,16 @@
                 .channel();
     }
 
+    /**
+     * Reads until nothing is left, so that the end of a connection is noticed together with a request before it: a
+     * router that was held up finds both at once.
+     */
+    private static RecvByteBufAllocator readsToTheEnd() {
+        AdaptiveRecvByteBufAllocator allocator = new AdaptiveRecvByteBufAllocator();
+        allocator.maxMessagesPerRead(MAX_READS_IN_A_ROW);
+        return allocator.respectMaybeMoreData(false);
+    }
+
     private void initConnection(Channel channel) {
         CallerLimits limits = context.snapshot().get().catalog().limits();
         CallerConnection connection = new CallerConnection(context);
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
@@ -59,11 +59,14 @@
         this.relay = new StreamRelay(caller);
         this.silence = new SilenceWatch(context.loop(), this::silenceLimitMs, this::silent);
         this.recorder = new ExchangeRecorder(context, metadata, startNs);
+        context.drain().opened();
     }
 
-    /** Admits the request, reserves its tokens and sends it to an upstream, or refuses it. */
+    /** Admits the request, reserves its tokens and sends it to an upstream, or refuses it; nothing if it has ended. */
     public void start() {
-        context.drain().opened();
+        if (ended) {
+            return;
+        }
         RoutingSnapshot snapshot = context.snapshot().get();
         String host = request.headers().get(HttpHeaderNames.HOST, "");
         Either<Refusal, AdmittedRequest> decision =
