Decode the load report of an upstream into a typed value

Cause: of the four figures of Engine-Load two were read, summed up into one number, and one malformed figure lost the whole report. The slots and the slowdown of the machine were not known to placement.

Change: ReportedLoad holds the four figures, each empty where it is missing or malformed; the platform's adapter decodes it in a class of its own, from every answer head, also of an answer that rejects the request. Placement still uses running plus waiting. Routers send no health requests to engines, so there are no health answers to read.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamAttempt.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamAttempt.java
@@ -132,7 +132,7 @@
     public void head(HttpResponse answer, AnswerMetadata answerMetadata) {
         head = answer;
         metadata = answerMetadata;
-        metadata.load().ifPresent(upstream::loadReported);
+        upstream.loadReported(metadata.load());
         if (isSuccess() && !isGenuine()) {
             giveUp("answer without a request id or a seal, or with an encoded body");
             return;
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamHandle.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamHandle.java
@@ -1,6 +1,7 @@
 package io.jayhead.gateway.upstream;
 
 import io.jayhead.routing.placement.PlacementCandidate;
+import io.jayhead.routing.placement.ReportedLoad;
 import io.jayhead.routing.registry.Upstream;
 
 /**
@@ -129,12 +130,12 @@
     }
 
     /**
-     * Records the load that the upstream reports.
+     * Records the load that the upstream reports with an answer, also with one that rejects the request.
      *
-     * @param requests the running and waiting requests of all routers at the upstream
+     * @param reported the load; ignored if it has no figures
      */
-    public void loadReported(int requests) {
-        load.loadReported(requests, System.nanoTime());
+    public void loadReported(ReportedLoad reported) {
+        load.loadReported(reported, System.nanoTime());
     }
 
     PlacementCandidate candidate(long nowNs) {
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamLoad.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamLoad.java
@@ -2,6 +2,7 @@
 
 import io.jayhead.routing.placement.Placement;
 import io.jayhead.routing.placement.PlacementCandidate;
+import io.jayhead.routing.placement.ReportedLoad;
 import io.jayhead.routing.registry.Upstream;
 
 /**
@@ -109,8 +110,10 @@
         lastFailureNs = nowNs;
     }
 
-    void loadReported(int requests, long nowNs) {
-        reportedOtherRequests = Math.max(0, requests - inFlight);
-        reportedAtNs = nowNs;
+    void loadReported(ReportedLoad reported, long nowNs) {
+        if (reported.requests().isPresent()) {
+            reportedOtherRequests = Math.max(0, reported.requests().getAsInt() - inFlight);
+            reportedAtNs = nowNs;
+        }
     }
 }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/wire/AnswerMetadata.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/wire/AnswerMetadata.java
@@ -1,7 +1,7 @@
 package io.jayhead.gateway.wire;
 
+import io.jayhead.routing.placement.ReportedLoad;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.OptionalLong;
 
 /**
@@ -11,7 +11,7 @@
  * @param sealed whether the answer carries the seal of the upstream, its signature
  * @param provenNotRun whether the answer proves that the upstream did not run the request
  * @param encoded whether the body has a content encoding, such as compression
- * @param load the number of running and waiting requests at the upstream; empty if not reported
+ * @param load the load that the upstream reports, without figures if it reports none
  * @param idleTimeoutMs the milliseconds for which the upstream keeps an idle connection open; empty if not reported
  */
 public record AnswerMetadata(
@@ -19,5 +19,5 @@
         boolean sealed,
         boolean provenNotRun,
         boolean encoded,
-        OptionalInt load,
+        ReportedLoad load,
         OptionalLong idleTimeoutMs) {}
--- a/jayhead-gateway/src/test/java/io/jayhead/gateway/upstream/UpstreamConnectionTest.java
+++ b/jayhead-gateway/src/test/java/io/jayhead/gateway/upstream/UpstreamConnectionTest.java
@@ -6,6 +6,7 @@
 import io.jayhead.gateway.wire.CallerMetadata;
 import io.jayhead.gateway.wire.ForwardMetadata;
 import io.jayhead.gateway.wire.WireDialect;
+import io.jayhead.routing.placement.ReportedLoad;
 import io.jayhead.routing.registry.Upstream;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -23,7 +24,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.OptionalLong;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -182,7 +182,7 @@
         @Override
         public AnswerMetadata readAnswer(HttpResponse answer) {
             Optional<String> id = Optional.ofNullable(answer.headers().get("Request-Id"));
-            return new AnswerMetadata(id, true, false, false, OptionalInt.empty(), OptionalLong.empty());
+            return new AnswerMetadata(id, true, false, false, ReportedLoad.empty(), OptionalLong.empty());
         }
 
         @Override
