Learn the rates of a service from its answers and place by them

Cause: placement held 56 prompt tokens per millisecond, 3 ms for each running request, 25 ms and 20 ms as constants for every engine, knew nothing of a full engine's queue, and counted a load report for one second in full and then not at all. The slowdown of the machine was not used, so that a slow moment counted as a verdict on the engine.

Change: ServiceRates holds the time to read a token, the delay by each request, the base time (regularised weighted least squares with a half-life; odd times count less), the time of a plain call and the time of a whole generation. Its defaults are the former constants. A generation that finds no free slot is charged the expected wait. UpstreamReport lets an aged report decay to the mean of the service. SlowdownForecast weighs the last slowdown for work that starts now and divides it out of the measured times. All of it takes effect only for a service whose upstreams report slots and slowdown; elsewhere the defaults and the former rule for reports hold.

Before, the two new tests of PlacementTest chose the full engine and the slow machine.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamAttempt.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamAttempt.java
@@ -6,6 +6,7 @@
 import io.jayhead.gateway.upstream.UpstreamConnection;
 import io.jayhead.gateway.upstream.UpstreamHandle;
 import io.jayhead.gateway.wire.AnswerMetadata;
+import io.jayhead.routing.placement.ExpectedWork;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
@@ -36,7 +37,7 @@
     private boolean streaming;
     private long placedAtNs;
     private long sentAtNs;
-    private double expectedFirstEventMs;
+    private ExpectedWork expectedWork;
     private boolean firstEventSeen;
     private boolean promptAnswered;
     private boolean silenceReported;
@@ -108,7 +109,7 @@
         earlierRequests = acquired.requests();
         sent = true;
         sentAtNs = System.nanoTime();
-        expectedFirstEventMs = upstream.expectedFirstEventMs();
+        expectedWork = upstream.expectedWork();
         exchange.send(this, acquired);
     }
 
@@ -191,7 +192,9 @@
             broken("stream ended inside an event");
             return;
         }
-        if (!streaming) {
+        if (streaming) {
+            upstream.streamEnded(msSinceSent());
+        } else {
             upstream.answered(msSinceSent());
             exchange.recordAnswerTime(msSinceSent());
         }
@@ -281,7 +284,7 @@
     private void recordFirstEvent() {
         if (!firstEventSeen) {
             firstEventSeen = true;
-            upstream.firstEvent(msSinceSent(), expectedFirstEventMs);
+            upstream.firstEvent(msSinceSent(), expectedWork);
             exchange.recordAnswerTime(msSinceSent());
         }
     }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamSelector.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamSelector.java
@@ -31,9 +31,12 @@
         if (snapshot.quarantine().blocks(admitted.metadata().sharedPartIds())) {
             return Either.left(Refusal.PROMPT_BLOCKED);
         }
-        List<PlacementCandidate> candidates = context.upstreams()
-                .candidates(snapshot.registry(), admitted.service().name());
-        Optional<PlacementChoice> chosen = Placement.choose(candidates, forwarded.placement(triedIncarnations));
+        String service = admitted.service().name();
+        List<PlacementCandidate> candidates = context.upstreams().candidates(snapshot.registry(), service);
+        Optional<PlacementChoice> chosen = Placement.choose(
+                candidates,
+                forwarded.placement(triedIncarnations),
+                context.upstreams().rates(service));
         if (chosen.isEmpty()) {
             return Either.left(Refusal.NO_UPSTREAM);
         }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamHandle.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamHandle.java
@@ -1,5 +1,6 @@
 package io.jayhead.gateway.upstream;
 
+import io.jayhead.routing.placement.ExpectedWork;
 import io.jayhead.routing.placement.PlacementCandidate;
 import io.jayhead.routing.placement.ReportedLoad;
 import io.jayhead.routing.registry.Upstream;
@@ -18,13 +19,14 @@
     /** The severity of a rejected request; it is low because the upstream works, but is full. */
     private static final double REJECTION_SEVERITY = 0.3;
 
-    private final UpstreamLoad load = new UpstreamLoad();
+    private final UpstreamLoad load;
     private final UpstreamConnectionPool pool;
     private final boolean sameZone;
     private Upstream upstream;
 
-    UpstreamHandle(Upstream upstream, UpstreamConnectionPool pool, boolean sameZone) {
+    UpstreamHandle(Upstream upstream, UpstreamConnectionPool pool, boolean sameZone, ServiceObservations observations) {
         this.upstream = upstream;
+        this.load = new UpstreamLoad(observations);
         this.pool = pool;
         this.sameZone = sameZone;
     }
@@ -90,22 +92,31 @@
     }
 
     /**
-     * Estimates the time to the first event for a request that has just been started.
+     * Records the end of a stream that was answered in full.
      *
-     * @return the time in milliseconds for an engine of normal speed
+     * @param streamMs the time in milliseconds from sending the request to the end of the answer
      */
-    public double expectedFirstEventMs() {
-        return load.expectedFirstEventMs();
+    public void streamEnded(double streamMs) {
+        load.streamEnded(streamMs, System.nanoTime());
+    }
+
+    /**
+     * Returns the work before the upstream when a request has just been started there.
+     *
+     * @return the work, with the expected time to the first event
+     */
+    public ExpectedWork expectedWork() {
+        return load.expectedWork(upstream, System.nanoTime());
     }
 
     /**
      * Records the first event of a stream.
      *
      * @param measuredMs the time in milliseconds from sending the request to the first event
-     * @param expectedMs the time in milliseconds that was expected when the request was sent
+     * @param work the work before the upstream when the request was sent
      */
-    public void firstEvent(double measuredMs, double expectedMs) {
-        load.firstEvent(measuredMs, expectedMs, System.nanoTime());
+    public void firstEvent(double measuredMs, ExpectedWork work) {
+        load.firstEvent(measuredMs, work, System.nanoTime());
     }
 
     /** Records a failure that the upstream reported. */
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamLoad.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamLoad.java
@@ -1,8 +1,10 @@
 package io.jayhead.gateway.upstream;
 
-import io.jayhead.routing.placement.Placement;
+import io.jayhead.routing.placement.ExpectedWork;
 import io.jayhead.routing.placement.PlacementCandidate;
 import io.jayhead.routing.placement.ReportedLoad;
+import io.jayhead.routing.placement.SlowdownForecast;
+import io.jayhead.routing.placement.UpstreamReport;
 import io.jayhead.routing.registry.Upstream;
 
 /**
@@ -17,8 +19,6 @@
     private static final double SUSPECT_RATE = 0.45;
     /** The time after its last failure for which a suspect upstream is avoided before it is tried again. */
     private static final long SUSPECT_NS = 1_500_000_000L;
-    /** A load report is ignored after this time, when it says little about the present load. */
-    private static final long REPORT_MAX_AGE_NS = 1_000_000_000L;
     /** The weight of the newest answer in the moving averages of answer time and slowness. */
     private static final double ANSWER_WEIGHT = 0.2;
     /**
@@ -27,10 +27,13 @@
      */
     private static final double ANSWER_HALF_LIFE_NS = 2e9;
 
+    private static final long NS_PER_MS = 1_000_000;
+
+    private final ServiceObservations service;
     private int inFlight;
     private long pendingTokensToRead;
-    private int reportedOtherRequests;
-    private long reportedAtNs;
+    private UpstreamReport report = UpstreamReport.none();
+    private SlowdownForecast slowdown = SlowdownForecast.usual();
     private double failureRate;
     private long lastFailureNs;
     private double averageAnswerMs;
@@ -38,18 +41,23 @@
     private long slownessAtNs;
     private long lastAnswerNs;
 
+    UpstreamLoad(ServiceObservations service) {
+        this.service = service;
+    }
+
     PlacementCandidate candidate(Upstream upstream, boolean sameZone, long nowNs) {
-        int otherRequests = nowNs - reportedAtNs < REPORT_MAX_AGE_NS ? reportedOtherRequests : 0;
         double decay = Math.pow(0.5, (nowNs - lastAnswerNs) / ANSWER_HALF_LIFE_NS);
         return new PlacementCandidate(
                 upstream,
+                slots(upstream),
                 inFlight,
-                otherRequests,
+                otherRequests(upstream, nowNs),
                 pendingTokensToRead,
                 isSuspect(nowNs),
                 sameZone,
                 averageAnswerMs * decay,
-                slowness(nowNs));
+                slowness(nowNs),
+                slowdown.at(nowNs / NS_PER_MS));
     }
 
     boolean isSuspect(long nowNs) {
@@ -74,20 +82,31 @@
     }
 
     void answered(double answerMs, long nowNs) {
+        double usualMs = answerMs / reportedSlowdown();
         failureRate *= 1 - FAILURE_WEIGHT;
-        averageAnswerMs += ANSWER_WEIGHT * (answerMs - averageAnswerMs);
+        averageAnswerMs += ANSWER_WEIGHT * (usualMs - averageAnswerMs);
         lastAnswerNs = nowNs;
+        service.plainCallAnswered(usualMs, nowNs / NS_PER_MS);
     }
 
-    double expectedFirstEventMs() {
-        return Placement.expectedFirstEventMs(pendingTokensToRead, inFlight);
+    void streamEnded(double streamMs, long nowNs) {
+        service.streamEnded(streamMs, nowNs / NS_PER_MS);
     }
 
-    void firstEvent(double measuredMs, double expectedMs, long nowNs) {
+    ExpectedWork expectedWork(Upstream upstream, long nowNs) {
+        boolean countsOthers = service.load().reportsSlowdown();
+        double requests = inFlight + (countsOthers ? otherRequests(upstream, nowNs) : 0);
+        return new ExpectedWork(
+                pendingTokensToRead, requests, service.rates().firstEventMs(pendingTokensToRead, requests));
+    }
+
+    void firstEvent(double measuredMs, ExpectedWork work, long nowNs) {
+        double usualMs = measuredMs / reportedSlowdown();
         failureRate *= 1 - FAILURE_WEIGHT;
-        double ratio = measuredMs / expectedMs;
+        double ratio = usualMs / work.firstEventMs();
         slowness = slowness(nowNs) + ANSWER_WEIGHT * (ratio - slowness(nowNs));
         slownessAtNs = nowNs;
+        service.firstEvent(usualMs, work, nowNs / NS_PER_MS);
     }
 
     /**
@@ -110,10 +129,25 @@
         lastFailureNs = nowNs;
     }
 
-    void loadReported(ReportedLoad reported, long nowNs) {
-        if (reported.requests().isPresent()) {
-            reportedOtherRequests = Math.max(0, reported.requests().getAsInt() - inFlight);
-            reportedAtNs = nowNs;
+    void loadReported(ReportedLoad load, long nowNs) {
+        long nowMs = nowNs / NS_PER_MS;
+        load.slowdown().ifPresent(reported -> slowdown = slowdown.with(reported, nowMs));
+        if (load.requests().isPresent()) {
+            report = new UpstreamReport(load, inFlight, nowMs);
+            service.loadReported(load, report.otherRequests(), nowMs);
         }
     }
+
+    private double otherRequests(Upstream upstream, long nowNs) {
+        return report.otherRequests(service.load(), slots(upstream), nowNs / NS_PER_MS);
+    }
+
+    private int slots(Upstream upstream) {
+        return report.load().slots().orElse(upstream.slots());
+    }
+
+    /** Returns the slowdown that the upstream reported last, with the head of the answer that is being received. */
+    private double reportedSlowdown() {
+        return report.load().slowdown().orElse(1);
+    }
 }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamTable.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamTable.java
@@ -2,6 +2,7 @@
 
 import io.jayhead.gateway.wire.WireDialect;
 import io.jayhead.routing.placement.PlacementCandidate;
+import io.jayhead.routing.placement.ServiceRates;
 import io.jayhead.routing.registry.Upstream;
 import io.jayhead.routing.registry.UpstreamRegistry;
 import io.netty.channel.EventLoop;
@@ -20,6 +21,7 @@
     private final String availabilityZone;
     private final ConnectionListener listener;
     private final Map<String, UpstreamHandle> handles = new HashMap<>();
+    private final Map<String, ServiceObservations> observationsByService = new HashMap<>();
 
     /**
      * Creates an empty table.
@@ -62,11 +64,26 @@
                 incarnation -> new UpstreamHandle(
                         upstream,
                         new UpstreamConnectionPool(upstream, loop, dialect, listener),
-                        upstream.availabilityZone().equals(availabilityZone)));
+                        upstream.availabilityZone().equals(availabilityZone),
+                        observations(upstream.service())));
         handle.update(upstream);
         return handle;
     }
 
+    /**
+     * Returns how fast the upstreams of a service work.
+     *
+     * @param service the name of the service
+     * @return the rates learned by this router, or the defaults
+     */
+    public ServiceRates rates(String service) {
+        return observations(service).rates();
+    }
+
+    private ServiceObservations observations(String service) {
+        return observationsByService.computeIfAbsent(service, name -> new ServiceObservations());
+    }
+
     /**
      * Closes idle connections that have expired or whose upstream is draining or no longer listed, and forgets
      * upstreams that are no longer in use.
--- a/jayhead-routing/src/main/java/io/jayhead/routing/placement/Placement.java
+++ b/jayhead-routing/src/main/java/io/jayhead/routing/placement/Placement.java
@@ -15,16 +15,8 @@
  */
 public final class Placement {
 
-    /** The prompt tokens that an engine is assumed to read per millisecond. */
-    public static final double PROMPT_TOKENS_PER_MS = 56;
-    /** The delay of the first token caused by each other request that is running at the engine. */
-    private static final double RUNNING_REQUEST_MS = 3.0;
-    /** The time until the first event of a generation, not counting the time to read the prompt. */
-    private static final double FIRST_EVENT_MS = 25;
     /** Limits the effect of one slow answer. */
     private static final double MAX_SLOWNESS = 10;
-    /** The expected time of a plain call; each running request adds it, divided by the slots of the upstream. */
-    private static final double PLAIN_CALL_MS = 20;
     /** Penalty by which a suspect upstream is chosen only if no other candidate is left. */
     private static final double SUSPECT_PENALTY_MS = 60_000;
     /**
@@ -46,9 +38,11 @@
      *
      * @param candidates the upstreams that accept requests
      * @param request the request
+     * @param rates how fast the upstreams of the service work
      * @return the choice, or empty if all candidates are excluded
      */
-    public static Optional<PlacementChoice> choose(List<PlacementCandidate> candidates, PlacementRequest request) {
+    public static Optional<PlacementChoice> choose(
+            List<PlacementCandidate> candidates, PlacementRequest request, ServiceRates rates) {
         List<PlacementCandidate> untried = candidates.stream()
                 .filter(candidate ->
                         !request.excluded().contains(candidate.upstream().incarnation()))
@@ -59,7 +53,7 @@
         List<String> preferredIds = preferredIds(untried, request.affinityKey());
         return untried.stream()
                 .min(Comparator.comparingDouble(
-                                (PlacementCandidate candidate) -> cost(candidate, request, preferredIds))
+                                (PlacementCandidate candidate) -> cost(candidate, request, preferredIds, rates))
                         .thenComparingInt(candidate ->
                                 RendezvousHash.weight(candidate.upstream().id(), Integer.toString(request.salt()))))
                 .map(candidate -> new PlacementChoice(candidate, tokensToRead(candidate, request, preferredIds)));
@@ -73,41 +67,47 @@
         return Math.max(0, request.promptTokens() - (cached ? request.sharedTokens() : 0));
     }
 
-    /**
-     * Estimates the time until the first event of a generation at an engine of normal speed that has no part of the
-     * prompt cached.
-     *
-     * @param promptTokens the tokens of the prompt and of the prompts that the engine reads before it
-     * @param running the number of requests at the engine
-     * @return the time in milliseconds
-     */
-    public static double expectedFirstEventMs(long promptTokens, int running) {
-        return FIRST_EVENT_MS + promptTokens / PROMPT_TOKENS_PER_MS + RUNNING_REQUEST_MS * running;
-    }
-
     /**
      * Estimates the time until the first byte of an answer, including penalties.
      *
      * @param candidate the upstream
      * @param request the request
      * @param preferredIds the identities of the engines that the shared parts prefer, most preferred first
+     * @param rates how fast the upstreams of the service work
      * @return the time in milliseconds; for suspect upstreams only useful to compare candidates
      */
-    static double cost(PlacementCandidate candidate, PlacementRequest request, List<String> preferredIds) {
-        double baseMs = candidate.suspect() ? SUSPECT_PENALTY_MS : 0;
-        baseMs += candidate.sameZone() ? 0 : OTHER_ZONE_PENALTY_MS;
-        int running = candidate.inFlight() + candidate.reportedOtherRequests();
+    static double cost(
+            PlacementCandidate candidate, PlacementRequest request, List<String> preferredIds, ServiceRates rates) {
+        double penaltyMs = candidate.suspect() ? SUSPECT_PENALTY_MS : 0;
+        penaltyMs += candidate.sameZone() ? 0 : OTHER_ZONE_PENALTY_MS;
         if (!request.modelRequest()) {
-            int slots = Math.max(1, candidate.upstream().slots());
-            double excessMs = Math.max(0, candidate.averageAnswerMs() - PLAIN_CALL_MS);
-            return baseMs + PLAIN_CALL_MS * running / slots + excessMs;
+            return penaltyMs + plainCallMs(candidate, rates);
         }
         int rank = preferredIds.indexOf(candidate.upstream().id());
         double factor = REREAD_FACTOR_BY_RANK[rank < 0 ? REREAD_FACTOR_BY_RANK.length - 1 : rank];
-        double rereadMs = factor * request.sharedTokens() / PROMPT_TOKENS_PER_MS;
-        double expectedMs = expectedFirstEventMs(candidate.pendingTokensToRead() + request.promptTokens(), running);
+        double rereadMs = factor * rates.readMs(request.sharedTokens());
+        return penaltyMs + rereadMs + generationMs(candidate, request, rates);
+    }
+
+    /** Estimates how much longer a plain call takes than at an idle upstream of normal speed. */
+    private static double plainCallMs(PlacementCandidate candidate, ServiceRates rates) {
+        double usualMs = rates.expectedPlainCallMs();
+        double excessMs = Math.max(0, candidate.averageAnswerMs() - usualMs);
+        double loadShare = requests(candidate) / Math.max(1, candidate.slots());
+        return usualMs * (candidate.slowdown() * (1 + loadShare) - 1) + excessMs;
+    }
+
+    /** Estimates the time to the first event of a generation whose whole prompt has to be read. */
+    private static double generationMs(PlacementCandidate candidate, PlacementRequest request, ServiceRates rates) {
+        double tokens = (double) candidate.pendingTokensToRead() + request.promptTokens();
+        double firstEventMs = rates.firstEventMs(tokens, requests(candidate));
+        double queueMs = rates.queueMs(requests(candidate), Math.max(1, candidate.slots()));
         double slowness = Math.max(1, Math.min(MAX_SLOWNESS, candidate.slowness()));
-        return baseMs + rereadMs + expectedMs * slowness;
+        return (firstEventMs + queueMs) * slowness * candidate.slowdown();
+    }
+
+    private static double requests(PlacementCandidate candidate) {
+        return candidate.inFlight() + candidate.otherRequests();
     }
 
     private static List<String> preferredIds(List<PlacementCandidate> candidates, String key) {
--- a/jayhead-routing/src/main/java/io/jayhead/routing/placement/PlacementCandidate.java
+++ b/jayhead-routing/src/main/java/io/jayhead/routing/placement/PlacementCandidate.java
@@ -6,9 +6,9 @@
  * Describes an upstream and its load as known to this router.
  *
  * @param upstream the upstream
+ * @param slots the number of requests that the upstream runs at the same time
  * @param inFlight the number of in-flight requests of this router at the upstream
- * @param reportedOtherRequests the number of requests at the upstream beyond those of this router, according to its
- *     last report
+ * @param otherRequests the estimated number of requests at the upstream beyond those of this router
  * @param pendingTokensToRead the prompt tokens that the upstream must still read for requests of this router whose
  *     first event has not arrived
  * @param suspect whether recent requests to the upstream failed
@@ -17,13 +17,17 @@
  *     answers
  * @param slowness the measured time to the first event of recent generations, divided by the expected time; 1 without
  *     generations
+ * @param slowdown the expected time of work that starts now on the machine of the upstream, divided by the usual time;
+ *     1 without reports
  */
 public record PlacementCandidate(
         Upstream upstream,
+        int slots,
         int inFlight,
-        int reportedOtherRequests,
+        double otherRequests,
         long pendingTokensToRead,
         boolean suspect,
         boolean sameZone,
         double averageAnswerMs,
-        double slowness) {}
+        double slowness,
+        double slowdown) {}
--- a/jayhead-routing/src/test/java/io/jayhead/routing/placement/PlacementTest.java
+++ b/jayhead-routing/src/test/java/io/jayhead/routing/placement/PlacementTest.java
@@ -60,12 +60,18 @@
     void anEngineThatHoldsTheSharedPartsReadsOnlyTheRest() {
         List<PlacementCandidate> engines = engines(6, 0, 0);
         PlacementRequest request = generation("part", 1);
-        assertEquals(7_000, Placement.choose(engines, request).get().tokensToRead());
+        assertEquals(
+                7_000,
+                Placement.choose(engines, request, ServiceRates.defaults())
+                        .get()
+                        .tokensToRead());
         String holder = chosen(engines, request);
         List<PlacementCandidate> others = engines.stream()
                 .map(engine -> engine.upstream().id().equals(holder) ? candidate(holder, 20, 90_000, false) : engine)
                 .toList();
-        assertEquals(12_000, Placement.choose(others, request).get().tokensToRead());
+        assertEquals(
+                12_000,
+                Placement.choose(others, request, ServiceRates.defaults()).get().tokensToRead());
     }
 
     @Test
@@ -80,14 +86,30 @@
         List<PlacementCandidate> engines = new ArrayList<>(engines(6, 0, 0));
         String first = chosen(engines, generation("part", 1));
         engines.replaceAll(engine -> engine.upstream().id().equals(first)
-                ? new PlacementCandidate(engine.upstream(), 0, 0, 0, false, true, 0, 4)
+                ? new PlacementCandidate(engine.upstream(), 64, 0, 0, 0, false, true, 0, 4, 1)
                 : engine);
         assertFalse(chosen(engines, generation("part", 1)).equals(first));
     }
 
+    @Test
+    void aGenerationGoesWhereASlotIsFree() {
+        ServiceRates rates = ServiceRates.defaults().withStream(2_000, 0);
+        List<PlacementCandidate> engines = List.of(loaded("full", 2, 0, 1), loaded("free", 0, 1, 1));
+        PlacementRequest request = new PlacementRequest(true, 600, 0, "", Set.of(), 1);
+        assertEquals("free", chosen(engines, request, rates));
+    }
+
+    @Test
+    void workThatStartsNowAvoidsAMachineThatIsSlowNow() {
+        List<PlacementCandidate> upstreams = List.of(loaded("slow", 0, 0, 3), loaded("usual", 0, 1, 1));
+        assertEquals("usual", chosen(upstreams, plain(Set.of())));
+        assertEquals("usual", chosen(upstreams, generation("", 1)));
+    }
+
     @Test
     void noUpstreamIsTriedTwice() {
-        assertTrue(Placement.choose(engines(1, 0, 0), plain(Set.of("e0@0"))).isEmpty());
+        assertTrue(Placement.choose(engines(1, 0, 0), plain(Set.of("e0@0")), ServiceRates.defaults())
+                .isEmpty());
     }
 
     private static Set<String> choices(List<PlacementCandidate> engines, String part) {
@@ -99,7 +121,11 @@
     }
 
     private static String chosen(List<PlacementCandidate> candidates, PlacementRequest request) {
-        return Placement.choose(candidates, request)
+        return chosen(candidates, request, ServiceRates.defaults());
+    }
+
+    private static String chosen(List<PlacementCandidate> candidates, PlacementRequest request, ServiceRates rates) {
+        return Placement.choose(candidates, request, rates)
                 .get()
                 .candidate()
                 .upstream()
@@ -122,8 +148,13 @@
         return engines;
     }
 
+    private static PlacementCandidate loaded(String id, int inFlight, double otherRequests, double slowdown) {
+        Upstream upstream = new Upstream(id, 0, "pool", "10.0.0.1", 80, "z1", false, 2);
+        return new PlacementCandidate(upstream, 2, inFlight, otherRequests, 0, false, true, 0, 1, slowdown);
+    }
+
     private static PlacementCandidate candidate(String id, int inFlight, long pendingTokens, boolean suspect) {
         Upstream upstream = new Upstream(id, 0, "pool", "10.0.0.1", 80, "z1", false, 64);
-        return new PlacementCandidate(upstream, inFlight, 0, pendingTokens, suspect, true, 0, 1);
+        return new PlacementCandidate(upstream, 64, inFlight, 0, pendingTokens, suspect, true, 0, 1, 1);
     }
 }
