Estimate the places of a service from aged load reports

Cause: admission of a service knows neither how many slots its upstreams have nor how many are taken; it learns a limit from the few answers of one router.

Change: UpstreamTable.room sums up slots, running and waiting requests of the ready upstreams.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamHandle.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamHandle.java
@@ -1,5 +1,6 @@
 package io.jayhead.gateway.upstream;
 
+import io.jayhead.gateway.upstream.RoomEstimate.UpstreamRoom;
 import io.jayhead.routing.placement.ExpectedWork;
 import io.jayhead.routing.placement.PlacementCandidate;
 import io.jayhead.routing.placement.ReportedLoad;
@@ -153,6 +154,10 @@
         return load.candidate(upstream, sameZone, nowNs);
     }
 
+    UpstreamRoom room(long nowNs) {
+        return load.room(upstream, nowNs);
+    }
+
     UpstreamConnectionPool pool() {
         return pool;
     }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamLoad.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamLoad.java
@@ -1,5 +1,6 @@
 package io.jayhead.gateway.upstream;
 
+import io.jayhead.gateway.upstream.RoomEstimate.UpstreamRoom;
 import io.jayhead.routing.placement.ExpectedWork;
 import io.jayhead.routing.placement.PlacementCandidate;
 import io.jayhead.routing.placement.ReportedLoad;
@@ -60,6 +61,14 @@
                 slowdown.at(nowNs / NS_PER_MS));
     }
 
+    UpstreamRoom room(Upstream upstream, long nowNs) {
+        int slots = slots(upstream);
+        int reportedWaiting = report.load().waiting().orElse(0);
+        double requests = Math.max(0, report.load().requests().orElse(0) + inFlight - report.ownRequests());
+        double running = Math.max(0, Math.min(slots, requests - reportedWaiting));
+        return new UpstreamRoom(slots, running, requests - running, report.weight(nowNs / NS_PER_MS));
+    }
+
     boolean isSuspect(long nowNs) {
         return failureRate > SUSPECT_RATE && nowNs - lastFailureNs < SUSPECT_NS;
     }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamTable.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamTable.java
@@ -1,5 +1,6 @@
 package io.jayhead.gateway.upstream;
 
+import io.jayhead.admission.overload.ServiceRoom;
 import io.jayhead.gateway.wire.WireDialect;
 import io.jayhead.routing.placement.PlacementCandidate;
 import io.jayhead.routing.placement.ServiceRates;
@@ -70,6 +71,20 @@
         return handle;
     }
 
+    /**
+     * Returns the places of the ready upstreams of a service, from their reports and the requests of this router.
+     *
+     * @param registry the current registry
+     * @param service the name of the service
+     * @return the room; unknown if no upstream is ready
+     */
+    public ServiceRoom room(UpstreamRegistry registry, String service) {
+        long nowNs = System.nanoTime();
+        return RoomEstimate.of(registry.ready(service).stream()
+                .map(upstream -> handle(upstream).room(nowNs))
+                .toList());
+    }
+
     /**
      * Returns how fast the upstreams of a service work.
      *
