Send the overflow of a shared prompt part where it has been read

Cause: of the engines beyond the two that a shared part prefers, a router took any, so that a hot part was read again on as many engines as there were routers with overflow. A router also forgot at once where it had sent the part.

Change: PartAffinity holds the weights of reading the parts again. For a service with learned rates the factors rise over six engines in the order that all routers share, and an engine that this router sent the part to within 5 s (PartHolders, bounded) counts half. The weights are multiplied with the learned time to read the parts and set against the load there, so that a part takes as many engines as its traffic needs. Elsewhere the former factors hold. The weight of an engine is hashed once for a request, not once a comparison.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/ForwardedRequest.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/ForwardedRequest.java
@@ -49,15 +49,26 @@
     }
 
     /**
-     * Returns the placement input. The last shared part of the prompt is the affinity key, which decides the engines
-     * that hold the shared prompt.
+     * Returns the key of the last shared part of the prompt, which decides the engines that hold the shared prompt;
+     * empty if the prompt has none.
      */
-    PlacementRequest placement(Set<String> triedIncarnations) {
+    String affinityKey() {
+        List<PromptPart> shared = admitted.metadata().sharedParts();
+        return shared.isEmpty() ? "" : shared.get(shared.size() - 1).id();
+    }
+
+    /** Returns the placement input. */
+    PlacementRequest placement(Set<String> partHolders, Set<String> triedIncarnations) {
         List<PromptPart> shared = admitted.metadata().sharedParts();
-        String key = shared.isEmpty() ? "" : shared.get(shared.size() - 1).id();
         int sharedTokens = shared.stream().mapToInt(PromptPart::tokens).sum();
         return new PlacementRequest(
-                admitted.isGeneration(), promptTokens(), sharedTokens, key, triedIncarnations, salt);
+                admitted.isGeneration(),
+                promptTokens(),
+                sharedTokens,
+                affinityKey(),
+                partHolders,
+                triedIncarnations,
+                salt);
     }
 
     /** Builds the request for one upstream; its body shares the buffer of the caller's request. */
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamSelector.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamSelector.java
@@ -33,15 +33,17 @@
         }
         String service = admitted.service().name();
         List<PlacementCandidate> candidates = context.upstreams().candidates(snapshot.registry(), service);
+        Set<String> partHolders = context.upstreams().partHolders(service, forwarded.affinityKey());
         Optional<PlacementChoice> chosen = Placement.choose(
                 candidates,
-                forwarded.placement(triedIncarnations),
+                forwarded.placement(partHolders, triedIncarnations),
                 context.upstreams().rates(service));
         if (chosen.isEmpty()) {
             return Either.left(Refusal.NO_UPSTREAM);
         }
         UpstreamHandle upstream =
                 context.upstreams().handle(chosen.get().candidate().upstream());
+        context.upstreams().partSent(upstream.upstream(), forwarded.affinityKey());
         triedIncarnations.add(upstream.upstream().incarnation());
         return Either.right(new SelectedUpstream(upstream, chosen.get().tokensToRead()));
     }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/ServiceObservations.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/ServiceObservations.java
@@ -1,9 +1,11 @@
 package io.jayhead.gateway.upstream;
 
 import io.jayhead.routing.placement.ExpectedWork;
+import io.jayhead.routing.placement.PartHolders;
 import io.jayhead.routing.placement.ReportedLoad;
 import io.jayhead.routing.placement.ServiceLoad;
 import io.jayhead.routing.placement.ServiceRates;
+import java.util.Set;
 
 /**
  * Keeps what this router observed of the upstreams of one service together; used by the traffic thread.
@@ -15,6 +17,7 @@
 
     private ServiceRates rates = ServiceRates.defaults();
     private ServiceLoad load = ServiceLoad.unknown();
+    private final PartHolders partHolders = new PartHolders();
 
     ServiceRates rates() {
         return rates;
@@ -24,6 +27,16 @@
         return load;
     }
 
+    Set<String> partHolders(String affinityKey, long nowMs) {
+        return load.reportsSlowdown() ? partHolders.holders(affinityKey, nowMs) : Set.of();
+    }
+
+    void partSent(String affinityKey, String incarnation, long nowMs) {
+        if (load.reportsSlowdown()) {
+            partHolders.sent(affinityKey, incarnation, nowMs);
+        }
+    }
+
     void loadReported(ReportedLoad report, int otherRequests, long nowMs) {
         load = load.with(report, otherRequests, nowMs);
     }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamTable.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamTable.java
@@ -10,6 +10,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Holds a handle for every incarnation of an upstream that this router uses or still has connections to; used by the
@@ -17,6 +18,8 @@
  */
 public final class UpstreamTable {
 
+    private static final long NS_PER_MS = 1_000_000;
+
     private final EventLoop loop;
     private final WireDialect dialect;
     private final String availabilityZone;
@@ -95,6 +98,31 @@
         return observations(service).rates();
     }
 
+    /**
+     * Returns the upstreams that probably hold the shared parts of a prompt.
+     *
+     * @param service the name of the service
+     * @param affinityKey the key of the parts
+     * @return the incarnations; empty for a service whose rates are not learned
+     */
+    public Set<String> partHolders(String service, String affinityKey) {
+        return observations(service).partHolders(affinityKey, nowMs());
+    }
+
+    /**
+     * Records that a request with shared parts is sent to an upstream.
+     *
+     * @param upstream the upstream
+     * @param affinityKey the key of the parts; ignored if empty
+     */
+    public void partSent(Upstream upstream, String affinityKey) {
+        observations(upstream.service()).partSent(affinityKey, upstream.incarnation(), nowMs());
+    }
+
+    private static long nowMs() {
+        return System.nanoTime() / NS_PER_MS;
+    }
+
     private ServiceObservations observations(String service) {
         return observationsByService.computeIfAbsent(service, name -> new ServiceObservations());
     }
--- a/jayhead-routing/src/main/java/io/jayhead/routing/placement/Placement.java
+++ b/jayhead-routing/src/main/java/io/jayhead/routing/placement/Placement.java
@@ -8,10 +8,9 @@
 /**
  * Chooses the upstream with the shortest expected time to the first byte.
  *
- * <p>Requests that share prompt parts prefer the same two engines. Rendezvous hashing (highest random weight) of the
- * prompt part and the engine selects them, so all routers agree without exchanging messages. Every engine but the first
- * of the two is charged a multiple of the prefill time that a cached part saves. Once the queue at a preferred engine
- * costs more, another engine is chosen.
+ * <p>The load pattern: engines of uneven speed and load, some of whose machines are slow for a moment, and prompt parts
+ * of which a few have much of the traffic. The rates of the service, the known load of each engine and the time to read
+ * the shared parts again decide together.
  */
 public final class Placement {
 
@@ -24,12 +23,6 @@
      * upstreams of about the same cost.
      */
     private static final double OTHER_ZONE_PENALTY_MS = 2.0;
-    /**
-     * Factors for the prefill time of the shared parts, by the rank of the engine in the preference order. The first
-     * engine has the parts cached, and the second takes the overflow of the first. On any other engine the prefill
-     * benefits no other request and delays the requests that wait there.
-     */
-    private static final double[] REREAD_FACTOR_BY_RANK = {0, 1.5, 4};
 
     private Placement() {}
 
@@ -50,21 +43,13 @@
         if (untried.isEmpty()) {
             return Optional.empty();
         }
-        List<String> preferredIds = preferredIds(untried, request.affinityKey());
+        PartAffinity affinity = PartAffinity.of(untried, request, rates);
         return untried.stream()
                 .min(Comparator.comparingDouble(
-                                (PlacementCandidate candidate) -> cost(candidate, request, preferredIds, rates))
+                                (PlacementCandidate candidate) -> cost(candidate, request, affinity, rates))
                         .thenComparingInt(candidate ->
                                 RendezvousHash.weight(candidate.upstream().id(), Integer.toString(request.salt()))))
-                .map(candidate -> new PlacementChoice(candidate, tokensToRead(candidate, request, preferredIds)));
-    }
-
-    /**
-     * Assumes that the most preferred engine has the shared parts cached, as all requests that share them prefer it.
-     */
-    private static int tokensToRead(PlacementCandidate candidate, PlacementRequest request, List<String> preferredIds) {
-        boolean cached = preferredIds.indexOf(candidate.upstream().id()) == 0;
-        return Math.max(0, request.promptTokens() - (cached ? request.sharedTokens() : 0));
+                .map(candidate -> new PlacementChoice(candidate, affinity.tokensToRead(candidate)));
     }
 
     /**
@@ -72,20 +57,18 @@
      *
      * @param candidate the upstream
      * @param request the request
-     * @param preferredIds the identities of the engines that the shared parts prefer, most preferred first
+     * @param affinity the engines that hold the shared parts of the request
      * @param rates how fast the upstreams of the service work
      * @return the time in milliseconds; for suspect upstreams only useful to compare candidates
      */
     static double cost(
-            PlacementCandidate candidate, PlacementRequest request, List<String> preferredIds, ServiceRates rates) {
+            PlacementCandidate candidate, PlacementRequest request, PartAffinity affinity, ServiceRates rates) {
         double penaltyMs = candidate.suspect() ? SUSPECT_PENALTY_MS : 0;
         penaltyMs += candidate.sameZone() ? 0 : OTHER_ZONE_PENALTY_MS;
         if (!request.modelRequest()) {
             return penaltyMs + plainCallMs(candidate, rates);
         }
-        int rank = preferredIds.indexOf(candidate.upstream().id());
-        double factor = REREAD_FACTOR_BY_RANK[rank < 0 ? REREAD_FACTOR_BY_RANK.length - 1 : rank];
-        double rereadMs = factor * rates.readMs(request.sharedTokens());
+        double rereadMs = affinity.rereadFactor(candidate) * rates.readMs(request.sharedTokens());
         return penaltyMs + rereadMs + generationMs(candidate, request, rates);
     }
 
@@ -109,16 +92,4 @@
     private static double requests(PlacementCandidate candidate) {
         return candidate.inFlight() + candidate.otherRequests();
     }
-
-    private static List<String> preferredIds(List<PlacementCandidate> candidates, String key) {
-        if (key.isEmpty()) {
-            return List.of();
-        }
-        return candidates.stream()
-                .filter(candidate -> !candidate.suspect())
-                .map(candidate -> candidate.upstream().id())
-                .sorted(Comparator.comparingInt(id -> RendezvousHash.weight(id, key)))
-                .limit(REREAD_FACTOR_BY_RANK.length - 1)
-                .toList();
-    }
 }
--- a/jayhead-routing/src/main/java/io/jayhead/routing/placement/PlacementRequest.java
+++ b/jayhead-routing/src/main/java/io/jayhead/routing/placement/PlacementRequest.java
@@ -10,14 +10,22 @@
  * @param sharedTokens the number of tokens of the leading prompt parts that other requests share
  * @param affinityKey the key of the shared prompt parts, which determines the preferred engines; empty if no parts are
  *     shared
+ * @param partHolders the upstream incarnations that this router sent the shared prompt parts to lately
  * @param excluded the upstream incarnations that must not be chosen, because earlier attempts used them
  * @param salt a random number that breaks ties between equally good upstreams
  */
 public record PlacementRequest(
-        boolean modelRequest, int promptTokens, int sharedTokens, String affinityKey, Set<String> excluded, int salt) {
+        boolean modelRequest,
+        int promptTokens,
+        int sharedTokens,
+        String affinityKey,
+        Set<String> partHolders,
+        Set<String> excluded,
+        int salt) {
 
-    /** Makes a defensive copy of the set. */
+    /** Makes defensive copies of the sets. */
     public PlacementRequest {
+        partHolders = Set.copyOf(partHolders);
         excluded = Set.copyOf(excluded);
     }
 }
--- a/jayhead-routing/src/main/java/io/jayhead/routing/placement/ServiceRates.java
+++ b/jayhead-routing/src/main/java/io/jayhead/routing/placement/ServiceRates.java
@@ -27,6 +27,15 @@
         return new ServiceRates(FirstEventRates.prior(), DecayedMean.empty(), DecayedMean.empty());
     }
 
+    /**
+     * Tells whether the rates are more than the defaults.
+     *
+     * @return true once a generation has been answered
+     */
+    public boolean isLearned() {
+        return !firstEvent.equals(FirstEventRates.prior());
+    }
+
     /**
      * Adds the first event of a generation.
      *
--- a/jayhead-routing/src/test/java/io/jayhead/routing/placement/PlacementTest.java
+++ b/jayhead-routing/src/test/java/io/jayhead/routing/placement/PlacementTest.java
@@ -56,6 +56,43 @@
         assertFalse(preferred.contains(chosen(engines, generation("hot", 1))));
     }
 
+    @Test
+    void overflowGoesWhereThePartHasBeenRead() {
+        List<PlacementCandidate> engines = new ArrayList<>(engines(6, 0, 0));
+        String first = chosen(engines, generation("hot", 1));
+        engines.replaceAll(
+                engine -> engine.upstream().id().equals(first) ? candidate(first, 10, 60_000, false) : engine);
+        String second = chosen(engines, generation("hot", 1));
+        String holder = engines.stream()
+                .map(engine -> engine.upstream().id())
+                .filter(id -> !id.equals(first) && !id.equals(second))
+                .findAny()
+                .get();
+        PlacementRequest request = new PlacementRequest(true, 12_000, 5_000, "hot", Set.of(holder + "@0"), Set.of(), 1);
+        assertEquals(holder, chosen(engines, request));
+        assertEquals(
+                7_000,
+                Placement.choose(engines, request, ServiceRates.defaults())
+                        .get()
+                        .tokensToRead());
+    }
+
+    @Test
+    void routersThatOverflowTheFirstTwoEnginesAgreeOnTheThird() {
+        ServiceRates rates = ServiceRates.defaults().withFirstEvent(100, new ExpectedWork(1_000, 1, 46), 0);
+        List<PlacementCandidate> engines = new ArrayList<>(engines(40, 0, 0));
+        for (int rank = 0; rank < 2; rank++) {
+            String preferred = chosen(engines, generation("hot", 1), rates);
+            engines.replaceAll(engine ->
+                    engine.upstream().id().equals(preferred) ? candidate(preferred, 10, 60_000, false) : engine);
+        }
+        Set<String> third = new HashSet<>();
+        for (int router = 0; router < 71; router++) {
+            third.add(chosen(engines, generation("hot", router), rates));
+        }
+        assertEquals(1, third.size());
+    }
+
     @Test
     void anEngineThatHoldsTheSharedPartsReadsOnlyTheRest() {
         List<PlacementCandidate> engines = engines(6, 0, 0);
@@ -95,7 +132,7 @@
     void aGenerationGoesWhereASlotIsFree() {
         ServiceRates rates = ServiceRates.defaults().withStream(2_000, 0);
         List<PlacementCandidate> engines = List.of(loaded("full", 2, 0, 1), loaded("free", 0, 1, 1));
-        PlacementRequest request = new PlacementRequest(true, 600, 0, "", Set.of(), 1);
+        PlacementRequest request = new PlacementRequest(true, 600, 0, "", Set.of(), Set.of(), 1);
         assertEquals("free", chosen(engines, request, rates));
     }
 
@@ -133,11 +170,11 @@
     }
 
     private static PlacementRequest generation(String part, int salt) {
-        return new PlacementRequest(true, 12_000, 5_000, part, Set.of(), salt);
+        return new PlacementRequest(true, 12_000, 5_000, part, Set.of(), Set.of(), salt);
     }
 
     private static PlacementRequest plain(Set<String> excluded) {
-        return new PlacementRequest(false, 0, 0, "", excluded, 1);
+        return new PlacementRequest(false, 0, 0, "", Set.of(), excluded, 1);
     }
 
     private static List<PlacementCandidate> engines(int count, int inFlight, long pendingTokens) {
