Give no engine more generations than its memory holds

Cause: an engine whose requests exceed its memory fails or preempts them, and with long prompts its memory is full at about half of its slots. Placement did not count tokens.

Change: a router counts the tokens that its requests take at most at each engine (prompt less the shared parts that lie there, plus the longest output). An engine that could not hold a generation beside those is not a candidate. The memory is KvTokens of the service in the configuration; without it nothing changes.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
@@ -105,7 +105,7 @@
         }
         tries++;
         SelectedUpstream upstream = selected.get();
-        currentAttempt = new UpstreamAttempt(this, metadata.requestId(), upstream.upstream(), upstream.tokensToRead());
+        currentAttempt = new UpstreamAttempt(this, metadata.requestId(), upstream);
         currentAttempt.start(forwarded.maxConnections());
     }
 
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/ForwardedRequest.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/ForwardedRequest.java
@@ -64,6 +64,8 @@
         return new PlacementRequest(
                 admitted.isGeneration(),
                 promptTokens(),
+                admitted.metadata().size().map(GenerationSize::maxOutputTokens).orElse(0),
+                admitted.service().kvTokens(),
                 sharedTokens,
                 affinityKey(),
                 partHolders,
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamAttempt.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamAttempt.java
@@ -27,6 +27,7 @@
     private final String requestId;
     private final UpstreamHandle upstream;
     private final long tokensToRead;
+    private final long memoryTokens;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private UpstreamConnection connection;
     private HttpResponse head;
@@ -43,11 +44,12 @@
     private boolean silenceReported;
     private int earlierRequests;
 
-    UpstreamAttempt(Exchange exchange, String requestId, UpstreamHandle upstream, long tokensToRead) {
+    UpstreamAttempt(Exchange exchange, String requestId, SelectedUpstream selected) {
         this.exchange = exchange;
         this.requestId = requestId;
-        this.upstream = upstream;
-        this.tokensToRead = tokensToRead;
+        this.upstream = selected.upstream();
+        this.tokensToRead = selected.tokensToRead();
+        this.memoryTokens = selected.memoryTokens();
     }
 
     UpstreamHandle upstream() {
@@ -83,7 +85,7 @@
 
     void start(int maxConnections) {
         placedAtNs = System.nanoTime();
-        upstream.started(tokensToRead);
+        upstream.started(tokensToRead, memoryTokens);
         promptPending = true;
         upstream.acquire(maxConnections, this);
     }
@@ -312,6 +314,6 @@
         ended = true;
         exchange.buffers().release(body.size());
         promptRead();
-        upstream.ended();
+        upstream.ended(memoryTokens);
     }
 }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamSelector.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamSelector.java
@@ -45,6 +45,7 @@
                 context.upstreams().handle(chosen.get().candidate().upstream());
         context.upstreams().partSent(upstream.upstream(), forwarded.affinityKey());
         triedIncarnations.add(upstream.upstream().incarnation());
-        return Either.right(new SelectedUpstream(upstream, chosen.get().tokensToRead()));
+        return Either.right(new SelectedUpstream(
+                upstream, chosen.get().tokensToRead(), chosen.get().memoryTokens()));
     }
 }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/ServiceObservations.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/ServiceObservations.java
@@ -1,5 +1,6 @@
 package io.jayhead.gateway.upstream;
 
+import io.jayhead.routing.DecayedMean;
 import io.jayhead.routing.placement.ExpectedWork;
 import io.jayhead.routing.placement.PartHolders;
 import io.jayhead.routing.placement.ReportedLoad;
@@ -15,8 +16,11 @@
  */
 final class ServiceObservations {
 
+    private static final long MEMORY_HALF_LIFE_MS = 10_000;
+
     private ServiceRates rates = ServiceRates.defaults();
     private ServiceLoad load = ServiceLoad.unknown();
+    private DecayedMean memoryTokens = DecayedMean.empty();
     private final PartHolders partHolders = new PartHolders();
 
     ServiceRates rates() {
@@ -37,6 +41,15 @@
         }
     }
 
+    void started(long requestMemoryTokens, long nowMs) {
+        memoryTokens = memoryTokens.with(requestMemoryTokens, nowMs, MEMORY_HALF_LIFE_MS);
+    }
+
+    /** Returns the mean tokens that a request of this router takes at most in the memory of an upstream. */
+    double meanMemoryTokens() {
+        return memoryTokens.mean();
+    }
+
     void loadReported(ReportedLoad report, int otherRequests, long nowMs) {
         load = load.with(report, otherRequests, nowMs);
     }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamHandle.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamHandle.java
@@ -64,9 +64,10 @@
      * Counts a request that is being sent.
      *
      * @param tokensToRead the prompt tokens that the upstream has to process before its first event
+     * @param memoryTokens the tokens that the request takes at most in the memory of the upstream
      */
-    public void started(long tokensToRead) {
-        load.started(tokensToRead);
+    public void started(long tokensToRead, long memoryTokens) {
+        load.started(tokensToRead, memoryTokens, System.nanoTime());
     }
 
     /**
@@ -78,9 +79,13 @@
         load.promptRead(tokensToRead);
     }
 
-    /** Counts a request that has ended. */
-    public void ended() {
-        load.ended();
+    /**
+     * Counts a request that has ended.
+     *
+     * @param memoryTokens the tokens that were counted when the request was started
+     */
+    public void ended(long memoryTokens) {
+        load.ended(memoryTokens);
     }
 
     /**
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamLoad.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamLoad.java
@@ -33,6 +33,7 @@
     private final ServiceObservations service;
     private int inFlight;
     private long pendingTokensToRead;
+    private long memoryTokens;
     private UpstreamReport report = UpstreamReport.none();
     private SlowdownForecast slowdown = SlowdownForecast.usual();
     private double failureRate;
@@ -48,12 +49,15 @@
 
     PlacementCandidate candidate(Upstream upstream, boolean sameZone, long nowNs) {
         double decay = Math.pow(0.5, (nowNs - lastAnswerNs) / ANSWER_HALF_LIFE_NS);
+        double otherRequests = otherRequests(upstream, nowNs);
         return new PlacementCandidate(
                 upstream,
                 slots(upstream),
                 inFlight,
-                otherRequests(upstream, nowNs),
+                otherRequests,
                 pendingTokensToRead,
+                memoryTokens,
+                otherRequests * service.meanMemoryTokens(),
                 isSuspect(nowNs),
                 sameZone,
                 averageAnswerMs * decay,
@@ -77,17 +81,20 @@
         return inFlight;
     }
 
-    void started(long tokensToRead) {
+    void started(long tokensToRead, long addedMemoryTokens, long nowNs) {
         inFlight++;
         pendingTokensToRead += tokensToRead;
+        memoryTokens += addedMemoryTokens;
+        service.started(addedMemoryTokens, nowNs / NS_PER_MS);
     }
 
     void promptRead(long tokensToRead) {
         pendingTokensToRead -= tokensToRead;
     }
 
-    void ended() {
+    void ended(long freedMemoryTokens) {
         inFlight--;
+        memoryTokens -= freedMemoryTokens;
     }
 
     void answered(double answerMs, long nowNs) {
--- a/jayhead-gateway/src/test/java/io/jayhead/gateway/upstream/UpstreamLoadTest.java
+++ b/jayhead-gateway/src/test/java/io/jayhead/gateway/upstream/UpstreamLoadTest.java
@@ -5,6 +5,7 @@
 
 import io.jayhead.gateway.upstream.RoomEstimate.UpstreamRoom;
 import io.jayhead.routing.placement.ExpectedWork;
+import io.jayhead.routing.placement.PlacementCandidate;
 import io.jayhead.routing.placement.ReportedLoad;
 import io.jayhead.routing.registry.Upstream;
 import java.util.OptionalDouble;
@@ -27,10 +28,10 @@
 
     @Test
     void requestsOfThisRouterSinceTheReportAreAddedToIt() {
-        load.started(0);
+        load.started(0, 0, START_NS);
         load.loadReported(report(4, 1, OptionalDouble.of(1)), START_NS);
-        load.started(0);
-        load.started(0);
+        load.started(0, 0, START_NS);
+        load.started(0, 0, START_NS);
         UpstreamRoom room = load.room(upstream, START_NS);
         assertEquals(SLOTS, room.slots());
         assertEquals(6, room.running());
@@ -68,6 +69,18 @@
         assertTrue(service.rates().firstEventMs(5_000, 1) > defaultMs);
     }
 
+    @Test
+    void requestsOfOtherRoutersAreTakenToBeAsLargeAsThoseOfThisOne() {
+        load.started(0, 10_000, START_NS);
+        load.started(0, 10_000, START_NS);
+        load.loadReported(report(5, 0, OptionalDouble.of(1)), START_NS);
+        PlacementCandidate candidate = load.candidate(upstream, true, START_NS);
+        assertEquals(20_000, candidate.ownTokens());
+        assertEquals(30_000, candidate.otherTokens(), 1e-6);
+        load.ended(10_000);
+        assertEquals(10_000, load.candidate(upstream, true, START_NS).ownTokens());
+    }
+
     private static ReportedLoad report(int running, int waiting, OptionalDouble slowdown) {
         return new ReportedLoad(OptionalInt.of(running), OptionalInt.of(waiting), OptionalInt.of(SLOTS), slowdown);
     }
--- a/jayhead-routing/src/main/java/io/jayhead/routing/placement/PartAffinity.java
+++ b/jayhead-routing/src/main/java/io/jayhead/routing/placement/PartAffinity.java
@@ -70,6 +70,11 @@
         return Math.max(0, request.promptTokens() - (cached ? request.sharedTokens() : 0));
     }
 
+    /** Returns the tokens that the request adds to the memory of an engine, with the longest output. */
+    long memoryTokens(PlacementCandidate candidate) {
+        return (long) tokensToRead(candidate) + request.maxOutputTokens();
+    }
+
     private boolean isKnownHolder(PlacementCandidate candidate) {
         return request.partHolders().contains(candidate.upstream().incarnation());
     }
--- a/jayhead-routing/src/main/java/io/jayhead/routing/placement/Placement.java
+++ b/jayhead-routing/src/main/java/io/jayhead/routing/placement/Placement.java
@@ -18,6 +18,8 @@
     private static final double MAX_SLOWNESS = 10;
     /** Penalty by which a suspect upstream is chosen only if no other candidate is left. */
     private static final double SUSPECT_PENALTY_MS = 60_000;
+    /** Penalty by which an engine whose memory is probably full is chosen only if the others are too, or suspect. */
+    private static final double FULL_MEMORY_PENALTY_MS = 30_000;
     /**
      * Penalty for the traffic between availability zones, which is billed. It is small, so that it only decides between
      * upstreams of about the same cost.
@@ -32,7 +34,7 @@
      * @param candidates the upstreams that accept requests
      * @param request the request
      * @param rates how fast the upstreams of the service work
-     * @return the choice, or empty if all candidates are excluded
+     * @return the choice, or empty if all candidates are excluded or have no memory left
      */
     public static Optional<PlacementChoice> choose(
             List<PlacementCandidate> candidates, PlacementRequest request, ServiceRates rates) {
@@ -40,16 +42,15 @@
                 .filter(candidate ->
                         !request.excluded().contains(candidate.upstream().incarnation()))
                 .toList();
-        if (untried.isEmpty()) {
-            return Optional.empty();
-        }
         PartAffinity affinity = PartAffinity.of(untried, request, rates);
         return untried.stream()
+                .filter(candidate -> memory(candidate, request, affinity) != EngineMemory.FULL)
                 .min(Comparator.comparingDouble(
                                 (PlacementCandidate candidate) -> cost(candidate, request, affinity, rates))
                         .thenComparingInt(candidate ->
                                 RendezvousHash.weight(candidate.upstream().id(), Integer.toString(request.salt()))))
-                .map(candidate -> new PlacementChoice(candidate, affinity.tokensToRead(candidate)));
+                .map(candidate -> new PlacementChoice(
+                        candidate, affinity.tokensToRead(candidate), affinity.memoryTokens(candidate)));
     }
 
     /**
@@ -68,6 +69,8 @@
         if (!request.modelRequest()) {
             return penaltyMs + plainCallMs(candidate, rates);
         }
+        boolean fits = !rates.isLearned() || memory(candidate, request, affinity) == EngineMemory.ENOUGH;
+        penaltyMs += fits ? 0 : FULL_MEMORY_PENALTY_MS;
         double rereadMs = affinity.rereadFactor(candidate) * rates.readMs(request.sharedTokens());
         return penaltyMs + rereadMs + generationMs(candidate, request, rates);
     }
@@ -89,6 +92,10 @@
         return (firstEventMs + queueMs) * slowness * candidate.slowdown();
     }
 
+    private static EngineMemory memory(PlacementCandidate candidate, PlacementRequest request, PartAffinity affinity) {
+        return EngineMemory.of(candidate, affinity.memoryTokens(candidate), request.engineMemoryTokens());
+    }
+
     private static double requests(PlacementCandidate candidate) {
         return candidate.inFlight() + candidate.otherRequests();
     }
--- a/jayhead-routing/src/main/java/io/jayhead/routing/placement/PlacementCandidate.java
+++ b/jayhead-routing/src/main/java/io/jayhead/routing/placement/PlacementCandidate.java
@@ -11,6 +11,8 @@
  * @param otherRequests the estimated number of requests at the upstream beyond those of this router
  * @param pendingTokensToRead the prompt tokens that the upstream must still read for requests of this router whose
  *     first event has not arrived
+ * @param ownTokens the tokens that the requests of this router take at most in the memory of the upstream
+ * @param otherTokens the estimated tokens of the requests of other routers in the memory of the upstream
  * @param suspect whether recent requests to the upstream failed
  * @param sameZone whether the upstream is in the availability zone of this router
  * @param averageAnswerMs the average time in milliseconds from sending a plain call to the end of its answer; 0 without
@@ -26,6 +28,8 @@
         int inFlight,
         double otherRequests,
         long pendingTokensToRead,
+        long ownTokens,
+        double otherTokens,
         boolean suspect,
         boolean sameZone,
         double averageAnswerMs,
--- a/jayhead-routing/src/main/java/io/jayhead/routing/placement/PlacementRequest.java
+++ b/jayhead-routing/src/main/java/io/jayhead/routing/placement/PlacementRequest.java
@@ -7,6 +7,8 @@
  *
  * @param modelRequest whether the request is a generation by a model engine, as opposed to a plain call
  * @param promptTokens the number of tokens of the prompt; 0 for plain calls
+ * @param maxOutputTokens the most tokens that the generation may produce; 0 for plain calls
+ * @param engineMemoryTokens the tokens that one engine of the service has memory for; 0 if unknown
  * @param sharedTokens the number of tokens of the leading prompt parts that other requests share
  * @param affinityKey the key of the shared prompt parts, which determines the preferred engines; empty if no parts are
  *     shared
@@ -17,6 +19,8 @@
 public record PlacementRequest(
         boolean modelRequest,
         int promptTokens,
+        int maxOutputTokens,
+        long engineMemoryTokens,
         int sharedTokens,
         String affinityKey,
         Set<String> partHolders,
--- a/jayhead-routing/src/test/java/io/jayhead/routing/placement/PlacementTest.java
+++ b/jayhead-routing/src/test/java/io/jayhead/routing/placement/PlacementTest.java
@@ -68,7 +68,8 @@
                 .filter(id -> !id.equals(first) && !id.equals(second))
                 .findAny()
                 .get();
-        PlacementRequest request = new PlacementRequest(true, 12_000, 5_000, "hot", Set.of(holder + "@0"), Set.of(), 1);
+        PlacementRequest request =
+                new PlacementRequest(true, 12_000, 0, 0, 5_000, "hot", Set.of(holder + "@0"), Set.of(), 1);
         assertEquals(holder, chosen(engines, request));
         assertEquals(
                 7_000,
@@ -123,7 +124,7 @@
         List<PlacementCandidate> engines = new ArrayList<>(engines(6, 0, 0));
         String first = chosen(engines, generation("part", 1));
         engines.replaceAll(engine -> engine.upstream().id().equals(first)
-                ? new PlacementCandidate(engine.upstream(), 64, 0, 0, 0, false, true, 0, 4, 1)
+                ? new PlacementCandidate(engine.upstream(), 64, 0, 0, 0, 0, 0, false, true, 0, 4, 1)
                 : engine);
         assertFalse(chosen(engines, generation("part", 1)).equals(first));
     }
@@ -132,7 +133,7 @@
     void aGenerationGoesWhereASlotIsFree() {
         ServiceRates rates = ServiceRates.defaults().withStream(2_000, 0);
         List<PlacementCandidate> engines = List.of(loaded("full", 2, 0, 1), loaded("free", 0, 1, 1));
-        PlacementRequest request = new PlacementRequest(true, 600, 0, "", Set.of(), Set.of(), 1);
+        PlacementRequest request = new PlacementRequest(true, 600, 0, 0, 0, "", Set.of(), Set.of(), 1);
         assertEquals("free", chosen(engines, request, rates));
     }
 
@@ -170,11 +171,11 @@
     }
 
     private static PlacementRequest generation(String part, int salt) {
-        return new PlacementRequest(true, 12_000, 5_000, part, Set.of(), Set.of(), salt);
+        return new PlacementRequest(true, 12_000, 0, 0, 5_000, part, Set.of(), Set.of(), salt);
     }
 
     private static PlacementRequest plain(Set<String> excluded) {
-        return new PlacementRequest(false, 0, 0, "", Set.of(), excluded, 1);
+        return new PlacementRequest(false, 0, 0, 0, 0, "", Set.of(), excluded, 1);
     }
 
     private static List<PlacementCandidate> engines(int count, int inFlight, long pendingTokens) {
@@ -187,11 +188,11 @@
 
     private static PlacementCandidate loaded(String id, int inFlight, double otherRequests, double slowdown) {
         Upstream upstream = new Upstream(id, 0, "pool", "10.0.0.1", 80, "z1", false, 2);
-        return new PlacementCandidate(upstream, 2, inFlight, otherRequests, 0, false, true, 0, 1, slowdown);
+        return new PlacementCandidate(upstream, 2, inFlight, otherRequests, 0, 0, 0, false, true, 0, 1, slowdown);
     }
 
     private static PlacementCandidate candidate(String id, int inFlight, long pendingTokens, boolean suspect) {
         Upstream upstream = new Upstream(id, 0, "pool", "10.0.0.1", 80, "z1", false, 64);
-        return new PlacementCandidate(upstream, 64, inFlight, 0, pendingTokens, suspect, true, 0, 1, 1);
+        return new PlacementCandidate(upstream, 64, inFlight, 0, pendingTokens, 0, 0, suspect, true, 0, 1, 1);
     }
 }
