--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/Gateway.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/Gateway.java
@@ -216,5 +216,6 @@
 
     private void sweep() {
         upstreams.sweep(control.snapshot().registry());
+        upstreams.recordLoad(control.snapshot().registry(), metrics);
     }
 }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/metrics/GatewayMetrics.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/metrics/GatewayMetrics.java
@@ -1,5 +1,6 @@
 package io.jayhead.gateway.metrics;
 
+import io.jayhead.admission.overload.ServiceRoom;
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.Histogram;
@@ -53,6 +54,21 @@
             .help("Tokens of budgets at this router, by organisation and state")
             .labelNames("organisation", "state")
             .register(registry);
+    private final Gauge serviceSlots = Gauge.builder()
+            .name("jayhead_service_slots")
+            .help("Requests that the ready upstreams of a service process at the same time, as they report")
+            .labelNames("service")
+            .register(registry);
+    private final Gauge serviceRequests = Gauge.builder()
+            .name("jayhead_service_requests")
+            .help("Requests of all routers at the upstreams of a service, estimated from reports, by state")
+            .labelNames("service", "state")
+            .register(registry);
+    private final Gauge servicePromptTokensPerMs = Gauge.builder()
+            .name("jayhead_service_prompt_tokens_per_ms")
+            .help("Prompt tokens that an upstream of a service reads in a millisecond, learned from its answers")
+            .labelNames("service")
+            .register(registry);
     private final Gauge droppedLines = Gauge.builder()
             .name("jayhead_log_lines_dropped")
             .help("Log lines that were not written")
@@ -132,6 +148,20 @@
         budgetTokens.labelValues(organisation, "consumed").set(consumedTokens);
     }
 
+    /**
+     * Records the load and speed of a service.
+     *
+     * @param service the name of the service
+     * @param room the places of its upstreams
+     * @param promptTokensPerMs the prompt tokens that one upstream reads in a millisecond
+     */
+    public void serviceLoad(String service, ServiceRoom room, double promptTokensPerMs) {
+        serviceSlots.labelValues(service).set(room.slots());
+        serviceRequests.labelValues(service, "running").set(room.running());
+        serviceRequests.labelValues(service, "waiting").set(room.waiting());
+        servicePromptTokensPerMs.labelValues(service).set(promptTokensPerMs);
+    }
+
     /**
      * Writes all metrics in the Prometheus text format.
      *
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamTable.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamTable.java
@@ -1,6 +1,7 @@
 package io.jayhead.gateway.upstream;
 
 import io.jayhead.admission.overload.ServiceRoom;
+import io.jayhead.gateway.metrics.GatewayMetrics;
 import io.jayhead.gateway.wire.WireDialect;
 import io.jayhead.routing.placement.PlacementCandidate;
 import io.jayhead.routing.placement.ServiceRates;
@@ -127,6 +128,21 @@
         return observationsByService.computeIfAbsent(service, name -> new ServiceObservations());
     }
 
+    /**
+     * Records the load and speed of the services whose upstreams report both.
+     *
+     * @param registry the current registry
+     * @param metrics receives them
+     */
+    public void recordLoad(UpstreamRegistry registry, GatewayMetrics metrics) {
+        observationsByService.forEach((service, observations) -> {
+            if (observations.load().reportsSlowdown()) {
+                metrics.serviceLoad(
+                        service, room(registry, service), observations.rates().promptTokensPerMs());
+            }
+        });
+    }
+
     /**
      * Closes idle connections that have expired or whose upstream is draining or no longer listed, and forgets
      * upstreams that are no longer in use.
--- a/jayhead-routing/src/main/java/io/jayhead/routing/placement/ServiceRates.java
+++ b/jayhead-routing/src/main/java/io/jayhead/routing/placement/ServiceRates.java
@@ -92,6 +92,15 @@
         return firstEvent.msPerThousandTokens() * tokens / THOUSAND;
     }
 
+    /**
+     * Returns the speed at which an engine reads prompts.
+     *
+     * @return the tokens in a millisecond
+     */
+    public double promptTokensPerMs() {
+        return THOUSAND / firstEvent.msPerThousandTokens();
+    }
+
     /**
      * Estimates the time for which a generation waits for a slot.
      *
