--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamAttempt.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamAttempt.java
@@ -6,6 +6,7 @@
 import io.jayhead.gateway.upstream.UpstreamConnection;
 import io.jayhead.gateway.upstream.UpstreamHandle;
 import io.jayhead.gateway.wire.AnswerMetadata;
+import io.jayhead.routing.placement.ExpectedWork;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
@@ -26,6 +27,7 @@
     private final String requestId;
     private final UpstreamHandle upstream;
     private final long tokensToRead;
+    private final long memoryTokens;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private UpstreamConnection connection;
     private HttpResponse head;
@@ -36,17 +38,18 @@
     private boolean streaming;
     private long placedAtNs;
     private long sentAtNs;
-    private double expectedFirstEventMs;
+    private ExpectedWork expectedWork;
     private boolean firstEventSeen;
     private boolean promptAnswered;
     private boolean silenceReported;
     private int earlierRequests;
 
-    UpstreamAttempt(Exchange exchange, String requestId, UpstreamHandle upstream, long tokensToRead) {
+    UpstreamAttempt(Exchange exchange, String requestId, SelectedUpstream selected) {
         this.exchange = exchange;
         this.requestId = requestId;
-        this.upstream = upstream;
-        this.tokensToRead = tokensToRead;
+        this.upstream = selected.upstream();
+        this.tokensToRead = selected.tokensToRead();
+        this.memoryTokens = selected.memoryTokens();
     }
 
     UpstreamHandle upstream() {
@@ -82,7 +85,7 @@
 
     void start(int maxConnections) {
         placedAtNs = System.nanoTime();
-        upstream.started(tokensToRead);
+        upstream.started(tokensToRead, memoryTokens);
         promptPending = true;
         upstream.acquire(maxConnections, this);
     }
@@ -108,7 +111,7 @@
         earlierRequests = acquired.requests();
         sent = true;
         sentAtNs = System.nanoTime();
-        expectedFirstEventMs = upstream.expectedFirstEventMs();
+        expectedWork = upstream.expectedWork();
         exchange.send(this, acquired);
     }
 
@@ -132,7 +135,7 @@
     public void head(HttpResponse answer, AnswerMetadata answerMetadata) {
         head = answer;
         metadata = answerMetadata;
-        metadata.load().ifPresent(upstream::loadReported);
+        upstream.loadReported(metadata.load());
         if (isSuccess() && !isGenuine()) {
             giveUp("answer without a request id or a seal, or with an encoded body");
             return;
@@ -191,7 +194,9 @@
             broken("stream ended inside an event");
             return;
         }
-        if (!streaming) {
+        if (streaming) {
+            upstream.streamEnded(msSinceSent());
+        } else {
             upstream.answered(msSinceSent());
             exchange.recordAnswerTime(msSinceSent());
         }
@@ -281,7 +286,7 @@
     private void recordFirstEvent() {
         if (!firstEventSeen) {
             firstEventSeen = true;
-            upstream.firstEvent(msSinceSent(), expectedFirstEventMs);
+            upstream.firstEvent(msSinceSent(), expectedWork);
             exchange.recordAnswerTime(msSinceSent());
         }
     }
@@ -309,6 +314,6 @@
         ended = true;
         exchange.buffers().release(body.size());
         promptRead();
-        upstream.ended();
+        upstream.ended(memoryTokens);
     }
 }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamSelector.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamSelector.java
@@ -31,16 +31,22 @@
         if (snapshot.quarantine().blocks(admitted.metadata().sharedPartIds())) {
             return Either.left(Refusal.PROMPT_BLOCKED);
         }
-        List<PlacementCandidate> candidates = context.filter()
-                .apply(context.upstreams()
-                        .candidates(snapshot.registry(), admitted.service().name()));
-        Optional<PlacementChoice> chosen = Placement.choose(candidates, forwarded.placement(triedIncarnations));
+        String service = admitted.service().name();
+        List<PlacementCandidate> candidates =
+                context.filter().apply(context.upstreams().candidates(snapshot.registry(), service));
+        Set<String> partHolders = context.upstreams().partHolders(service, forwarded.affinityKey());
+        Optional<PlacementChoice> chosen = Placement.choose(
+                candidates,
+                forwarded.placement(partHolders, triedIncarnations),
+                context.upstreams().rates(service));
         if (chosen.isEmpty()) {
             return Either.left(Refusal.NO_UPSTREAM);
         }
         UpstreamHandle upstream =
                 context.upstreams().handle(chosen.get().candidate().upstream());
+        context.upstreams().partSent(upstream.upstream(), forwarded.affinityKey());
         triedIncarnations.add(upstream.upstream().incarnation());
-        return Either.right(new SelectedUpstream(upstream, chosen.get().tokensToRead()));
+        return Either.right(new SelectedUpstream(
+                upstream, chosen.get().tokensToRead(), chosen.get().memoryTokens()));
     }
 }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamHandle.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamHandle.java
@@ -1,6 +1,9 @@
 package io.jayhead.gateway.upstream;
 
+import io.jayhead.gateway.upstream.RoomEstimate.UpstreamRoom;
+import io.jayhead.routing.placement.ExpectedWork;
 import io.jayhead.routing.placement.PlacementCandidate;
+import io.jayhead.routing.placement.ReportedLoad;
 import io.jayhead.routing.registry.Upstream;
 
 /**
@@ -17,13 +20,14 @@
     /** The severity of a rejected request; it is low because the upstream works, but is full. */
     private static final double REJECTION_SEVERITY = 0.3;
 
-    private final UpstreamLoad load = new UpstreamLoad();
+    private final UpstreamLoad load;
     private final UpstreamConnectionPool pool;
     private final boolean sameZone;
     private Upstream upstream;
 
-    UpstreamHandle(Upstream upstream, UpstreamConnectionPool pool, boolean sameZone) {
+    UpstreamHandle(Upstream upstream, UpstreamConnectionPool pool, boolean sameZone, ServiceObservations observations) {
         this.upstream = upstream;
+        this.load = new UpstreamLoad(observations);
         this.pool = pool;
         this.sameZone = sameZone;
     }
@@ -60,9 +64,10 @@
      * Counts a request that is being sent.
      *
      * @param tokensToRead the prompt tokens that the upstream has to process before its first event
+     * @param memoryTokens the tokens that the request takes at most in the memory of the upstream
      */
-    public void started(long tokensToRead) {
-        load.started(tokensToRead);
+    public void started(long tokensToRead, long memoryTokens) {
+        load.started(tokensToRead, memoryTokens, System.nanoTime());
     }
 
     /**
@@ -74,9 +79,13 @@
         load.promptRead(tokensToRead);
     }
 
-    /** Counts a request that has ended. */
-    public void ended() {
-        load.ended();
+    /**
+     * Counts a request that has ended.
+     *
+     * @param memoryTokens the tokens that were counted when the request was started
+     */
+    public void ended(long memoryTokens) {
+        load.ended(memoryTokens);
     }
 
     /**
@@ -89,22 +98,31 @@
     }
 
     /**
-     * Estimates the time to the first event for a request that has just been started.
+     * Records the end of a stream that was answered in full.
+     *
+     * @param streamMs the time in milliseconds from sending the request to the end of the answer
+     */
+    public void streamEnded(double streamMs) {
+        load.streamEnded(streamMs, System.nanoTime());
+    }
+
+    /**
+     * Returns the work before the upstream when a request has just been started there.
      *
-     * @return the time in milliseconds for an engine of normal speed
+     * @return the work, with the expected time to the first event
      */
-    public double expectedFirstEventMs() {
-        return load.expectedFirstEventMs();
+    public ExpectedWork expectedWork() {
+        return load.expectedWork(upstream, System.nanoTime());
     }
 
     /**
      * Records the first event of a stream.
      *
      * @param measuredMs the time in milliseconds from sending the request to the first event
-     * @param expectedMs the time in milliseconds that was expected when the request was sent
+     * @param work the work before the upstream when the request was sent
      */
-    public void firstEvent(double measuredMs, double expectedMs) {
-        load.firstEvent(measuredMs, expectedMs, System.nanoTime());
+    public void firstEvent(double measuredMs, ExpectedWork work) {
+        load.firstEvent(measuredMs, work, System.nanoTime());
     }
 
     /** Records a failure that the upstream reported. */
@@ -129,18 +147,22 @@
     }
 
     /**
-     * Records the load that the upstream reports.
+     * Records the load that the upstream reports with an answer, also with one that rejects the request.
      *
-     * @param requests the running and waiting requests of all routers at the upstream
+     * @param reported the load; ignored if it has no figures
      */
-    public void loadReported(int requests) {
-        load.loadReported(requests, System.nanoTime());
+    public void loadReported(ReportedLoad reported) {
+        load.loadReported(reported, System.nanoTime());
     }
 
     PlacementCandidate candidate(long nowNs) {
         return load.candidate(upstream, sameZone, nowNs);
     }
 
+    UpstreamRoom room(long nowNs) {
+        return load.room(upstream, nowNs);
+    }
+
     UpstreamConnectionPool pool() {
         return pool;
     }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamTable.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamTable.java
@@ -1,13 +1,17 @@
 package io.jayhead.gateway.upstream;
 
+import io.jayhead.admission.overload.ServiceRoom;
+import io.jayhead.gateway.metrics.GatewayMetrics;
 import io.jayhead.gateway.wire.WireDialect;
 import io.jayhead.routing.placement.PlacementCandidate;
+import io.jayhead.routing.placement.ServiceRates;
 import io.jayhead.routing.registry.Upstream;
 import io.jayhead.routing.registry.UpstreamRegistry;
 import io.netty.channel.EventLoop;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Holds a handle for every incarnation of an upstream that this router uses or still has connections to; used by the
@@ -15,11 +19,14 @@
  */
 public final class UpstreamTable {
 
+    private static final long NS_PER_MS = 1_000_000;
+
     private final EventLoop loop;
     private final WireDialect dialect;
     private final String availabilityZone;
     private final ConnectionListener listener;
     private final Map<String, UpstreamHandle> handles = new HashMap<>();
+    private final Map<String, ServiceObservations> observationsByService = new HashMap<>();
 
     /**
      * Creates an empty table.
@@ -62,11 +69,80 @@
                 incarnation -> new UpstreamHandle(
                         upstream,
                         new UpstreamConnectionPool(upstream, loop, dialect, listener),
-                        upstream.availabilityZone().equals(availabilityZone)));
+                        upstream.availabilityZone().equals(availabilityZone),
+                        observations(upstream.service())));
         handle.update(upstream);
         return handle;
     }
 
+    /**
+     * Returns the places of the ready upstreams of a service, from their reports and the requests of this router.
+     *
+     * @param registry the current registry
+     * @param service the name of the service
+     * @return the room; unknown if no upstream is ready
+     */
+    public ServiceRoom room(UpstreamRegistry registry, String service) {
+        long nowNs = System.nanoTime();
+        return RoomEstimate.of(registry.ready(service).stream()
+                .map(upstream -> handle(upstream).room(nowNs))
+                .toList());
+    }
+
+    /**
+     * Returns how fast the upstreams of a service work.
+     *
+     * @param service the name of the service
+     * @return the rates learned by this router, or the defaults
+     */
+    public ServiceRates rates(String service) {
+        return observations(service).rates();
+    }
+
+    /**
+     * Returns the upstreams that probably hold the shared parts of a prompt.
+     *
+     * @param service the name of the service
+     * @param affinityKey the key of the parts
+     * @return the incarnations; empty for a service whose rates are not learned
+     */
+    public Set<String> partHolders(String service, String affinityKey) {
+        return observations(service).partHolders(affinityKey, nowMs());
+    }
+
+    /**
+     * Records that a request with shared parts is sent to an upstream.
+     *
+     * @param upstream the upstream
+     * @param affinityKey the key of the parts; ignored if empty
+     */
+    public void partSent(Upstream upstream, String affinityKey) {
+        observations(upstream.service()).partSent(affinityKey, upstream.incarnation(), nowMs());
+    }
+
+    private static long nowMs() {
+        return System.nanoTime() / NS_PER_MS;
+    }
+
+    private ServiceObservations observations(String service) {
+        return observationsByService.computeIfAbsent(service, name -> new ServiceObservations());
+    }
+
+    /**
+     * Records the load and speed of the services whose upstreams report both.
+     *
+     * @param registry the current registry
+     * @param metrics receives them
+     */
+    public void recordLoad(UpstreamRegistry registry, GatewayMetrics metrics) {
+        observationsByService.forEach((service, observations) -> {
+            if (observations.load().reportsSlowdown()) {
+                metrics.serviceLoad(
+                        service, room(registry, service), observations.rates().promptTokensPerMs());
+            }
+        });
+    }
+
     /**
      * Closes idle connections that have expired or whose upstream is draining or no longer listed, and forgets
      * upstreams that are no longer in use.
