Order waiting requests by rank, slack and work; judge lateness by route

Cause: each router had one limit for all kinds of requests of a service, learned from the mean lateness of all of them, and a queue that filled with what came first. The most urgent kind was served worst. Change: the limit judges each route against its own objective; its decrease spares what more urgent requests use. Places are kept for the recent demand of more urgent ranks. Waiting requests are ordered by rank, by whether the objective can be met, and by the latest start moved by the work; better work displaces them. Retry-After follows the time in which places become free.

--- a/jayhead-admission/src/main/java/io/jayhead/admission/overload/AdaptiveLimit.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/overload/AdaptiveLimit.java
@@ -1,5 +1,8 @@
 package io.jayhead.admission.overload;
 
+import java.util.HashMap;
+import java.util.Map;
+
 /**
  * Limits the requests that a router has in flight at one service, and learns the limit from how late their answers are;
  * immutable.
@@ -12,11 +15,14 @@
  * Decrease Algorithms for Congestion Avoidance in Computer Networks", Computer Networks and ISDN Systems 17(1), 1989.
  * There is no limit until answers are late for the first time.
  *
+ * <p>Answers are judged by route, each against its own objective, so that the fast answers of one route do not hide
+ * the late ones of another.
+ *
  * @param requests the requests that may be in flight; infinite without a limit
- * @param lateness the moving average of answer times, as multiples of their objectives
+ * @param lateness the recent lateness by route
  * @param decreasedAtMs the time of the last decrease
  */
-public record AdaptiveLimit(double requests, double lateness, long decreasedAtMs) {
+public record AdaptiveLimit(double requests, Map<String, Lateness> lateness, long decreasedAtMs) {
 
     /** Answers later than their objective on average lower the limit. */
     private static final double HIGH_LATENESS = 1.0;
@@ -40,6 +46,13 @@
 
     /** Below 1 because in a large fleet the fair share of a router may be less than one request. */
     private static final double MIN_REQUESTS = 0.1;
+    /** The lateness of a route says nothing about the present this long after its last answer. */
+    private static final long LATENESS_MAX_AGE_MS = 2_000;
+
+    /** Makes a defensive copy of the lateness. */
+    public AdaptiveLimit {
+        lateness = Map.copyOf(lateness);
+    }
 
     /**
      * Returns a limit that admits all requests until answers are late.
@@ -47,48 +60,74 @@
      * @return the limit
      */
     public static AdaptiveLimit none() {
-        return new AdaptiveLimit(Double.POSITIVE_INFINITY, 0, 0);
+        return new AdaptiveLimit(Double.POSITIVE_INFINITY, Map.of(), 0);
     }
 
     /**
      * Tells whether another request may be sent. The fraction of the limit is the probability that one request more is
      * admitted, so that limits of a few requests can be learned as finely as large ones.
      *
-     * @param inFlight the requests in flight
+     * @param inFlight the requests in flight, and the places that are reserved
      * @param draw a random number from 0, inclusive, to 1, exclusive
      * @return true below the limit
      */
-    public boolean admits(int inFlight, double draw) {
+    public boolean admits(double inFlight, double draw) {
         return inFlight + draw < requests;
     }
 
+    /**
+     * Tells whether answers have been late.
+     *
+     * @return false if there is no limit
+     */
+    public boolean isLimited() {
+        return requests < Double.POSITIVE_INFINITY;
+    }
+
     /**
      * Records an answer, the first event of a stream, or a request that was given up without either.
      *
-     * @param answerMs the time since the request was sent
-     * @param objectiveMs the objective for this time; requests without one change nothing
-     * @param inFlight the requests in flight, including this one
+     * @param answer the answer; one without an objective changes nothing
+     * @param usage the requests in flight
      * @param nowMs the current time
      * @return the new limit
      */
-    public AdaptiveLimit answered(double answerMs, int objectiveMs, int inFlight, long nowMs) {
-        if (objectiveMs <= 0) {
+    public AdaptiveLimit answered(TimedAnswer answer, LimitUsage usage, long nowMs) {
+        if (answer.objectiveMs() <= 0) {
             return this;
         }
-        double newest = Math.min(MAX_LATENESS, answerMs / objectiveMs);
-        double average = lateness + NEWEST_WEIGHT * (newest - lateness);
+        double newest = Math.min(MAX_LATENESS, answer.answerMs() / answer.objectiveMs());
+        double average = average(answer.route(), newest);
+        Map<String, Lateness> nextLateness = new HashMap<>(lateness);
+        nextLateness.put(answer.route(), new Lateness(average, nowMs));
         // The answers to requests that were sent before the last decrease do not show its effect.
-        boolean sentAfterDecrease = nowMs - answerMs >= decreasedAtMs;
+        boolean sentAfterDecrease = nowMs - answer.answerMs() >= decreasedAtMs;
         if (average > HIGH_LATENESS && newest > HIGH_LATENESS && sentAfterDecrease) {
             double factor = Math.max(MIN_DECREASE_FACTOR, TARGET_LATENESS / average);
-            double decreased = Math.max(MIN_REQUESTS, factor * Math.min(requests, inFlight));
-            return new AdaptiveLimit(decreased, average, nowMs);
+            return new AdaptiveLimit(decreased(factor, usage), nextLateness, nowMs);
         }
-        boolean inUse = inFlight >= requests * USED_SHARE;
-        if (average < LOW_LATENESS && inUse) {
+        boolean inUse = usage.inFlight() + usage.reserved() >= requests * USED_SHARE;
+        if (average < LOW_LATENESS && inUse && !isAnyLate(nextLateness, nowMs)) {
             double increase = Math.min(INCREASE_PER_ROUND / requests, MAX_INCREASE_SHARE * requests);
-            return new AdaptiveLimit(requests + increase, average, decreasedAtMs);
+            return new AdaptiveLimit(requests + increase, nextLateness, decreasedAtMs);
         }
-        return new AdaptiveLimit(requests, average, decreasedAtMs);
+        return new AdaptiveLimit(requests, nextLateness, decreasedAtMs);
+    }
+
+    private double average(String route, double newest) {
+        double previous = lateness.getOrDefault(route, Lateness.NONE).average();
+        return previous + NEWEST_WEIGHT * (newest - previous);
+    }
+
+    /** Lowers the part of the limit that is not used by more urgent requests than the late one. */
+    private double decreased(double factor, LimitUsage usage) {
+        double used = Math.min(requests, usage.inFlight());
+        double kept = Math.min(used, usage.moreUrgentInFlight());
+        return Math.max(MIN_REQUESTS, kept + factor * (used - kept));
+    }
+
+    private static boolean isAnyLate(Map<String, Lateness> lateness, long nowMs) {
+        return lateness.values().stream()
+                .anyMatch(route -> route.average() > HIGH_LATENESS && nowMs - route.atMs() < LATENESS_MAX_AGE_MS);
     }
 }
--- /dev/null
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/overload/TimedAnswer.java
@@ -0,0 +1,10 @@
+package io.jayhead.admission.overload;
+
+/**
+ * An answer, the first event of a stream, or a request that was given up without either.
+ *
+ * @param route the name of the route
+ * @param answerMs the time since the request was sent
+ * @param objectiveMs the objective for this time; 0 without one
+ */
+public record TimedAnswer(String route, double answerMs, int objectiveMs) {}
--- /dev/null
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/room/OrganisationLoad.java
@@ -0,0 +1,71 @@
+package io.jayhead.admission.room;
+
+import io.jayhead.model.OrganisationName;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Compares the recent requests of each organisation with its usual ones; immutable.
+ *
+ * <p>It answers the load pattern in which one organisation sends many times its usual load: what lies beyond gives way
+ * to the requests of all others. Large organisations at their usual load are not affected.
+ */
+final class OrganisationLoad {
+
+    private static final long RECENT_HALF_LIFE_MS = 2_000;
+    private static final long USUAL_HALF_LIFE_MS = 60_000;
+    /** The recent requests, as a multiple of the usual ones, from which an organisation exceeds its usual load. */
+    private static final double EXCESS_FACTOR = 2.5;
+    /** Allows the random bursts of organisations with few requests. */
+    private static final double ALLOWED_BURST = 5;
+    /** The usual load is not known before this time. */
+    private static final long LEARNING_MS = 5_000;
+
+    private final Map<OrganisationName, Load> loads;
+    private final long sinceMs;
+
+    private OrganisationLoad(Map<OrganisationName, Load> loads, long sinceMs) {
+        this.loads = loads;
+        this.sinceMs = sinceMs;
+    }
+
+    static OrganisationLoad empty() {
+        return new OrganisationLoad(Map.of(), 0);
+    }
+
+    OrganisationLoad arrived(OrganisationName organisation, long nowMs) {
+        Map<OrganisationName, Load> next = new HashMap<>(loads);
+        next.put(organisation, load(organisation).plusOne(nowMs));
+        return new OrganisationLoad(next, sinceMs == 0 ? nowMs : sinceMs);
+    }
+
+    boolean exceedsUsual(OrganisationName organisation, long nowMs) {
+        if (nowMs - sinceMs < LEARNING_MS) {
+            return false;
+        }
+        Load load = load(organisation);
+        double recent = load.recent().at(nowMs, RECENT_HALF_LIFE_MS);
+        double expected = load.usual().ratePerMs(nowMs, USUAL_HALF_LIFE_MS)
+                / observedShare(nowMs)
+                * (RECENT_HALF_LIFE_MS / Math.log(2));
+        return recent > ALLOWED_BURST + EXCESS_FACTOR * expected;
+    }
+
+    /** Returns the share of its final weight that a count has reached since the first request. */
+    private double observedShare(long nowMs) {
+        return 1 - Math.pow(0.5, (nowMs - sinceMs) / (double) USUAL_HALF_LIFE_MS);
+    }
+
+    private Load load(OrganisationName organisation) {
+        return loads.getOrDefault(organisation, Load.NONE);
+    }
+
+    private record Load(DecayedCount recent, DecayedCount usual) {
+
+        static final Load NONE = new Load(DecayedCount.ZERO, DecayedCount.ZERO);
+
+        Load plusOne(long nowMs) {
+            return new Load(recent.plusOne(nowMs, RECENT_HALF_LIFE_MS), usual.plusOne(nowMs, USUAL_HALF_LIFE_MS));
+        }
+    }
+}
--- /dev/null
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/room/ServiceAdmission.java
@@ -0,0 +1,278 @@
+package io.jayhead.admission.room;
+
+import io.jayhead.admission.overload.AdaptiveLimit;
+import io.jayhead.admission.overload.LimitUsage;
+import io.jayhead.admission.overload.ServiceRoom;
+import io.jayhead.admission.overload.TimedAnswer;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * Decides which requests of one service a router sends, keeps waiting or turns away; immutable.
+ *
+ * <p>It answers the load pattern in which requests of several ranks, sizes and objectives together need more room than
+ * the upstreams have: a burst of one route, the loss of upstreams, or one organisation at many times its usual load.
+ * What is delayed or turned away is what costs callers least: the order is by rank, then by whether the objective can
+ * still be met, then by the latest start that meets it, moved by the work that the request needs. Every arrival revises
+ * the decisions on those that wait. There is no limit, and nothing waits, until answers are late.
+ *
+ * @param limit the learned limit of the requests in flight
+ * @param shares the demand and the requests in flight by rank
+ * @param load the recent and usual load of the organisations
+ * @param waiting the waiting requests
+ * @param answers the mean answer times by route and the mean work
+ * @param returns the expected returns of callers that were turned away
+ * @param overload the age of the present overload
+ */
+public record ServiceAdmission(
+        AdaptiveLimit limit,
+        RankShares shares,
+        OrganisationLoad load,
+        List<WaitingRequest> waiting,
+        RouteAnswers answers,
+        ReturnSchedule returns,
+        OverloadAge overload) {
+
+    private static final int MAX_WAITING = 64;
+    /** A waiting request is displaced when its expected wait exceeds what it may still wait by this factor. */
+    private static final double DISPLACEMENT_FACTOR = 2;
+    /** The part of the capacity of its rank that a request gets while others of the rank can still be in time. */
+    private static final double LATE_SHARE = 0.25;
+    /** The reports of upstreams are believed when this share of the places is covered by recent ones. */
+    private static final double MIN_REPORTED_SHARE = 0.5;
+
+    private static final double FREE_SHARE = 0.5;
+
+    /** Makes a defensive copy of the waiting requests. */
+    public ServiceAdmission {
+        waiting = List.copyOf(waiting);
+    }
+
+    /**
+     * Returns the state of a service that has had no requests.
+     *
+     * @return a state without a limit
+     */
+    public static ServiceAdmission empty() {
+        return new ServiceAdmission(
+                AdaptiveLimit.none(),
+                RankShares.empty(),
+                OrganisationLoad.empty(),
+                List.of(),
+                RouteAnswers.EMPTY,
+                ReturnSchedule.EMPTY,
+                OverloadAge.NONE);
+    }
+
+    /**
+     * Takes a new request.
+     *
+     * @param request the request
+     * @param now the circumstances of the decision
+     * @return the decisions; the request waits if there is none about it
+     */
+    public RoomStep arrived(RoomRequest request, RoomCircumstances now) {
+        OrganisationLoad nextLoad = load.arrived(request.organisation(), now.atMs());
+        boolean excess = nextLoad.exceedsUsual(request.organisation(), now.atMs());
+        int rank = excess ? RankShares.EXCESS_RANK : request.rank();
+        RouteAnswers nextAnswers = answers.arrived(request.work());
+        WaitingRequest newest =
+                WaitingRequest.of(request, rank, nextAnswers.meanMs(request.route()), nextAnswers.meanWork());
+        List<WaitingRequest> all = new ArrayList<>(waiting);
+        all.add(newest);
+        ServiceAdmission next = new ServiceAdmission(
+                limit, shares.arrived(rank, now.atMs()), nextLoad, all, nextAnswers, returns, overload);
+        RoomStep admitted = next.admitWaiting(now);
+        return admitted.next().waiting.contains(newest) ? admitted.next().revise(newest, admitted, now) : admitted;
+    }
+
+    /**
+     * Ends an admitted request.
+     *
+     * @param admitted the verdict that admitted it
+     * @param heldMs the time since then
+     * @param now the circumstances of the decision
+     * @return the decisions on waiting requests
+     */
+    public RoomStep left(RoomVerdict admitted, double heldMs, RoomCircumstances now) {
+        return with(waiting, shares.left(admitted.rank(), heldMs)).admitWaiting(now);
+    }
+
+    /**
+     * Turns away the requests that have waited for as long as they may.
+     *
+     * @param now the circumstances of the decision
+     * @return the decisions on waiting requests
+     */
+    public RoomStep timePassed(RoomCircumstances now) {
+        ServiceAdmission next = this;
+        List<RoomVerdict> verdicts = new ArrayList<>();
+        for (WaitingRequest candidate : waiting) {
+            if (candidate.request().expiresAtMs() <= now.atMs()) {
+                next = next.turnAway(candidate, RoomDecision.DISPLACED, RoomReason.EXPIRED, now, verdicts);
+            }
+        }
+        return new RoomStep(next, verdicts);
+    }
+
+    /**
+     * Removes a waiting request whose caller has left.
+     *
+     * @param id its id
+     * @return the new state
+     */
+    public ServiceAdmission cancelled(String id) {
+        return with(
+                waiting.stream()
+                        .filter(candidate -> !candidate.request().id().equals(id))
+                        .toList(),
+                shares);
+    }
+
+    /**
+     * Records when an admitted request was answered.
+     *
+     * @param admitted the verdict that admitted it
+     * @param answerMs the time from sending it to its answer, to the first event, or to the time when it was given up
+     * @param nowMs the time
+     * @return the new state
+     */
+    public ServiceAdmission answered(RoomVerdict admitted, double answerMs, long nowMs) {
+        RoomRequest request = admitted.request();
+        TimedAnswer answer = new TimedAnswer(request.route(), answerMs, request.objectiveMs());
+        LimitUsage usage = new LimitUsage(
+                shares.inFlight(),
+                shares.inFlightBefore(admitted.rank()),
+                shares.reservedBefore(RankShares.EXCESS_RANK, nowMs));
+        return new ServiceAdmission(
+                limit.answered(answer, usage, nowMs),
+                shares,
+                load,
+                waiting,
+                answers.answered(request.route(), answerMs),
+                returns,
+                overload);
+    }
+
+    /** Admits waiting requests in order; one that is not admitted blocks the others of its rank. */
+    private RoomStep admitWaiting(RoomCircumstances now) {
+        ServiceAdmission next = this;
+        List<RoomVerdict> verdicts = new ArrayList<>();
+        Set<Integer> blockedRanks = new HashSet<>();
+        for (WaitingRequest candidate : inOrder(now.atMs())) {
+            if (blockedRanks.contains(candidate.rank())) {
+                continue;
+            }
+            boolean belowLimit = next.shares.admits(candidate.rank(), limit, now.atMs(), now.draw());
+            if (!belowLimit && !isRoomReported(now.room())) {
+                blockedRanks.add(candidate.rank());
+                continue;
+            }
+            RoomReason reason = belowLimit ? RoomReason.BELOW_LIMIT : RoomReason.ROOM_REPORTED;
+            verdicts.add(next.verdict(candidate, RoomDecision.ADMITTED, reason, 0, now.atMs()));
+            next = next.with(without(next.waiting, candidate), next.shares.admitted(candidate.rank()));
+        }
+        return new RoomStep(next, verdicts);
+    }
+
+    /** Turns the newest request away if it would wait for too long, and else those that it delays too much. */
+    private RoomStep revise(WaitingRequest newest, RoomStep admitted, RoomCircumstances now) {
+        List<RoomVerdict> verdicts = new ArrayList<>(admitted.verdicts());
+        List<WaitingRequest> ordered = inOrder(now.atMs());
+        int newestIndex = ordered.indexOf(newest);
+        double waitMs = expectedWaitMs(newest, newestIndex, now.atMs());
+        if (waitMs > newest.request().expiresAtMs() - now.atMs()) {
+            return refuse(newest, RoomReason.WAIT_TOO_LONG, now, verdicts);
+        }
+        if (now.atMs() + waitMs + answers.meanMs(newest.request().route())
+                > newest.request().deadlineAtMs()) {
+            return refuse(newest, RoomReason.DEADLINE_CANNOT_BE_MET, now, verdicts);
+        }
+        if (newestIndex >= MAX_WAITING) {
+            return refuse(newest, RoomReason.PLACES_TAKEN, now, verdicts);
+        }
+        ServiceAdmission next = this;
+        for (int index = newestIndex + 1; index < ordered.size(); index++) {
+            WaitingRequest delayed = ordered.get(index);
+            double leftMs = delayed.request().expiresAtMs() - now.atMs();
+            if (index >= MAX_WAITING) {
+                next = next.turnAway(delayed, RoomDecision.DISPLACED, RoomReason.PLACES_TAKEN, now, verdicts);
+            } else if (expectedWaitMs(delayed, index, now.atMs()) > DISPLACEMENT_FACTOR * leftMs) {
+                next = next.turnAway(delayed, RoomDecision.DISPLACED, RoomReason.WAIT_TOO_LONG, now, verdicts);
+            }
+        }
+        return new RoomStep(next, verdicts);
+    }
+
+    private RoomStep refuse(
+            WaitingRequest request, RoomReason reason, RoomCircumstances now, List<RoomVerdict> verdicts) {
+        ServiceAdmission next = turnAway(request, RoomDecision.REFUSED, reason, now, verdicts);
+        return new RoomStep(next, verdicts);
+    }
+
+    private ServiceAdmission turnAway(
+            WaitingRequest request,
+            RoomDecision decision,
+            RoomReason reason,
+            RoomCircumstances now,
+            List<RoomVerdict> verdicts) {
+        long nowMs = now.atMs();
+        double spacingMs = placeMs(request, nowMs);
+        ReturnSchedule booked = returns.book(nowMs, spacingMs, spacingMs);
+        long roomInMs = (long) Math.max(0, booked.bookedUntilMs() - nowMs);
+        OverloadAge nextOverload = overload.turnedAway(nowMs);
+        verdicts.add(verdict(request, decision, reason, roomInMs, nowMs));
+        return new ServiceAdmission(limit, shares, load, without(waiting, request), answers, booked, nextOverload);
+    }
+
+    private RoomVerdict verdict(
+            WaitingRequest request, RoomDecision decision, RoomReason reason, long roomInMs, long nowMs) {
+        return new RoomVerdict(
+                request.request(),
+                request.rank(),
+                decision,
+                reason,
+                (long) request.latestStartMs() - nowMs,
+                roomInMs,
+                answers.meanMs(request.request().route()));
+    }
+
+    /** Returns the time until a request starts that has a number of others before it. */
+    private double expectedWaitMs(WaitingRequest request, int ahead, long nowMs) {
+        if (shares.inFlight() == 0) {
+            // No request will leave and make room.
+            return Double.POSITIVE_INFINITY;
+        }
+        return (ahead + 1) * placeMs(request, nowMs);
+    }
+
+    /** Returns the mean time in which one place becomes free for a request of this rank. */
+    private double placeMs(WaitingRequest request, long nowMs) {
+        double share = request.isLate(nowMs) ? LATE_SHARE : 1;
+        double capacity = share * shares.capacity(request.rank(), limit.requests(), nowMs);
+        double holdMs = shares.holdMs(nowMs);
+        double knownHoldMs = holdMs == 0 ? request.request().objectiveMs() : holdMs;
+        return knownHoldMs / capacity;
+    }
+
+    private List<WaitingRequest> inOrder(long nowMs) {
+        return waiting.stream().sorted(WaitingRequest.order(nowMs)).toList();
+    }
+
+    private ServiceAdmission with(List<WaitingRequest> nextWaiting, RankShares nextShares) {
+        return new ServiceAdmission(limit, nextShares, load, nextWaiting, answers, returns, overload);
+    }
+
+    private static List<WaitingRequest> without(List<WaitingRequest> requests, WaitingRequest removed) {
+        return requests.stream().filter(request -> request != removed).toList();
+    }
+
+    /** Tells whether most places of the upstreams are free, as far as their reports can be believed. */
+    private static boolean isRoomReported(ServiceRoom room) {
+        return room.reportedShare() >= MIN_REPORTED_SHARE
+                && room.running() < FREE_SHARE * room.slots()
+                && room.waiting() < 1;
+    }
+}
--- a/jayhead-admission/src/test/java/io/jayhead/admission/overload/AdaptiveLimitTest.java
+++ b/jayhead-admission/src/test/java/io/jayhead/admission/overload/AdaptiveLimitTest.java
@@ -17,6 +17,8 @@
     /** The share of the ideal that must be served in time under overload. */
     private static final double GOODPUT_SHARE = 0.8;
 
+    private static final LimitUsage USAGE = new LimitUsage(10, 0, 0);
+
     @Test
     void goodputStaysLevelFromOnceToFourTimesTheCapacity() {
         for (int routers : FLEET_SIZES) {
@@ -45,9 +47,9 @@
     void oneSlowAnswerDoesNotLowerTheLimit() {
         AdaptiveLimit limit = AdaptiveLimit.none();
         for (int index = 0; index < 20; index++) {
-            limit = limit.answered(100, 400, 10, index * 10L);
+            limit = limit.answered(answer(100, 400), USAGE, index * 10L);
         }
-        limit = limit.answered(30_000, 400, 10, 40_000);
+        limit = limit.answered(answer(30_000, 400), USAGE, 40_000);
         assertTrue(limit.admits(1_000, 0.5));
     }
 
@@ -55,8 +57,33 @@
     void aRouteWithoutAnObjectiveIsNotLimited() {
         AdaptiveLimit limit = AdaptiveLimit.none();
         for (int index = 0; index < 50; index++) {
-            limit = limit.answered(9_000, 0, 10, index * 10_000L);
+            limit = limit.answered(answer(9_000, 0), USAGE, index * 10_000L);
         }
         assertTrue(limit.admits(1_000, 0.5));
     }
+
+    @Test
+    void fastAnswersOfOneRouteDoNotHideTheLateOnesOfAnother() {
+        AdaptiveLimit limit = AdaptiveLimit.none();
+        for (int index = 0; index < 20; index++) {
+            limit = limit.answered(new TimedAnswer("labels", 40, 400), USAGE, index * 1_000L);
+            limit = limit.answered(new TimedAnswer("chat", 400, 250), USAGE, index * 1_000L + 500);
+        }
+        assertTrue(limit.isLimited());
+    }
+
+    @Test
+    void lateAnswersOfLessUrgentRequestsLeaveThePlacesOfMoreUrgentOnes() {
+        AdaptiveLimit limit = AdaptiveLimit.none();
+        LimitUsage usage = new LimitUsage(10, 6, 0);
+        for (int index = 0; index < 100; index++) {
+            limit = limit.answered(new TimedAnswer("reports", 4_000, 1_000), usage, index * 5_000L);
+        }
+        assertTrue(limit.requests() >= 6, "limit " + limit.requests());
+        assertTrue(limit.requests() < 10, "limit " + limit.requests());
+    }
+
+    private static TimedAnswer answer(double answerMs, int objectiveMs) {
+        return new TimedAnswer("route", answerMs, objectiveMs);
+    }
 }
--- a/jayhead-admission/src/test/java/io/jayhead/admission/overload/OverloadSimulation.java
+++ b/jayhead-admission/src/test/java/io/jayhead/admission/overload/OverloadSimulation.java
@@ -109,7 +109,9 @@
     private void end(Request request, double nowMs) {
         int router = request.router();
         double answerMs = nowMs - request.sentMs();
-        limits.set(router, limits.get(router).answered(answerMs, OBJECTIVE_MS, inFlight[router], (long) nowMs));
+        TimedAnswer answer = new TimedAnswer("route", answerMs, OBJECTIVE_MS);
+        LimitUsage usage = new LimitUsage(inFlight[router], 0, 0);
+        limits.set(router, limits.get(router).answered(answer, usage, (long) nowMs));
         inFlight[router]--;
     }
 
--- a/jayhead-dispatch/src/main/java/io/jayhead/dispatch/forward/RetryDelay.java
+++ b/jayhead-dispatch/src/main/java/io/jayhead/dispatch/forward/RetryDelay.java
@@ -15,6 +15,12 @@
     /** The upper bound of the wait, because callers can wait for only a part of their deadline. */
     private static final long MAX_MS = 5_000;
 
+    /**
+     * The share of its remaining time after which a caller is asked to retry at the latest. Callers wait for up to a
+     * third of it; the rest is for the spread of the delays.
+     */
+    private static final double MAX_SHARE_OF_LEFT = 0.26;
+
     private RetryDelay() {}
 
     /**
@@ -26,4 +32,20 @@
     public static long forOutageMs(long outageMs) {
         return Math.max(MIN_MS, Math.min(MAX_MS, (long) (outageMs * REMAINING_FACTOR)));
     }
+
+    /**
+     * Returns the time to wait before a retry at an overloaded service: until room is expected, but within the time
+     * that the caller has.
+     *
+     * @param overloadMs the duration of the overload so far in milliseconds
+     * @param roomInMs the time until a place is expected to be free for the caller in milliseconds
+     * @param leftMs the time until the caller gives up in milliseconds
+     * @param answerMs the time that an answer takes in milliseconds
+     * @return the wait in milliseconds; 0 if no answer is possible after it, so that the caller should not return
+     */
+    public static long forRoomMs(long overloadMs, long roomInMs, long leftMs, long answerMs) {
+        long expectedMs = Math.max(forOutageMs(overloadMs), roomInMs);
+        long delayMs = Math.min(expectedMs, (long) (MAX_SHARE_OF_LEFT * leftMs));
+        return leftMs - delayMs > answerMs ? Math.max(1, delayMs) : 0;
+    }
 }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/Gateway.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/Gateway.java
@@ -1,5 +1,6 @@
 package io.jayhead.gateway;
 
+import io.jayhead.admission.overload.ServiceRoom;
 import io.jayhead.admission.prepaid.Holder;
 import io.jayhead.gateway.budget.BudgetAccounts;
 import io.jayhead.gateway.control.ControlPlane;
@@ -112,7 +113,7 @@
                 upstreams,
                 budgets,
                 new RetryBudgets(),
-                new ServiceGates(traffic),
+                new ServiceGates(traffic, service -> ServiceRoom.unknown(), log, metrics),
                 new AnswerTimes(),
                 new AnswerBuffers(),
                 log,
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/AnswerWriter.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/AnswerWriter.java
@@ -19,11 +19,11 @@
      * Refuses the request.
      *
      * @param refusal the refusal
-     * @param causeMs the milliseconds for which its cause, such as an outage, has lasted
+     * @param retryDelayMs the mean delay after which the caller should retry; 0 if it is not asked to
      */
-    void refuse(Refusal refusal, long causeMs) {
+    void refuse(Refusal refusal, long retryDelayMs) {
         HttpHeaders headers = new DefaultHttpHeaders();
-        RetryAfter.of(refusal, causeMs).ifPresent(value -> headers.set(HttpHeaderNames.RETRY_AFTER, value));
+        RetryAfter.of(retryDelayMs).ifPresent(value -> headers.set(HttpHeaderNames.RETRY_AFTER, value));
         caller.answer(refusal.status(), headers, new byte[0]);
     }
 
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
@@ -4,6 +4,7 @@
 import io.jayhead.dispatch.forward.ForwardDecision;
 import io.jayhead.dispatch.forward.ForwardRules;
 import io.jayhead.dispatch.forward.ForwardState;
+import io.jayhead.dispatch.forward.RetryDelay;
 import io.jayhead.gateway.budget.ReservationResult;
 import io.jayhead.gateway.control.RoutingSnapshot;
 import io.jayhead.gateway.upstream.UpstreamConnection;
@@ -88,7 +89,7 @@
         }
         switch (result) {
             case RESERVED -> {
-                pass = new GatePass(context.gates(), admitted);
+                pass = new GatePass(context.gates(), admitted, deadline.leftMs());
                 pass.enter(this::dispatch, () -> refuse(Refusal.OVER_LIMIT));
             }
             case EXHAUSTED -> refuse(Refusal.BUDGET_EXHAUSTED);
@@ -303,16 +304,15 @@
     }
 
     private void refuse(Refusal refusal) {
-        answers.refuse(refusal, causeMs(refusal));
+        answers.refuse(refusal, retryDelayMs(refusal));
         end(refusal.name(), currentAttempt);
     }
 
-    /** Returns for how long the outage or overload behind a refusal has lasted. */
-    private long causeMs(Refusal refusal) {
+    private long retryDelayMs(Refusal refusal) {
         return switch (refusal) {
-            case BUDGET_UNAVAILABLE -> context.budgets().ledgerOutageMs();
-            case OVER_LIMIT -> pass.overloadedMs();
-            default -> 0;
+            case BUDGET_UNAVAILABLE -> RetryDelay.forOutageMs(context.budgets().ledgerOutageMs());
+            case OVER_LIMIT -> pass.retryDelayMs();
+            default -> refusal.retryAfterMs();
         };
     }
 
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/GatePass.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/GatePass.java
@@ -1,47 +1,57 @@
 package io.jayhead.gateway.exchange;
 
-import io.jayhead.admission.queue.QueuedRequest;
+import io.jayhead.admission.room.RoomRequest;
+import io.jayhead.admission.room.RoomVerdict;
+import io.jayhead.dispatch.forward.RetryDelay;
+import io.jayhead.gateway.wire.GenerationSize;
+import io.jayhead.gateway.wire.PromptPart;
 import io.jayhead.model.OrganisationName;
 import io.jayhead.routing.catalog.Organisation;
 
 /** The way of one request through the gate of its service; used by the traffic thread. */
 final class GatePass {
 
-    /** A request waits for at most this multiple of its objective, so that it can still be answered soon. */
-    private static final double MAX_WAIT_OBJECTIVES = 0.25;
     /** Stands for the callers of routes that need no key. */
     private static final OrganisationName ANONYMOUS = OrganisationName.of("anonymous");
-
-    private static final int HIGHEST_RANK = 9;
-    private static final int WEIGHT = 1;
+    /** A token of the output takes a step of its own; those of the prompt are read many at a time. */
+    private static final double WORK_PER_OUTPUT_TOKEN = 50;
 
     private final ServiceGate gate;
     private final AdmittedRequest request;
-    private final String id;
-    private boolean admitted;
+    private final RoomRequest roomRequest;
+    private RoomVerdict verdict;
     private boolean answered;
     private boolean left;
     private long admittedAtNs;
 
-    GatePass(ServiceGates gates, AdmittedRequest request) {
+    /**
+     * Creates a pass.
+     *
+     * @param gates the gates
+     * @param request the request
+     * @param leftMs the time that its caller still waits
+     */
+    GatePass(ServiceGates gates, AdmittedRequest request, long leftMs) {
         this.gate = gates.of(request.service().name());
         this.request = request;
-        this.id = gates.newId();
+        long triedForMs = gates.triedForMs(request.route().name(), request.limitMs());
+        this.roomRequest = roomRequest(gates.newId(), triedForMs, leftMs);
     }
 
     /** Asks for admission; exactly one of the two actions runs, unless {@link #leave()} is called before. */
     void enter(Runnable onAdmitted, Runnable onRefused) {
-        gate.enter(queued(), new ServiceGate.Waiter() {
+        gate.enter(roomRequest, new ServiceGate.Waiter() {
             @Override
-            public void admitted() {
-                admitted = true;
-                admittedAtNs = System.nanoTime();
-                onAdmitted.run();
+            public String requestId() {
+                return request.metadata().requestId();
             }
 
             @Override
-            public void refused() {
-                onRefused.run();
+            public void decided(RoomVerdict decided) {
+                verdict = decided;
+                admittedAtNs = System.nanoTime();
+                Runnable action = decided.isAdmitted() ? onAdmitted : onRefused;
+                action.run();
             }
         });
     }
@@ -49,7 +59,7 @@
     /** Records the time from sending the request to its answer, or to the first event of its stream. */
     void answered(double answerMs) {
         answered = true;
-        gate.answered(answerMs, request.route().latencyObjectiveMs());
+        gate.answered(verdict, answerMs);
     }
 
     /** Ends the request; one that was given up after its objective counts as late. Later calls do nothing. */
@@ -58,37 +68,50 @@
             return;
         }
         left = true;
-        if (!admitted) {
-            gate.cancel(id);
+        if (verdict == null) {
+            gate.cancel(roomRequest.id());
+            return;
+        }
+        if (!verdict.isAdmitted()) {
             return;
         }
         double heldMs = (System.nanoTime() - admittedAtNs) / 1e6;
         if (!answered && heldMs > request.route().latencyObjectiveMs()) {
             answered(heldMs);
         }
-        gate.leave(heldMs);
+        gate.leave(verdict, heldMs);
     }
 
-    /** Returns for how long the service has been overloaded, in milliseconds. */
-    long overloadedMs() {
-        return gate.overloadedMs();
+    /** Returns when the caller should retry after a refusal; 0 if it cannot be served in the time that it has. */
+    long retryDelayMs() {
+        long leftMs = roomRequest.deadlineAtMs() - ServiceGate.nowMs();
+        return RetryDelay.forRoomMs(gate.overloadedMs(), verdict.roomInMs(), leftMs, (long) verdict.answerMs());
     }
 
-    private QueuedRequest queued() {
+    private RoomRequest roomRequest(String id, long triedForMs, long leftMs) {
         OrganisationName organisation = request.organisation()
                 .map(Organisation::name)
                 .map(OrganisationName::of)
                 .orElse(ANONYMOUS);
-        long costTokens =
-                request.metadata().size().map(size -> size.maxTokens()).orElse(1L);
-        long waitMs = (long) (MAX_WAIT_OBJECTIVES * request.route().latencyObjectiveMs());
-        return new QueuedRequest(
+        long nowMs = ServiceGate.nowMs();
+        int objectiveMs = request.route().latencyObjectiveMs();
+        return new RoomRequest(
                 id,
                 organisation,
-                request.service().name(),
-                HIGHEST_RANK - request.rank(),
-                costTokens,
-                WEIGHT,
-                System.nanoTime() / 1_000_000 + waitMs);
+                request.route().name(),
+                request.rank(),
+                nowMs,
+                objectiveMs,
+                nowMs + objectiveMs - triedForMs,
+                nowMs + leftMs,
+                request.metadata().size().map(this::work).orElse(1.0));
+    }
+
+    private double work(GenerationSize size) {
+        int sharedTokens = request.metadata().sharedParts().stream()
+                .mapToInt(PromptPart::tokens)
+                .sum();
+        int ownTokens = Math.max(0, size.promptTokens() - sharedTokens);
+        return ownTokens + WORK_PER_OUTPUT_TOKEN * size.maxOutputTokens();
     }
 }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/RetryAfter.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/RetryAfter.java
@@ -1,11 +1,10 @@
 package io.jayhead.gateway.exchange;
 
-import io.jayhead.dispatch.forward.RetryDelay;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 
-/** Computes the Retry-After header of refusals. */
+/** Writes the Retry-After header of refusals. */
 final class RetryAfter {
 
     /** Delays are spread over this share around their mean, so that callers do not return all at once. */
@@ -18,16 +17,10 @@
     /**
      * Returns the value of the header.
      *
-     * @param refusal the reason for the refusal
-     * @param causeMs for how long the outage or overload behind the refusal has lasted; ignored for other reasons
+     * @param meanMs the mean delay in milliseconds; 0 if the caller is not asked to retry
      * @return the delay in seconds, or empty if the caller is not asked to retry
      */
-    static Optional<String> of(Refusal refusal, long causeMs) {
-        long meanMs =
-                switch (refusal) {
-                    case BUDGET_UNAVAILABLE, OVER_LIMIT -> RetryDelay.forOutageMs(causeMs);
-                    default -> refusal.retryAfterMs();
-                };
+    static Optional<String> of(long meanMs) {
         if (meanMs == 0) {
             return Optional.empty();
         }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/ServiceGate.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/ServiceGate.java
@@ -1,147 +1,127 @@
 package io.jayhead.gateway.exchange;
 
-import io.jayhead.admission.overload.AdaptiveLimit;
-import io.jayhead.admission.queue.Dequeued;
-import io.jayhead.admission.queue.FairQueue;
-import io.jayhead.admission.queue.QueueRefusal;
-import io.jayhead.admission.queue.QueuedRequest;
-import io.jayhead.model.Either;
-import io.jayhead.routing.DecayedMean;
+import io.jayhead.admission.overload.ServiceRoom;
+import io.jayhead.admission.room.RoomCircumstances;
+import io.jayhead.admission.room.RoomRequest;
+import io.jayhead.admission.room.RoomStep;
+import io.jayhead.admission.room.RoomVerdict;
+import io.jayhead.admission.room.ServiceAdmission;
 import io.netty.channel.EventLoop;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
-/**
- * Admits the requests of this router to one service: at once below the learned limit, after a short wait in a fair
- * queue if a place is expected to become free in time, and not at all otherwise; used by the traffic thread.
- */
+/** Carries out the decisions of {@link ServiceAdmission} for one service; used by the traffic thread. */
 final class ServiceGate {
 
-    private static final int MAX_WAITING = 64;
-    private static final int MAX_WAITING_OF_ORGANISATION = 16;
-    private static final long HOLD_HALF_LIFE_MS = 4_000;
-    /** Refusals that are further apart than this belong to different overloads. */
-    private static final long OVERLOAD_GAP_MS = 2_000;
-
     private final EventLoop loop;
+    private final Supplier<ServiceRoom> room;
+    private final GateRecorder recorder;
     private final Map<String, Waiter> waiters = new HashMap<>();
-    private FairQueue queue = FairQueue.empty(MAX_WAITING_OF_ORGANISATION, MAX_WAITING);
-    private AdaptiveLimit limit = AdaptiveLimit.none();
-    private DecayedMean holdMs = DecayedMean.empty();
-    private int inFlight;
-    private long overloadedSinceMs;
-    private long lastRefusalMs;
-
-    ServiceGate(EventLoop loop) {
+    private ServiceAdmission admission = ServiceAdmission.empty();
+
+    ServiceGate(EventLoop loop, Supplier<ServiceRoom> room, GateRecorder recorder) {
         this.loop = loop;
+        this.room = room;
+        this.recorder = recorder;
     }
 
     /**
-     * Admits a request, lets it wait until it expires, or refuses it.
+     * Admits a request, lets it wait until it expires or is displaced, or refuses it.
      *
      * @param request the request, whose id no other waiting request has
      * @param waiter is told the decision, possibly before this method returns
      */
-    void enter(QueuedRequest request, Waiter waiter) {
-        if (queue.size() == 0 && admitsNext()) {
-            inFlight++;
-            waiter.admitted();
-            return;
-        }
-        Either<QueueRefusal, FairQueue> offered = queue.offer(request, nowMs(), estimatedWaitMs(request));
-        if (!offered.isRight()) {
-            refuse(waiter);
-            return;
-        }
-        queue = offered.get();
+    void enter(RoomRequest request, Waiter waiter) {
         waiters.put(request.id(), waiter);
-        long waitMs = Math.max(1, request.expiresAtMs() - nowMs());
-        loop.schedule(() -> expire(request.id()), waitMs, TimeUnit.MILLISECONDS);
+        RoomCircumstances now = circumstances();
+        RoomStep step = admission.arrived(request, now);
+        boolean waits = step.verdicts().stream()
+                .noneMatch(verdict -> verdict.request().id().equals(request.id()));
+        if (waits) {
+            recorder.waits(request, waiter.requestId());
+            long waitMs = Math.max(1, request.expiresAtMs() - now.atMs());
+            loop.schedule(this::timePassed, waitMs, TimeUnit.MILLISECONDS);
+        }
+        apply(step, now.atMs());
     }
 
     /** Removes a waiting request whose caller has left; does nothing if it no longer waits. */
     void cancel(String id) {
         if (waiters.remove(id) != null) {
-            queue = queue.without(waiting -> waiting.id().equals(id));
+            admission = admission.cancelled(id);
         }
     }
 
     /**
      * Ends an admitted request.
      *
+     * @param admitted the verdict that admitted it
      * @param heldMs the time since it was admitted
      */
-    void leave(double heldMs) {
-        inFlight--;
-        holdMs = holdMs.with(heldMs, nowMs(), HOLD_HALF_LIFE_MS);
-        while (queue.size() > 0 && admitsNext()) {
-            Optional<Dequeued> next = queue.next(waiting -> true);
-            queue = next.get().queue();
-            inFlight++;
-            waiters.remove(next.get().request().id()).admitted();
-        }
+    void leave(RoomVerdict admitted, double heldMs) {
+        RoomCircumstances now = circumstances();
+        apply(admission.left(admitted, heldMs, now), now.atMs());
     }
 
     /**
      * Records how late an admitted request was answered.
      *
+     * @param admitted the verdict that admitted it
      * @param answerMs the time from sending it to its answer, to the first event, or to the time when it was given up
-     * @param objectiveMs the objective of its route
      */
-    void answered(double answerMs, int objectiveMs) {
-        limit = limit.answered(answerMs, objectiveMs, inFlight, nowMs());
+    void answered(RoomVerdict admitted, double answerMs) {
+        admission = admission.answered(admitted, answerMs, nowMs());
     }
 
     /** Returns for how long the service has been overloaded; 0 if it is not. */
     long overloadedMs() {
-        return isOverloaded() ? nowMs() - overloadedSinceMs : 0;
-    }
-
-    private boolean admitsNext() {
-        return limit.admits(inFlight, ThreadLocalRandom.current().nextDouble());
+        return admission.overload().ageMs(nowMs());
     }
 
-    private long estimatedWaitMs(QueuedRequest request) {
-        if (inFlight == 0) {
-            // No request will leave and make room.
-            return Long.MAX_VALUE;
-        }
-        double meanHoldMs = holdMs.blend(0, 1, nowMs(), HOLD_HALF_LIFE_MS);
-        return (long) ((queue.ahead(request) + 1) * meanHoldMs / Math.max(1, limit.requests()));
+    private void timePassed() {
+        RoomCircumstances now = circumstances();
+        apply(admission.timePassed(now), now.atMs());
     }
 
-    private void expire(String id) {
-        Waiter waiter = waiters.get(id);
-        if (waiter != null) {
-            cancel(id);
-            refuse(waiter);
+    private void apply(RoomStep step, long nowMs) {
+        // The waiters may enter or leave while they are told, so the state is replaced first.
+        admission = step.next();
+        for (RoomVerdict verdict : step.verdicts()) {
+            Waiter waiter = waiters.remove(verdict.request().id());
+            if (waiter == null) {
+                // Another waiter has cancelled it while it was told.
+                cancelDecided(verdict);
+                continue;
+            }
+            recorder.decided(verdict, waiter.requestId(), nowMs);
+            waiter.decided(verdict);
         }
     }
 
-    private void refuse(Waiter waiter) {
-        if (!isOverloaded()) {
-            overloadedSinceMs = nowMs();
+    private void cancelDecided(RoomVerdict verdict) {
+        if (verdict.isAdmitted()) {
+            leave(verdict, 0);
         }
-        lastRefusalMs = nowMs();
-        waiter.refused();
     }
 
-    private boolean isOverloaded() {
-        return lastRefusalMs > 0 && nowMs() - lastRefusalMs < OVERLOAD_GAP_MS;
+    private RoomCircumstances circumstances() {
+        return new RoomCircumstances(
+                nowMs(), room.get(), ThreadLocalRandom.current().nextDouble());
     }
 
-    private static long nowMs() {
+    static long nowMs() {
         return System.nanoTime() / 1_000_000;
     }
 
-    /** Is told whether a request may be sent. */
+    /** Is told the decision on a request. */
     interface Waiter {
 
-        void admitted();
+        /** Returns the id that the caller chose. */
+        String requestId();
 
-        void refused();
+        void decided(RoomVerdict verdict);
     }
 }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/log/LogKind.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/log/LogKind.java
@@ -16,6 +16,8 @@
     SERVED(40),
     /** A request was refused or failed. */
     FAILED(150),
+    /** A request waits, or was turned away, for want of room at its service. */
+    ADMISSION(50),
     /** An attempt was not sent, was rejected, failed, or got no complete answer. */
     ATTEMPT(100);
 
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/metrics/GatewayMetrics.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/metrics/GatewayMetrics.java
@@ -48,6 +48,11 @@
             .help("Attempts that brought no answer, by outcome")
             .labelNames("outcome")
             .register(registry);
+    private final Counter roomDecisions = Counter.builder()
+            .name("jayhead_room_decisions_total")
+            .help("Requests that waited or were turned away for want of room, by route, decision and reason")
+            .labelNames("route", "decision", "reason")
+            .register(registry);
     private final Gauge budgetTokens = Gauge.builder()
             .name("jayhead_budget_tokens")
             .help("Tokens of budgets at this router, by organisation and state")
@@ -120,6 +125,17 @@
         attempts.labelValues(outcome).inc();
     }
 
+    /**
+     * Counts a decision on a request for which there was no room at its arrival.
+     *
+     * @param route the name of the route
+     * @param decision the decision
+     * @param reason its reason
+     */
+    public void roomDecision(String route, String decision, String reason) {
+        roomDecisions.labelValues(route, decision, reason).inc();
+    }
+
     /**
      * Records the state of a budget.
      *
