--- a/jayhead-admission/src/main/java/io/jayhead/admission/room/RankShares.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/room/RankShares.java
@@ -16,8 +16,13 @@
     /** The rank of requests beyond the usual load of their organisation, less urgent than all others. */
     static final int EXCESS_RANK = RoomRequest.LAST_RANK + 1;
 
-    /** The part of its share by demand that a rank keeps, together with the less urgent ones. */
+    /** The part of its share by demand that a rank keeps. */
     private static final double GUARANTEED_SHARE = 0.4;
+    /**
+     * A rank whose demand is below this share of the limit keeps all of it: its requests need little, so that refusing
+     * them would hardly help the more urgent ones.
+     */
+    private static final double SMALL_SHARE = 0.1;
 
     private static final long HOLD_WEIGHT_HALF_LIFE_MS = 4_000;
 
@@ -78,16 +83,27 @@
         if (limit.admits(total + reservedBefore(rank, nowMs), draw)) {
             return true;
         }
-        return rank > 0 && inFlight(rank, demands.size()) + draw < guaranteed(rank, limit.requests(), nowMs);
+        return rank > 0 && demands.get(rank).inFlight() + draw < guaranteed(rank, limit.requests(), nowMs);
     }
 
-    /** Returns the requests of a rank and of less urgent ones that may be in flight at the present demand. */
-    double capacity(int rank, double limit, long nowMs) {
-        return Math.max(limit - expected(0, rank, nowMs), guaranteed(rank, limit, nowMs));
+    /**
+     * Returns the mean time in which a place becomes free for a rank.
+     *
+     * @param rank the rank
+     * @param limit the limit of the service
+     * @param nowMs the time
+     * @param unknownHoldMs the time for which requests are in flight, as long as that is not known
+     */
+    double placeMs(int rank, double limit, long nowMs, double unknownHoldMs) {
+        double left = Math.max(0, limit - expected(0, rank, nowMs));
+        double leftPerMs = left / known(holdMs(nowMs), unknownHoldMs);
+        double guaranteedPerMs =
+                guaranteed(rank, limit, nowMs) / known(demands.get(rank).holdMs(), unknownHoldMs);
+        return 1 / Math.max(leftPerMs, guaranteedPerMs);
     }
 
     /** Returns the mean time for which a request of any rank is in flight; 0 if unknown. */
-    double holdMs(long nowMs) {
+    private double holdMs(long nowMs) {
         double weighted = 0;
         double arrivals = 0;
         for (RankDemand demand : demands) {
@@ -100,7 +116,18 @@
 
     private double guaranteed(int rank, double limit, long nowMs) {
         double all = expected(0, demands.size(), nowMs);
-        return all == 0 ? 0 : GUARANTEED_SHARE * limit * expected(rank, demands.size(), nowMs) / all;
+        if (all == 0) {
+            return 0;
+        }
+        double demand = demands.get(rank).expectedInFlight(nowMs);
+        double byDemand = GUARANTEED_SHARE * limit * demand / all;
+        // The square root allows for the random variation of the demand.
+        double small = Math.min(demand + Math.sqrt(demand), SMALL_SHARE * limit);
+        return Math.max(byDemand, small);
+    }
+
+    private static double known(double holdMs, double unknownHoldMs) {
+        return holdMs == 0 ? unknownHoldMs : holdMs;
     }
 
     private double expected(int fromRank, int toRank, long nowMs) {
--- a/jayhead-admission/src/main/java/io/jayhead/admission/room/ServiceAdmission.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/room/ServiceAdmission.java
@@ -251,10 +251,8 @@
     /** Returns the mean time in which one place becomes free for a request of this rank. */
     private double placeMs(WaitingRequest request, long nowMs) {
         double share = request.isLate(nowMs) ? LATE_SHARE : 1;
-        double capacity = share * shares.capacity(request.rank(), limit.requests(), nowMs);
-        double holdMs = shares.holdMs(nowMs);
-        double knownHoldMs = holdMs == 0 ? request.request().objectiveMs() : holdMs;
-        return knownHoldMs / capacity;
+        int objectiveMs = request.request().objectiveMs();
+        return shares.placeMs(request.rank(), limit.requests(), nowMs, objectiveMs) / share;
     }
 
     private List<WaitingRequest> inOrder(long nowMs) {
