Decide at an arrival about the new request only; unanswered requests lower no limit

An arrival frees no place, so it admits no other request: an urgent request cannot be refused at the instant at which a less urgent one is admitted. Requests that were given up without an answer say that their upstream or link failed, not that the service is overloaded.

--- a/jayhead-admission/src/main/java/io/jayhead/admission/overload/AdaptiveLimit.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/overload/AdaptiveLimit.java
@@ -96,7 +96,8 @@
         if (answer.objectiveMs() <= 0) {
             return this;
         }
-        double newest = Math.min(MAX_LATENESS, answer.answerMs() / answer.objectiveMs());
+        double maxLateness = answer.answered() ? MAX_LATENESS : HIGH_LATENESS;
+        double newest = Math.min(maxLateness, answer.answerMs() / answer.objectiveMs());
         double average = average(answer.route(), newest);
         Map<String, Lateness> nextLateness = new HashMap<>(lateness);
         nextLateness.put(answer.route(), new Lateness(average, nowMs));
@@ -119,10 +120,10 @@
         return previous + NEWEST_WEIGHT * (newest - previous);
     }
 
-    /** Lowers the part of the limit that is not used by more urgent requests than the late one. */
+    /** Lowers the part of the limit that is used by the least urgent requests. */
     private double decreased(double factor, LimitUsage usage) {
         double used = Math.min(requests, usage.inFlight());
-        double kept = Math.min(used, usage.moreUrgentInFlight());
+        double kept = Math.min(used, usage.spared());
         return Math.max(MIN_REQUESTS, kept + factor * (used - kept));
     }
 
--- a/jayhead-admission/src/main/java/io/jayhead/admission/overload/TimedAnswer.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/overload/TimedAnswer.java
@@ -6,5 +6,6 @@
  * @param route the name of the route
  * @param answerMs the time since the request was sent
  * @param objectiveMs the objective for this time; 0 without one
+ * @param answered false for a request that was given up; its upstream may have failed rather than be overloaded
  */
-public record TimedAnswer(String route, double answerMs, int objectiveMs) {}
+public record TimedAnswer(String route, double answerMs, int objectiveMs, boolean answered) {}
--- a/jayhead-admission/src/main/java/io/jayhead/admission/room/OverloadAge.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/room/OverloadAge.java
@@ -6,7 +6,7 @@
  * @param sinceMs when the first request of the present overload was turned away
  * @param lastMs when the last one was; 0 if none was
  */
-public record OverloadAge(long sinceMs, long lastMs) {
+record OverloadAge(long sinceMs, long lastMs) {
 
     static final OverloadAge NONE = new OverloadAge(0, 0);
 
@@ -17,13 +17,8 @@
         return new OverloadAge(isPresent(nowMs) ? sinceMs : nowMs, nowMs);
     }
 
-    /**
-     * Returns the age of the overload.
-     *
-     * @param nowMs the time
-     * @return the age in milliseconds; 0 without an overload
-     */
-    public long ageMs(long nowMs) {
+    /** Returns the age of the overload in milliseconds; 0 without one. */
+    long ageMs(long nowMs) {
         return isPresent(nowMs) ? nowMs - sinceMs : 0;
     }
 
--- a/jayhead-admission/src/main/java/io/jayhead/admission/room/ServiceAdmission.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/room/ServiceAdmission.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -17,23 +18,8 @@
  * What is delayed or turned away is what costs callers least: the order is by rank, then by whether the objective can
  * still be met, then by the latest start that meets it, moved by the work that the request needs. Every arrival revises
  * the decisions on those that wait. There is no limit, and nothing waits, until answers are late.
- *
- * @param limit the learned limit of the requests in flight
- * @param shares the demand and the requests in flight by rank
- * @param load the recent and usual load of the organisations
- * @param waiting the waiting requests
- * @param answers the mean answer times by route and the mean work
- * @param returns the expected returns of callers that were turned away
- * @param overload the age of the present overload
  */
-public record ServiceAdmission(
-        AdaptiveLimit limit,
-        RankShares shares,
-        OrganisationLoad load,
-        List<WaitingRequest> waiting,
-        RouteAnswers answers,
-        ReturnSchedule returns,
-        OverloadAge overload) {
+public final class ServiceAdmission {
 
     private static final int MAX_WAITING = 64;
     /** A waiting request is displaced when its expected wait exceeds what it may still wait by this factor. */
@@ -45,9 +31,29 @@
 
     private static final double FREE_SHARE = 0.5;
 
-    /** Makes a defensive copy of the waiting requests. */
-    public ServiceAdmission {
-        waiting = List.copyOf(waiting);
+    private final AdaptiveLimit limit;
+    private final RankShares shares;
+    private final OrganisationLoad load;
+    private final List<WaitingRequest> waiting;
+    private final RouteAnswers answers;
+    private final ReturnSchedule returns;
+    private final OverloadAge overload;
+
+    private ServiceAdmission(
+            AdaptiveLimit limit,
+            RankShares shares,
+            OrganisationLoad load,
+            List<WaitingRequest> waiting,
+            RouteAnswers answers,
+            ReturnSchedule returns,
+            OverloadAge overload) {
+        this.limit = limit;
+        this.shares = shares;
+        this.load = load;
+        this.waiting = List.copyOf(waiting);
+        this.answers = answers;
+        this.returns = returns;
+        this.overload = overload;
     }
 
     /**
@@ -84,8 +90,7 @@
         all.add(newest);
         ServiceAdmission next = new ServiceAdmission(
                 limit, shares.arrived(rank, now.atMs()), nextLoad, all, nextAnswers, returns, overload);
-        RoomStep admitted = next.admitWaiting(now);
-        return admitted.next().waiting.contains(newest) ? admitted.next().revise(newest, admitted, now) : admitted;
+        return next.admitOrRevise(newest, now);
     }
 
     /**
@@ -101,15 +106,17 @@
     }
 
     /**
-     * Turns away the requests that have waited for as long as they may.
+     * Admits requests for which room is no longer kept for more urgent ones, and turns away those that have waited for
+     * as long as they may.
      *
      * @param now the circumstances of the decision
      * @return the decisions on waiting requests
      */
     public RoomStep timePassed(RoomCircumstances now) {
-        ServiceAdmission next = this;
-        List<RoomVerdict> verdicts = new ArrayList<>();
-        for (WaitingRequest candidate : waiting) {
+        RoomStep admitted = admitWaiting(now);
+        ServiceAdmission next = admitted.next();
+        List<RoomVerdict> verdicts = new ArrayList<>(admitted.verdicts());
+        for (WaitingRequest candidate : next.waiting) {
             if (candidate.request().expiresAtMs() <= now.atMs()) {
                 next = next.turnAway(candidate, RoomDecision.DISPLACED, RoomReason.EXPIRED, now, verdicts);
             }
@@ -135,13 +142,29 @@
      * Records when an admitted request was answered.
      *
      * @param admitted the verdict that admitted it
-     * @param answerMs the time from sending it to its answer, to the first event, or to the time when it was given up
+     * @param answerMs the time from sending it to its answer or to the first event
      * @param nowMs the time
      * @return the new state
      */
     public ServiceAdmission answered(RoomVerdict admitted, double answerMs, long nowMs) {
+        return timed(admitted, answerMs, true, nowMs);
+    }
+
+    /**
+     * Records that an admitted request was given up without an answer.
+     *
+     * @param admitted the verdict that admitted it
+     * @param heldMs the time since then
+     * @param nowMs the time
+     * @return the new state
+     */
+    public ServiceAdmission givenUp(RoomVerdict admitted, double heldMs, long nowMs) {
+        return timed(admitted, heldMs, false, nowMs);
+    }
+
+    private ServiceAdmission timed(RoomVerdict admitted, double answerMs, boolean answered, long nowMs) {
         RoomRequest request = admitted.request();
-        TimedAnswer answer = new TimedAnswer(request.route(), answerMs, request.objectiveMs());
+        TimedAnswer answer = new TimedAnswer(request.route(), answerMs, request.objectiveMs(), answered);
         LimitUsage usage = new LimitUsage(
                 shares.inFlight(),
                 shares.inFlightBefore(admitted.rank()),
@@ -156,6 +179,33 @@
                 overload);
     }
 
+    /**
+     * Returns for how long requests have been turned away.
+     *
+     * @param nowMs the time
+     * @return the age of the overload in milliseconds; 0 without one
+     */
+    public long overloadMs(long nowMs) {
+        return overload.ageMs(nowMs);
+    }
+
+    /** Admits the newest request if it goes first in its rank and there is room; an arrival makes none for others. */
+    private RoomStep admitOrRevise(WaitingRequest newest, RoomCircumstances now) {
+        List<WaitingRequest> ordered = inOrder(now.atMs());
+        boolean first = ordered.stream()
+                .filter(candidate -> candidate.rank() == newest.rank())
+                .findFirst()
+                .filter(newest::equals)
+                .isPresent();
+        Optional<RoomReason> room = first ? roomFor(newest, now) : Optional.empty();
+        if (room.isEmpty()) {
+            return revise(newest, ordered, now);
+        }
+        List<RoomVerdict> verdicts = new ArrayList<>();
+        ServiceAdmission next = admit(newest, room.get(), now, verdicts);
+        return new RoomStep(next, verdicts);
+    }
+
     /** Admits waiting requests in order; one that is not admitted blocks the others of its rank. */
     private RoomStep admitWaiting(RoomCircumstances now) {
         ServiceAdmission next = this;
@@ -165,22 +215,33 @@
             if (blockedRanks.contains(candidate.rank())) {
                 continue;
             }
-            boolean belowLimit = next.shares.admits(candidate.rank(), limit, now.atMs(), now.draw());
-            if (!belowLimit && !isRoomReported(now.room())) {
+            Optional<RoomReason> room = next.roomFor(candidate, now);
+            if (room.isEmpty()) {
                 blockedRanks.add(candidate.rank());
                 continue;
             }
-            RoomReason reason = belowLimit ? RoomReason.BELOW_LIMIT : RoomReason.ROOM_REPORTED;
-            verdicts.add(next.verdict(candidate, RoomDecision.ADMITTED, reason, 0, now.atMs()));
-            next = next.with(without(next.waiting, candidate), next.shares.admitted(candidate.rank()));
+            next = next.admit(candidate, room.get(), now, verdicts);
         }
         return new RoomStep(next, verdicts);
     }
 
+    /** Returns why there is room for a request, or empty if there is none. */
+    private Optional<RoomReason> roomFor(WaitingRequest request, RoomCircumstances now) {
+        if (shares.admits(request.rank(), limit, now.atMs(), now.draw())) {
+            return Optional.of(RoomReason.BELOW_LIMIT);
+        }
+        return isRoomReported(now.room()) ? Optional.of(RoomReason.ROOM_REPORTED) : Optional.empty();
+    }
+
+    private ServiceAdmission admit(
+            WaitingRequest request, RoomReason reason, RoomCircumstances now, List<RoomVerdict> verdicts) {
+        verdicts.add(verdict(request, RoomDecision.ADMITTED, reason, 0, now.atMs()));
+        return with(without(waiting, request), shares.admitted(request.rank()));
+    }
+
     /** Turns the newest request away if it would wait for too long, and else those that it delays too much. */
-    private RoomStep revise(WaitingRequest newest, RoomStep admitted, RoomCircumstances now) {
-        List<RoomVerdict> verdicts = new ArrayList<>(admitted.verdicts());
-        List<WaitingRequest> ordered = inOrder(now.atMs());
+    private RoomStep revise(WaitingRequest newest, List<WaitingRequest> ordered, RoomCircumstances now) {
+        List<RoomVerdict> verdicts = new ArrayList<>();
         int newestIndex = ordered.indexOf(newest);
         double waitMs = expectedWaitMs(newest, newestIndex, now.atMs());
         if (waitMs > newest.request().expiresAtMs() - now.atMs()) {
--- a/jayhead-admission/src/test/java/io/jayhead/admission/overload/AdaptiveLimitTest.java
+++ b/jayhead-admission/src/test/java/io/jayhead/admission/overload/AdaptiveLimitTest.java
@@ -66,8 +66,8 @@
     void fastAnswersOfOneRouteDoNotHideTheLateOnesOfAnother() {
         AdaptiveLimit limit = AdaptiveLimit.none();
         for (int index = 0; index < 20; index++) {
-            limit = limit.answered(new TimedAnswer("labels", 40, 400), USAGE, index * 1_000L);
-            limit = limit.answered(new TimedAnswer("chat", 400, 250), USAGE, index * 1_000L + 500);
+            limit = limit.answered(new TimedAnswer("labels", 40, 400, true), USAGE, index * 1_000L);
+            limit = limit.answered(new TimedAnswer("chat", 400, 250, true), USAGE, index * 1_000L + 500);
         }
         assertTrue(limit.isLimited());
     }
@@ -77,13 +77,22 @@
         AdaptiveLimit limit = AdaptiveLimit.none();
         LimitUsage usage = new LimitUsage(10, 6, 0);
         for (int index = 0; index < 100; index++) {
-            limit = limit.answered(new TimedAnswer("reports", 4_000, 1_000), usage, index * 5_000L);
+            limit = limit.answered(new TimedAnswer("reports", 4_000, 1_000, true), usage, index * 5_000L);
         }
         assertTrue(limit.requests() >= 6, "limit " + limit.requests());
         assertTrue(limit.requests() < 10, "limit " + limit.requests());
     }
 
+    @Test
+    void requestsThatAreNeverAnsweredDoNotLowerTheLimit() {
+        AdaptiveLimit limit = AdaptiveLimit.none();
+        for (int index = 0; index < 20; index++) {
+            limit = limit.answered(new TimedAnswer("route", 5_000, 400, false), USAGE, index * 10_000L);
+        }
+        assertTrue(limit.admits(1_000, 0.5));
+    }
+
     private static TimedAnswer answer(double answerMs, int objectiveMs) {
-        return new TimedAnswer("route", answerMs, objectiveMs);
+        return new TimedAnswer("route", answerMs, objectiveMs, true);
     }
 }
--- a/jayhead-admission/src/test/java/io/jayhead/admission/overload/OverloadSimulation.java
+++ b/jayhead-admission/src/test/java/io/jayhead/admission/overload/OverloadSimulation.java
@@ -109,7 +109,7 @@
     private void end(Request request, double nowMs) {
         int router = request.router();
         double answerMs = nowMs - request.sentMs();
-        TimedAnswer answer = new TimedAnswer("route", answerMs, OBJECTIVE_MS);
+        TimedAnswer answer = new TimedAnswer("route", answerMs, OBJECTIVE_MS, true);
         LimitUsage usage = new LimitUsage(inFlight[router], 0, 0);
         limits.set(router, limits.get(router).answered(answer, usage, (long) nowMs));
         inFlight[router]--;
--- a/jayhead-admission/src/test/java/io/jayhead/admission/room/CostOrderPolicy.java
+++ b/jayhead-admission/src/test/java/io/jayhead/admission/room/CostOrderPolicy.java
@@ -40,7 +40,7 @@
         if (verdict.isAdmitted()) {
             admitted.put(verdict.request().id(), verdict);
         }
-        long overloadMs = admission.overload().ageMs((long) nowMs);
+        long overloadMs = admission.overloadMs((long) nowMs);
         return new Decision(
                 verdict.request().id(),
                 verdict.isAdmitted(),
--- a/jayhead-admission/src/test/java/io/jayhead/admission/room/FairQueuePolicy.java
+++ b/jayhead-admission/src/test/java/io/jayhead/admission/room/FairQueuePolicy.java
@@ -82,7 +82,7 @@
 
     @Override
     public void answered(String id, double answerMs, double nowMs) {
-        TimedAnswer answer = new TimedAnswer("all", answerMs, known.get(id).objectiveMs());
+        TimedAnswer answer = new TimedAnswer("all", answerMs, known.get(id).objectiveMs(), true);
         limit = limit.answered(answer, new LimitUsage(inFlight, 0, 0), (long) nowMs);
     }
 
--- a/jayhead-admission/src/test/java/io/jayhead/admission/room/LoadReplay.java
+++ b/jayhead-admission/src/test/java/io/jayhead/admission/room/LoadReplay.java
@@ -9,6 +9,7 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 /**
@@ -20,6 +21,8 @@
 
     static final double HOT_FACTOR = 7.5;
     static final int ORGANISATIONS = 12;
+    /** The organisation that sends many times its usual load. */
+    static final OrganisationName HOT = OrganisationName.of("org-0");
 
     private static final int ROUTERS = 8;
     private static final int SLOTS = 128;
@@ -98,7 +101,8 @@
         double organisationDraw = random.nextDouble() * (ORGANISATIONS * hotFactor);
         int organisation = organisationDraw < ORGANISATIONS ? (int) organisationDraw : 0;
         boolean large = random.nextInt(10) == 0;
-        Call call = new Call(kind, large, OrganisationName.of("org-" + organisation), nowMs, random.nextInt(ROUTERS));
+        OrganisationName name = OrganisationName.of("org-" + organisation);
+        Call call = new Call(kind, large, name, nowMs, random.nextInt(ROUTERS));
         counts(call, counts -> counts.asked++);
         enter(call, nowMs);
     }
@@ -176,7 +180,7 @@
         apply(router(call).left(call.id, nowMs - call.sentMs, nowMs, decisionRandom.nextDouble()), nowMs);
     }
 
-    private void counts(Call call, java.util.function.Consumer<KindCounts> change) {
+    private void counts(Call call, Consumer<KindCounts> change) {
         change.accept(byKind.get(call.kind));
         if (call.large) {
             change.accept(largeByKind.get(call.kind));
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/GatePass.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/GatePass.java
@@ -62,7 +62,7 @@
         gate.answered(verdict, answerMs);
     }
 
-    /** Ends the request; one that was given up after its objective counts as late. Later calls do nothing. */
+    /** Ends the request, which may have been given up without an answer. Later calls do nothing. */
     void leave() {
         if (left) {
             return;
@@ -77,7 +77,7 @@
         }
         double heldMs = (System.nanoTime() - admittedAtNs) / 1e6;
         if (!answered && heldMs > request.route().latencyObjectiveMs()) {
-            answered(heldMs);
+            gate.givenUp(verdict, heldMs);
         }
         gate.leave(verdict, heldMs);
     }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/ServiceGate.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/ServiceGate.java
@@ -70,15 +70,20 @@
      * Records how late an admitted request was answered.
      *
      * @param admitted the verdict that admitted it
-     * @param answerMs the time from sending it to its answer, to the first event, or to the time when it was given up
+     * @param answerMs the time from sending it to its answer or to the first event
      */
     void answered(RoomVerdict admitted, double answerMs) {
         admission = admission.answered(admitted, answerMs, nowMs());
     }
 
+    /** Records that an admitted request was given up without an answer. */
+    void givenUp(RoomVerdict admitted, double heldMs) {
+        admission = admission.givenUp(admitted, heldMs, nowMs());
+    }
+
     /** Returns for how long the service has been overloaded; 0 if it is not. */
     long overloadedMs() {
-        return admission.overload().ageMs(nowMs());
+        return admission.overloadMs(nowMs());
     }
 
     private void timePassed() {
