--- a/jayhead-dispatch/src/test/java/io/jayhead/dispatch/forward/RetryDelayTest.java
+++ b/jayhead-dispatch/src/test/java/io/jayhead/dispatch/forward/RetryDelayTest.java
@@ -31,4 +31,15 @@
         assertEquals(400, RetryDelay.forOutageMs(0));
         assertEquals(5_000, RetryDelay.forOutageMs(60_000));
     }
+
+    @Test
+    void aCallerIsAskedToReturnWhenRoomIsExpectedButWithinTheTimeThatItHas() {
+        assertEquals(2_000, RetryDelay.forRoomMs(0, 2_000, 10_000, 100));
+        assertEquals(1_300, RetryDelay.forRoomMs(0, 2_000, 5_000, 100));
+    }
+
+    @Test
+    void aCallerThatCannotBeAnsweredAfterItsReturnIsNotAskedToReturn() {
+        assertEquals(0, RetryDelay.forRoomMs(0, 2_000, 500, 400));
+    }
 }
