Limit what upstreams that warm up get from all routers together

Cause: an upstream that has just started, or has become cold, takes few requests a second and ends at more; every router found it the idlest of the fleet.

Change: WarmUps (pure) tells which upstreams warm up, from first sights, entries and the return of evacuated zones; WarmUpShare (pure) deals the whole requests of a second out to the routers by rendezvous hashing; RecentSends (pure) is the sliding window. WarmUpLimiter counts a request just before it is written. Without room elsewhere a request is refused at once (WARMING_UP). Only for services that configure a limit.

--- a/jayhead-ctl/src/main/java/io/jayhead/ctl/command/RequestCause.java
+++ b/jayhead-ctl/src/main/java/io/jayhead/ctl/command/RequestCause.java
@@ -20,6 +20,9 @@
             "several upstreams ended under a part of the prompt (see 'prompt part blocked'); the request did not run"),
     MALFORMED("MALFORMED", "the request had no id, or a size that could not be read"),
     NO_UPSTREAM("NO_UPSTREAM", "no upstream could be reached in time; the request did not run"),
+    WARMING_UP(
+            "WARMING_UP",
+            "the upstreams that were left warm up and take few requests a second; the request did not run"),
     NOT_CONFIGURED("NOT_CONFIGURED", "the router had just started and had no configuration yet"),
     STOPPING("STOPPING", "the router was being stopped"),
     NO_ROUTE("NO_ROUTE", "no route of the configuration in force leads to the host and path"),
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlPlane.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlPlane.java
@@ -25,6 +25,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
@@ -342,7 +343,12 @@
     }
 
     private void publish(UpstreamRegistry newest) {
-        snapshot = snapshot.withRegistry(newest);
+        Set<String> known = snapshot.warmUps().reported(nowMs());
+        snapshot = snapshot.withRegistry(newest, nowMs());
+        Set<String> reported = snapshot.warmUps().reported(nowMs());
+        if (!known.containsAll(reported)) {
+            log.write(LogKind.STATE, "upstreams warm up", "warming_up_upstreams", reported);
+        }
         onChange.run();
     }
 }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/RoutingSnapshot.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/RoutingSnapshot.java
@@ -3,6 +3,7 @@
 import io.jayhead.admission.quarantine.PromptQuarantine;
 import io.jayhead.routing.catalog.Catalog;
 import io.jayhead.routing.registry.UpstreamRegistry;
+import io.jayhead.routing.registry.WarmUps;
 import io.jayhead.routing.registry.ZoneEvacuations;
 import java.util.List;
 
@@ -15,6 +16,7 @@
  * @param routers the routers of the fleet, this one included
  * @param quarantine the parts of prompts that are not sent to upstreams
  * @param evacuations the availability zones whose upstreams get no new requests
+ * @param warmUps the upstreams that warm up
  */
 public record RoutingSnapshot(
         Catalog catalog,
@@ -22,7 +24,8 @@
         boolean registryKnown,
         List<RouterAddress> routers,
         PromptQuarantine quarantine,
-        ZoneEvacuations evacuations) {
+        ZoneEvacuations evacuations,
+        WarmUps warmUps) {
 
     /** Makes an immutable copy of the list. */
     public RoutingSnapshot {
@@ -41,27 +44,29 @@
                 false,
                 List.of(),
                 PromptQuarantine.empty(),
-                ZoneEvacuations.unread());
+                ZoneEvacuations.unread(),
+                WarmUps.none());
     }
 
     RoutingSnapshot withCatalog(Catalog newest) {
-        return new RoutingSnapshot(newest, registry, registryKnown, routers, quarantine, evacuations);
+        return new RoutingSnapshot(newest, registry, registryKnown, routers, quarantine, evacuations, warmUps);
     }
 
-    RoutingSnapshot withRegistry(UpstreamRegistry newest) {
-        return new RoutingSnapshot(catalog, newest, true, routers, quarantine, evacuations);
+    RoutingSnapshot withRegistry(UpstreamRegistry newest, long nowMs) {
+        WarmUps next = registryKnown ? warmUps.changed(registry, newest, nowMs) : warmUps.first(newest, nowMs);
+        return new RoutingSnapshot(catalog, newest, true, routers, quarantine, evacuations, next);
     }
 
     RoutingSnapshot withRouters(List<RouterAddress> newest) {
-        return new RoutingSnapshot(catalog, registry, registryKnown, newest, quarantine, evacuations);
+        return new RoutingSnapshot(catalog, registry, registryKnown, newest, quarantine, evacuations, warmUps);
     }
 
     RoutingSnapshot withQuarantine(PromptQuarantine newest) {
-        return new RoutingSnapshot(catalog, registry, registryKnown, routers, newest, evacuations);
+        return new RoutingSnapshot(catalog, registry, registryKnown, routers, newest, evacuations, warmUps);
     }
 
     RoutingSnapshot withEvacuations(ZoneEvacuations newest) {
-        return new RoutingSnapshot(catalog, registry, registryKnown, routers, quarantine, newest);
+        return new RoutingSnapshot(catalog, registry, registryKnown, routers, quarantine, newest, warmUps);
     }
 
     /**
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
@@ -118,7 +118,7 @@
         }
     }
 
-    /** Tells whether a request may be sent to an upstream that was chosen before a connection was available. */
+    /** Tells whether the request may be sent to an upstream that was chosen before a connection was available. */
     boolean maySend(UpstreamHandle upstream) {
         return context.filter().maySend(upstream.upstream());
     }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamFilter.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamFilter.java
@@ -2,6 +2,7 @@
 
 import io.jayhead.gateway.control.RoutingSnapshot;
 import io.jayhead.gateway.metrics.GatewayMetrics;
+import io.jayhead.model.Either;
 import io.jayhead.routing.placement.PlacementCandidate;
 import io.jayhead.routing.registry.Upstream;
 import java.util.List;
@@ -12,39 +13,49 @@
 public final class UpstreamFilter {
 
     private static final String EVACUATED = "evacuated";
+    private static final String WARMING_UP = "warming up";
 
     private final Supplier<RoutingSnapshot> snapshot;
     private final GatewayMetrics metrics;
+    private final WarmUpLimiter warmUps;
 
     /**
      * Creates a filter.
      *
+     * @param vmName the VM name of this router
      * @param snapshot returns the newest routing snapshot
      * @param metrics counts the excluded upstreams
      */
-    public UpstreamFilter(Supplier<RoutingSnapshot> snapshot, GatewayMetrics metrics) {
+    public UpstreamFilter(String vmName, Supplier<RoutingSnapshot> snapshot, GatewayMetrics metrics) {
         this.snapshot = snapshot;
         this.metrics = metrics;
+        this.warmUps = new WarmUpLimiter(vmName, snapshot, metrics);
     }
 
     /**
      * Returns the candidates to which a request may be sent now.
      *
      * @param candidates the ready upstreams of its service
-     * @return those that are not excluded; empty if all are
+     * @return those that are not excluded, or why there are none
      */
-    List<PlacementCandidate> apply(List<PlacementCandidate> candidates) {
-        return exclude(candidates, EVACUATED, this::isEvacuated);
+    Either<Refusal, List<PlacementCandidate>> apply(List<PlacementCandidate> candidates) {
+        List<PlacementCandidate> usable = exclude(candidates, EVACUATED, this::isEvacuated);
+        if (usable.isEmpty()) {
+            return Either.left(Refusal.NO_UPSTREAM);
+        }
+        List<PlacementCandidate> withRoom = exclude(usable, WARMING_UP, upstream -> !warmUps.allows(upstream));
+        return withRoom.isEmpty() ? Either.left(Refusal.WARMING_UP) : Either.right(withRoom);
     }
 
     /**
-     * Tells whether a request may be sent to an upstream that was chosen before a connection was available.
+     * Tells whether a request may be sent to an upstream that was chosen before a connection was available, and counts
+     * it if the upstream warms up.
      *
      * @param upstream the upstream
      * @return true if it still takes requests
      */
     boolean maySend(Upstream upstream) {
-        return snapshot.get().registry().isReady(upstream) && !isEvacuated(upstream);
+        return snapshot.get().registry().isReady(upstream) && !isEvacuated(upstream) && warmUps.trySend(upstream);
     }
 
     private boolean isEvacuated(Upstream upstream) {
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamSelector.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamSelector.java
@@ -31,10 +31,13 @@
         if (snapshot.quarantine().blocks(admitted.metadata().sharedPartIds())) {
             return Either.left(Refusal.PROMPT_BLOCKED);
         }
-        List<PlacementCandidate> candidates = context.filter()
+        Either<Refusal, List<PlacementCandidate>> candidates = context.filter()
                 .apply(context.upstreams()
                         .candidates(snapshot.registry(), admitted.service().name()));
-        Optional<PlacementChoice> chosen = Placement.choose(candidates, forwarded.placement(triedIncarnations));
+        if (!candidates.isRight()) {
+            return Either.left(candidates.getLeft());
+        }
+        Optional<PlacementChoice> chosen = Placement.choose(candidates.get(), forwarded.placement(triedIncarnations));
         if (chosen.isEmpty()) {
             return Either.left(Refusal.NO_UPSTREAM);
         }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/metrics/GatewayMetrics.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/metrics/GatewayMetrics.java
@@ -43,6 +43,10 @@
             .help("Times that ready upstreams were no candidates for an attempt, by reason")
             .labelNames("reason")
             .register(registry);
+    private final Counter warmUpRequests = Counter.builder()
+            .name("jayhead_warm_up_requests_total")
+            .help("Requests sent to upstreams that warm up and take only few requests a second")
+            .register(registry);
     private final Counter connections = Counter.builder()
             .name("jayhead_upstream_connections_total")
             .help("Connections opened to upstreams")
@@ -125,6 +129,11 @@
         excludedUpstreams.labelValues(reason).inc(upstreams);
     }
 
+    /** Counts a request that is sent to an upstream that warms up. */
+    public void warmUpRequest() {
+        warmUpRequests.inc();
+    }
+
     /** Counts a connection that is opened to an upstream. */
     public void connectionOpened() {
         connections.inc();
--- a/jayhead-routing/src/main/java/io/jayhead/routing/registry/Upstream.java
+++ b/jayhead-routing/src/main/java/io/jayhead/routing/registry/Upstream.java
@@ -11,6 +11,8 @@
  * @param availabilityZone the availability zone
  * @param draining whether the upstream accepts no new requests
  * @param slots the number of requests that the upstream runs at the same time
+ * @param warmUpLeftMs the milliseconds for which the upstream warmed up at most when it wrote its entry; 0 if it had
+ *     warmed up, or if that is unknown
  */
 public record Upstream(
         String id,
@@ -20,7 +22,32 @@
         int port,
         String availabilityZone,
         boolean draining,
-        int slots) {
+        int slots,
+        long warmUpLeftMs) {
+
+    /**
+     * Creates an upstream that has warmed up.
+     *
+     * @param id the identity of the upstream, which it checks in requests
+     * @param startedAtEpochMs the start of this incarnation in milliseconds since the epoch; 0 if unknown
+     * @param service the name of the service to which the upstream belongs
+     * @param host the IP address
+     * @param port the port
+     * @param availabilityZone the availability zone
+     * @param draining whether the upstream accepts no new requests
+     * @param slots the number of requests that the upstream runs at the same time
+     */
+    public Upstream(
+            String id,
+            long startedAtEpochMs,
+            String service,
+            String host,
+            int port,
+            String availabilityZone,
+            boolean draining,
+            int slots) {
+        this(id, startedAtEpochMs, service, host, port, availabilityZone, draining, slots, 0);
+    }
 
     /**
      * Returns a name that is unique to this incarnation.
@@ -37,6 +64,6 @@
      * @return the draining upstream
      */
     public Upstream asDraining() {
-        return new Upstream(id, startedAtEpochMs, service, host, port, availabilityZone, true, slots);
+        return new Upstream(id, startedAtEpochMs, service, host, port, availabilityZone, true, slots, warmUpLeftMs);
     }
 }
