Send requests only to upstreams in the regions of their route and organisation

Cause: a route or an organisation can name the regions in which its requests may be processed, and no router read that.

Change: AllowedRegions (pure) combines both restrictions; UpstreamFilter excludes upstreams of other or unknown regions before placement. Without an upstream in an allowed region a request is refused at once with 503 and NO_ALLOWED_REGION. The regions of availability zones come from the settings.

--- a/jayhead-ctl/src/main/java/io/jayhead/ctl/command/RequestCause.java
+++ b/jayhead-ctl/src/main/java/io/jayhead/ctl/command/RequestCause.java
@@ -20,6 +20,9 @@
             "several upstreams ended under a part of the prompt (see 'prompt part blocked'); the request did not run"),
     MALFORMED("MALFORMED", "the request had no id, or a size that could not be read"),
     NO_UPSTREAM("NO_UPSTREAM", "no upstream could be reached in time; the request did not run"),
+    NO_ALLOWED_REGION(
+            "NO_ALLOWED_REGION",
+            "no upstream was in a region that route and organisation allow; the request did not run"),
     WARMING_UP(
             "WARMING_UP",
             "the upstreams that were left warm up and take few requests a second; the request did not run"),
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/Gateway.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/Gateway.java
@@ -120,7 +120,7 @@
                 metrics,
                 drain,
                 new PromptGuard(traffic, control::snapshot, control, log),
-                new UpstreamFilter(settings.vmName(), control::snapshot, metrics),
+                new UpstreamFilter(settings.vmName(), settings.regionByZone(), control::snapshot, metrics),
                 meter::pressure);
         this.callers = new CallerServer(context, meter);
     }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/GatewaySettings.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/GatewaySettings.java
@@ -2,6 +2,7 @@
 
 import io.jayhead.gateway.control.ControlTimes;
 import java.net.InetSocketAddress;
+import java.util.Map;
 
 /**
  * Holds the settings of a router.
@@ -14,6 +15,7 @@
  * @param stopMs the time in milliseconds between the stop signal and the end of the process
  * @param controlTimes the times that the control plane depends on
  * @param linkMbps the capacity of the VM's network link in each direction, in megabits per second; 0 if unknown
+ * @param regionByZone the regions of the availability zones
  */
 public record GatewaySettings(
         String vmName,
@@ -23,7 +25,8 @@
         InetSocketAddress peersAddress,
         long stopMs,
         ControlTimes controlTimes,
-        double linkMbps) {
+        double linkMbps,
+        Map<String, String> regionByZone) {
 
     /**
      * Validates the values.
@@ -41,5 +44,39 @@
         if (stopMs <= 0) {
             throw new IllegalArgumentException("the stop time is not positive: " + stopMs);
         }
+        regionByZone = Map.copyOf(regionByZone);
+    }
+
+    /**
+     * Creates the settings of a deployment whose availability zones have no known regions.
+     *
+     * @param vmName the name of the VM
+     * @param availabilityZone the availability zone
+     * @param callersAddress the address on which the router accepts callers
+     * @param statusAddress the address of the readiness check and the metrics
+     * @param peersAddress the address on which the router accepts other routers
+     * @param stopMs the time in milliseconds between the stop signal and the end of the process
+     * @param controlTimes the times that the control plane depends on
+     * @param linkMbps the capacity of the VM's network link in each direction, in megabits per second; 0 if unknown
+     */
+    public GatewaySettings(
+            String vmName,
+            String availabilityZone,
+            InetSocketAddress callersAddress,
+            InetSocketAddress statusAddress,
+            InetSocketAddress peersAddress,
+            long stopMs,
+            ControlTimes controlTimes,
+            double linkMbps) {
+        this(
+                vmName,
+                availabilityZone,
+                callersAddress,
+                statusAddress,
+                peersAddress,
+                stopMs,
+                controlTimes,
+                linkMbps,
+                Map.of());
     }
 }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/AdmittedRequest.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/AdmittedRequest.java
@@ -1,6 +1,7 @@
 package io.jayhead.gateway.exchange;
 
 import io.jayhead.gateway.wire.CallerMetadata;
+import io.jayhead.routing.catalog.AllowedRegions;
 import io.jayhead.routing.catalog.Organisation;
 import io.jayhead.routing.catalog.Route;
 import io.jayhead.routing.catalog.ServiceProfile;
@@ -45,6 +46,14 @@
         return Math.max(0, Math.min(MAX_RANK, rank));
     }
 
+    /** Returns the regions in which both its route and its organisation allow it to be processed. */
+    AllowedRegions regions() {
+        return organisation
+                .map(Organisation::regions)
+                .orElse(AllowedRegions.all())
+                .and(route.regions());
+    }
+
     boolean isGeneration() {
         return metadata.size().isPresent();
     }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Refusal.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Refusal.java
@@ -23,6 +23,8 @@
     STOPPING(HttpResponseStatus.SERVICE_UNAVAILABLE, 50),
     /** No upstream can take the request. */
     NO_UPSTREAM(HttpResponseStatus.SERVICE_UNAVAILABLE, 400),
+    /** No upstream is in a region in which route and organisation allow the request to be processed. */
+    NO_ALLOWED_REGION(HttpResponseStatus.SERVICE_UNAVAILABLE, 2_000),
     /** The upstreams that are left warm up, and have got what they take from this router for now. */
     WARMING_UP(HttpResponseStatus.SERVICE_UNAVAILABLE, 1_000),
     /** The upstreams that were tried are too busy to accept the request. */
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamFilter.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamFilter.java
@@ -3,18 +3,23 @@
 import io.jayhead.gateway.control.RoutingSnapshot;
 import io.jayhead.gateway.metrics.GatewayMetrics;
 import io.jayhead.model.Either;
+import io.jayhead.routing.catalog.AllowedRegions;
 import io.jayhead.routing.placement.PlacementCandidate;
 import io.jayhead.routing.registry.Upstream;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 
 /** Excludes upstreams to which a request must not be sent, however idle they are; used by the traffic thread. */
 public final class UpstreamFilter {
 
+    private static final String REGION = "region";
     private static final String EVACUATED = "evacuated";
     private static final String WARMING_UP = "warming up";
 
+    private final Map<String, String> regionByZone;
     private final Supplier<RoutingSnapshot> snapshot;
     private final GatewayMetrics metrics;
     private final WarmUpLimiter warmUps;
@@ -23,10 +28,16 @@
      * Creates a filter.
      *
      * @param vmName the VM name of this router
+     * @param regionByZone the regions of the availability zones
      * @param snapshot returns the newest routing snapshot
      * @param metrics counts the excluded upstreams
      */
-    public UpstreamFilter(String vmName, Supplier<RoutingSnapshot> snapshot, GatewayMetrics metrics) {
+    public UpstreamFilter(
+            String vmName,
+            Map<String, String> regionByZone,
+            Supplier<RoutingSnapshot> snapshot,
+            GatewayMetrics metrics) {
+        this.regionByZone = Map.copyOf(regionByZone);
         this.snapshot = snapshot;
         this.metrics = metrics;
         this.warmUps = new WarmUpLimiter(vmName, snapshot, metrics);
@@ -36,10 +47,15 @@
      * Returns the candidates to which a request may be sent now.
      *
      * @param candidates the ready upstreams of its service
+     * @param regions the regions in which it may be processed
      * @return those that are not excluded, or why there are none
      */
-    Either<Refusal, List<PlacementCandidate>> apply(List<PlacementCandidate> candidates) {
-        List<PlacementCandidate> usable = exclude(candidates, EVACUATED, this::isEvacuated);
+    Either<Refusal, List<PlacementCandidate>> apply(List<PlacementCandidate> candidates, AllowedRegions regions) {
+        List<PlacementCandidate> allowed = exclude(candidates, REGION, upstream -> !regions.allow(region(upstream)));
+        if (allowed.isEmpty()) {
+            return Either.left(regions.areRestricted() ? Refusal.NO_ALLOWED_REGION : Refusal.NO_UPSTREAM);
+        }
+        List<PlacementCandidate> usable = exclude(allowed, EVACUATED, this::isEvacuated);
         if (usable.isEmpty()) {
             return Either.left(Refusal.NO_UPSTREAM);
         }
@@ -58,6 +74,10 @@
         return snapshot.get().registry().isReady(upstream) && !isEvacuated(upstream) && warmUps.trySend(upstream);
     }
 
+    private Optional<String> region(Upstream upstream) {
+        return Optional.ofNullable(regionByZone.get(upstream.availabilityZone()));
+    }
+
     private boolean isEvacuated(Upstream upstream) {
         return !snapshot.get().evacuations().allows(upstream.availabilityZone());
     }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamSelector.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamSelector.java
@@ -31,9 +31,9 @@
         if (snapshot.quarantine().blocks(admitted.metadata().sharedPartIds())) {
             return Either.left(Refusal.PROMPT_BLOCKED);
         }
-        Either<Refusal, List<PlacementCandidate>> candidates = context.filter()
-                .apply(context.upstreams()
-                        .candidates(snapshot.registry(), admitted.service().name()));
+        List<PlacementCandidate> ready = context.upstreams()
+                .candidates(snapshot.registry(), admitted.service().name());
+        Either<Refusal, List<PlacementCandidate>> candidates = context.filter().apply(ready, admitted.regions());
         if (!candidates.isRight()) {
             return Either.left(candidates.getLeft());
         }
--- a/jayhead-routing/src/main/java/io/jayhead/routing/catalog/Route.java
+++ b/jayhead-routing/src/main/java/io/jayhead/routing/catalog/Route.java
@@ -17,6 +17,7 @@
  * @param anonymous whether requests without an API key are accepted
  * @param resumable whether an interrupted stream may be resumed on another upstream
  * @param eventGapObjectiveMs the target for the longest pause between two events of a stream; 0 if not set
+ * @param regions the regions in which its requests may be processed
  */
 public record Route(
         String name,
@@ -30,13 +31,59 @@
         int maxAttempts,
         boolean anonymous,
         boolean resumable,
-        int eventGapObjectiveMs) {
+        int eventGapObjectiveMs,
+        AllowedRegions regions) {
 
     /** Makes a defensive copy of the services. */
     public Route {
         services = List.copyOf(services);
     }
 
+    /**
+     * Creates a route whose requests may be processed in all regions.
+     *
+     * @param name the name of the route
+     * @param host the host in lower case, without a port
+     * @param pathPrefix the prefix of the path; begins and ends with a slash
+     * @param kind whether a request may run more than once and whether its answer is a stream
+     * @param services the services and their weights
+     * @param timeoutMs the time limit for the complete answer
+     * @param latencyObjectiveMs the target time until the answer, or the first event of a stream, arrives
+     * @param priority the priority of the requests; 0 is the most urgent
+     * @param maxAttempts the maximum number of upstreams on which one request may run
+     * @param anonymous whether requests without an API key are accepted
+     * @param resumable whether an interrupted stream may be resumed on another upstream
+     * @param eventGapObjectiveMs the target for the longest pause between two events of a stream; 0 if not set
+     */
+    public Route(
+            String name,
+            String host,
+            String pathPrefix,
+            RouteKind kind,
+            List<WeightedService> services,
+            int timeoutMs,
+            int latencyObjectiveMs,
+            int priority,
+            int maxAttempts,
+            boolean anonymous,
+            boolean resumable,
+            int eventGapObjectiveMs) {
+        this(
+                name,
+                host,
+                pathPrefix,
+                kind,
+                services,
+                timeoutMs,
+                latencyObjectiveMs,
+                priority,
+                maxAttempts,
+                anonymous,
+                resumable,
+                eventGapObjectiveMs,
+                AllowedRegions.all());
+    }
+
     /**
      * Chooses a service by weight.
      *
