Tell a service without upstreams from one without an allowed region

Cause: the refusal named the regions also when the service had no upstream at all.

Change: NO_ALLOWED_REGION only if upstreams were excluded.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamFilter.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamFilter.java
@@ -53,7 +53,7 @@
     Either<Refusal, List<PlacementCandidate>> apply(List<PlacementCandidate> candidates, AllowedRegions regions) {
         List<PlacementCandidate> allowed = exclude(candidates, REGION, upstream -> !regions.allow(region(upstream)));
         if (allowed.isEmpty()) {
-            return Either.left(regions.areRestricted() ? Refusal.NO_ALLOWED_REGION : Refusal.NO_UPSTREAM);
+            return Either.left(candidates.isEmpty() ? Refusal.NO_UPSTREAM : Refusal.NO_ALLOWED_REGION);
         }
         List<PlacementCandidate> usable = exclude(allowed, EVACUATED, this::isEvacuated);
         if (usable.isEmpty()) {
--- a/jayhead-routing/src/main/java/io/jayhead/routing/catalog/AllowedRegions.java
+++ b/jayhead-routing/src/main/java/io/jayhead/routing/catalog/AllowedRegions.java
@@ -37,15 +37,6 @@
         return new AllowedRegions(Optional.of(regions));
     }
 
-    /**
-     * Tells whether there is a restriction.
-     *
-     * @return false if all regions are allowed
-     */
-    public boolean areRestricted() {
-        return regions.isPresent();
-    }
-
     /**
      * Tells whether requests may be processed in a region.
      *
--- a/jayhead-routing/src/test/java/io/jayhead/routing/catalog/AllowedRegionsTest.java
+++ b/jayhead-routing/src/test/java/io/jayhead/routing/catalog/AllowedRegionsTest.java
@@ -43,6 +43,6 @@
         AllowedRegions north = AllowedRegions.of(Set.of("north"));
         assertEquals(north, north.and(AllowedRegions.all()));
         assertEquals(north, AllowedRegions.all().and(north));
-        assertFalse(AllowedRegions.all().and(AllowedRegions.all()).areRestricted());
+        assertEquals(AllowedRegions.all(), AllowedRegions.all().and(AllowedRegions.all()));
     }
 }
