--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamSelector.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamSelector.java
@@ -32,11 +32,14 @@
             return Either.left(Refusal.PROMPT_BLOCKED);
         }
         String service = admitted.service().name();
-        List<PlacementCandidate> candidates =
-                context.filter().apply(context.upstreams().candidates(snapshot.registry(), service));
+        List<PlacementCandidate> ready = context.upstreams().candidates(snapshot.registry(), service);
+        Either<Refusal, List<PlacementCandidate>> candidates = context.filter().apply(ready, admitted.regions());
+        if (!candidates.isRight()) {
+            return Either.left(candidates.getLeft());
+        }
         Set<String> partHolders = context.upstreams().partHolders(service, forwarded.affinityKey());
         Optional<PlacementChoice> chosen = Placement.choose(
-                candidates,
+                candidates.get(),
                 forwarded.placement(partHolders, triedIncarnations),
                 context.upstreams().rates(service));
         if (chosen.isEmpty()) {
