Borrow again when other requests have used up a loan, and ask fewer empty lenders

Change: a request for loans ends as COVERED or NOT_COVERED; only the latter refuses. In an outage a loan also covers one second of demand, up to three times the tokens that are missing. A lender that lacked tokens is not asked for as many again within 0.5 s, and in an outage the last lender is asked first (Lenders). A lender gives at least the fourth part of a loan, since four are asked, or nothing.

Test: mvn -B -o verify -pl jayhead-gateway -am -Dtest=BudgetAccountTest,LendersTest,PeerLoansTest passes; without the check of the result BudgetAccountTest.aRequestWhoseLoanWasUsedUpByAMoreUrgentOneBorrowsAgainInAnOutage fails (one of three requests reserved). The lambdas of BudgetAccountTest follow the new signature; no assertion changed.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetAccount.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetAccount.java
@@ -29,6 +29,10 @@
     private static final long LOAN_WAIT_NS = 45_000_000L;
     /** Tokens are also borrowed from other routers once a request has waited longer than this for the ledger. */
     private static final long BORROW_AFTER_NS = 80_000_000L;
+    /** A loan in an outage of the ledger also covers the demand of this many seconds. */
+    private static final double BORROWED_DEMAND_S = 1.0;
+    /** Limits the tokens borrowed for next requests, as a multiple of those that waiting requests lack. */
+    private static final long MAX_AHEAD_FACTOR = 3;
 
     private final Consumer<BudgetNeed> needs;
     private final Runnable beforeLedgerCall;
@@ -186,7 +190,11 @@
     private long lendableTokens(long tokens, int rank) {
         boolean ownFirst = waiting.any(
                 own -> own.rank() < rank || own.rank() == rank && missingTokens(own.tokens(), own.rank()) <= tokens);
-        return ownFirst ? 0 : PeerLoans.tokensToLend(tokens, wallet.freeTokens() - heldBackTokens(rank));
+        if (ownFirst) {
+            return 0;
+        }
+        long lendable = PeerLoans.tokensToLend(tokens, wallet.freeTokens() - heldBackTokens(rank));
+        return PeerLoans.isWorthLending(tokens, lendable) ? lendable : 0;
     }
 
     /** Returns the tokens that a request lacks; 0 or negative if it can be served. */
@@ -233,7 +241,17 @@
         borrowing = true;
         int rank = waiting.mostUrgentRank();
         long missingTokens = missingTokens(waiting.tokens(rank), rank);
-        loans.borrow(missingTokens, rank, ledgerOutage, this::credit, () -> borrowingEnded(rank));
+        LoanNeed need = new LoanNeed(missingTokens, missingTokens + tokensAhead(missingTokens), rank, ledgerOutage);
+        loans.borrow(need, this::credit, result -> borrowingEnded(rank, result));
+    }
+
+    /** Returns the tokens to borrow for the next requests, so that not each of them needs a loan in an outage. */
+    private long tokensAhead(long missingTokens) {
+        if (!ledgerOutage) {
+            return 0;
+        }
+        long demandTokens = (long) (demand.tokensPerS() * BORROWED_DEMAND_S);
+        return Math.min(demandTokens, Math.max(0, missingTokens) * MAX_AHEAD_FACTOR);
     }
 
     private void credit(long tokens) {
@@ -242,12 +260,20 @@
         serveWaiting();
     }
 
-    private void borrowingEnded(int rank) {
+    /**
+     * Refuses the requests for which no router has lent enough. A loan that covers what was asked shows no lack of
+     * tokens, even if requests that have come meanwhile have used it up; the others then borrow again.
+     */
+    private void borrowingEnded(int rank, LoanResult result) {
         borrowing = false;
         serveWaiting();
         if (waiting.isEmpty()) {
             return;
         }
+        if (result == LoanResult.COVERED) {
+            borrow();
+            return;
+        }
         boolean noLedgerTokens = ledgerOutage || waiting.all(request -> isExhausted(request.tokens()));
         if (noLedgerTokens && (ledgerOutage || isPageFresh())) {
             failedLoans.recordFailure(rank, waiting.least(rank, this::missingTokens));
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetAccounts.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetAccounts.java
@@ -207,8 +207,7 @@
                 name -> new BudgetAccount(
                         need -> needs.accept(name, need),
                         () -> joinLedgerCall(name),
-                        (tokens, rank, cutOff, onLoan, onDone) ->
-                                loans.borrow(name, tokens, rank, cutOff, onLoan, onDone),
+                        (need, onLoan, onDone) -> loans.borrow(name, need, onLoan, onDone),
                         () -> loans.isBudgetHolder(name, vmName)));
     }
 }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/PeerLoans.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/PeerLoans.java
@@ -15,6 +15,7 @@
 import java.util.Map;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import java.util.function.Supplier;
 
@@ -36,6 +37,8 @@
     private static final int MAX_PEERS = 4;
     /** A lender keeps at least this share of its free tokens. */
     private static final double KEPT_SHARE = 0.4;
+    /** Smaller shares of a loan would not add up to the whole from the routers that are asked. */
+    private static final double MIN_LOAN_SHARE = 1.0 / MAX_PEERS;
 
     private final EventLoop traffic;
     private final PeerClient client;
@@ -43,6 +46,7 @@
     private final Supplier<List<RouterAddress>> routers;
     private final StructuredLog log;
     private final Map<String, Long> silentSinceNs = new HashMap<>();
+    private final Map<String, Lenders> lenders = new HashMap<>();
 
     PeerLoans(
             EventLoop traffic,
@@ -69,6 +73,17 @@
         return Math.min(Math.max(0, askedTokens), spareTokens);
     }
 
+    /**
+     * Tells whether a part of a loan helps the borrower. A smaller part would only scatter the tokens of a budget.
+     *
+     * @param askedTokens the tokens that another router needs
+     * @param lendableTokens the tokens that this router can lend
+     * @return true if such loans from all routers that are asked cover the need
+     */
+    static boolean isWorthLending(long askedTokens, long lendableTokens) {
+        return lendableTokens >= askedTokens * MIN_LOAN_SHARE;
+    }
+
     /**
      * Tells whether a router prefetches the tokens of a budget from the ledger.
      *
@@ -83,39 +98,39 @@
                         .anyMatch(address -> address.vmName().equals(router));
     }
 
-    void borrow(String organisation, long tokens, int rank, boolean cutOff, LongConsumer onLoan, Runnable onDone) {
+    /**
+     * Asks the holders of a budget for tokens, one after the other.
+     *
+     * @param organisation the organisation
+     * @param need the tokens that are needed
+     * @param onLoan see {@link LoanSource#borrow}
+     * @param onDone see {@link LoanSource#borrow}
+     */
+    void borrow(String organisation, LoanNeed need, LongConsumer onLoan, Consumer<LoanResult> onDone) {
         List<RouterAddress> peers = new ArrayList<>(routers.get());
         long nowNs = System.nanoTime();
         peers.removeIf(peer -> peer.vmName().equals(vmName) || isSilent(peer, nowNs));
         peers = new ArrayList<>(BudgetHolders.of(organisation, peers));
         Collections.shuffle(peers, ThreadLocalRandom.current());
-        List<RouterAddress> askedPeers = peers.subList(0, Math.min(MAX_PEERS, peers.size()));
-        askNext(new BorrowContext(organisation, rank, cutOff, onLoan, onDone), tokens, List.copyOf(askedPeers));
+        Lenders budgetLenders = lenders.computeIfAbsent(organisation, name -> new Lenders());
+        List<RouterAddress> askedPeers =
+                budgetLenders.toAsk(peers, need).stream().limit(MAX_PEERS).toList();
+        askNext(new BorrowContext(organisation, budgetLenders, onLoan, onDone), need, askedPeers);
     }
 
-    private void askNext(BorrowContext context, long missingTokens, List<RouterAddress> peers) {
-        if (missingTokens <= 0 || peers.isEmpty()) {
-            context.onDone().run();
+    private void askNext(BorrowContext context, LoanNeed need, List<RouterAddress> peers) {
+        if (need.neededTokens() <= 0 || peers.isEmpty()) {
+            context.onDone().accept(need.neededTokens() <= 0 ? LoanResult.COVERED : LoanResult.NOT_COVERED);
             return;
         }
         RouterAddress peer = peers.get(0);
         List<RouterAddress> remainingPeers = peers.subList(1, peers.size());
         LoanRequest request = new LoanRequest(
                 tokens -> {
-                    log.write(
-                            LogKind.BUDGET,
-                            "loan",
-                            "organisation",
-                            context.organisation(),
-                            "from",
-                            peer.vmName(),
-                            "asked",
-                            missingTokens,
-                            "received",
-                            tokens);
+                    logLoan(context.organisation(), peer, need, tokens);
                     context.onLoan().accept(tokens);
                 },
-                tokens -> askNext(context, missingTokens - tokens, remainingPeers));
+                tokens -> askNext(context, need.after(tokens), remainingPeers));
         traffic.schedule(
                 () -> {
                     if (request.giveUpWaiting()) {
@@ -124,21 +139,43 @@
                 },
                 ANSWER_WAIT_MS,
                 TimeUnit.MILLISECONDS);
+        client.request(peer.address(), message(context.organisation(), need), ANSWER_TIMEOUT_MS)
+                .whenComplete((frame, failure) -> traffic.execute(() -> {
+                    if (failure != null) {
+                        request.answered(0);
+                        return;
+                    }
+                    silentSinceNs.remove(peer.vmName());
+                    long lentTokens = frame.getBorrowReply().getTokens();
+                    context.lenders().answered(peer.vmName(), need, lentTokens);
+                    request.answered(lentTokens);
+                }));
+    }
+
+    private Frame message(String organisation, LoanNeed need) {
         Borrow borrow = Borrow.newBuilder()
                 .setVm(vmName)
-                .setOrganisation(context.organisation())
+                .setOrganisation(organisation)
                 .setTransferId(Long.toHexString(ThreadLocalRandom.current().nextLong()))
-                .setTokens(missingTokens)
-                .setRank(context.rank())
-                .setCutOff(context.cutOff())
+                .setTokens(need.wantedTokens())
+                .setRank(need.rank())
+                .setCutOff(need.cutOff())
                 .build();
-        client.request(peer.address(), Frame.newBuilder().setBorrow(borrow).build(), ANSWER_TIMEOUT_MS)
-                .whenComplete((frame, failure) -> traffic.execute(() -> {
-                    if (failure == null) {
-                        silentSinceNs.remove(peer.vmName());
-                    }
-                    request.answered(failure == null ? frame.getBorrowReply().getTokens() : 0);
-                }));
+        return Frame.newBuilder().setBorrow(borrow).build();
+    }
+
+    private void logLoan(String organisation, RouterAddress lender, LoanNeed need, long receivedTokens) {
+        log.write(
+                LogKind.BUDGET,
+                "loan",
+                "organisation",
+                organisation,
+                "from",
+                lender.vmName(),
+                "asked",
+                need.wantedTokens(),
+                "received",
+                receivedTokens);
     }
 
     private boolean isSilent(RouterAddress peer, long nowNs) {
@@ -155,5 +192,6 @@
     }
 
     /** What a sequence of loan requests to several routers has in common. */
-    private record BorrowContext(String organisation, int rank, boolean cutOff, LongConsumer onLoan, Runnable onDone) {}
+    private record BorrowContext(
+            String organisation, Lenders lenders, LongConsumer onLoan, Consumer<LoanResult> onDone) {}
 }
--- a/jayhead-gateway/src/test/java/io/jayhead/gateway/budget/BudgetAccountTest.java
+++ b/jayhead-gateway/src/test/java/io/jayhead/gateway/budget/BudgetAccountTest.java
@@ -1,6 +1,7 @@
 package io.jayhead.gateway.budget;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.jayhead.admission.prepaid.BudgetNeed;
 import java.util.ArrayList;
@@ -23,9 +24,9 @@
     private final List<ReservationResult> results = new ArrayList<>();
     private final List<Long> loansAsked = new ArrayList<>();
     private final List<Long> lent = new ArrayList<>();
-    private final LoanSource noLoans = (tokens, rank, cutOff, onLoan, onDone) -> {
-        loansAsked.add(tokens);
-        onDone.run();
+    private final LoanSource noLoans = (need, onLoan, onDone) -> {
+        loansAsked.add(need.neededTokens());
+        onDone.accept(LoanResult.NOT_COVERED);
     };
 
     @Test
@@ -50,7 +51,7 @@
 
     @Test
     void ofTwoRoutersThatLackTokensTheOneThatLacksLessIsServed() {
-        BudgetAccount account = account((tokens, rank, cutOff, onLoan, onDone) -> {});
+        BudgetAccount account = account((need, onLoan, onDone) -> {});
         account.ledgerRead(10_000, 0, 0);
         reserve(account, 30_000);
         lend(account, 25_000);
@@ -103,6 +104,45 @@
         assertEquals(List.of(ReservationResult.UNAVAILABLE, ReservationResult.RESERVED), results);
     }
 
+    @Test
+    void aRequestWhoseLoanWasUsedUpByAMoreUrgentOneBorrowsAgainInAnOutage() {
+        List<Runnable> loans = new ArrayList<>();
+        BudgetAccount account = account((need, onLoan, onDone) -> loans.add(() -> {
+            onLoan.accept(need.neededTokens());
+            onDone.accept(LoanResult.COVERED);
+        }));
+        account.ledgerRead(0, 500_000, 0);
+        reserve(account, 1_000, 0);
+        account.ledgerUnavailable();
+        reserve(account, 700, 0);
+        reserve(account, 900, RANK);
+        for (int loan = 0; loan < loans.size(); loan++) {
+            loans.get(loan).run();
+        }
+        assertEquals(
+                List.of(ReservationResult.RESERVED, ReservationResult.RESERVED, ReservationResult.RESERVED), results);
+    }
+
+    @Test
+    void aLoanInAnOutageAlsoCoversTheNextRequests() {
+        List<LoanNeed> asked = new ArrayList<>();
+        BudgetAccount account = account((need, onLoan, onDone) -> asked.add(need));
+        reserve(account, 1_000);
+        account.ledgerUnavailable();
+        assertEquals(1_000, asked.get(0).neededTokens());
+        assertTrue(asked.get(0).wantedTokens() > 1_500);
+        assertTrue(asked.get(0).wantedTokens() <= 4_000);
+    }
+
+    @Test
+    void aPartThatHelpsNoBorrowerIsNotLent() {
+        BudgetAccount account = account(noLoans);
+        account.ledgerRead(1_000, 0, 0);
+        lend(account, 3_000);
+        lend(account, 2_000);
+        assertEquals(List.of(0L, 600L), lent);
+    }
+
     private BudgetAccount account(LoanSource loans) {
         return new BudgetAccount(needs::add, () -> {}, loans, () -> true);
     }
