Hold what requests consume in an outage, not what they reserve, at holders only

A router that is no holder prefetched 12 s of its demand whenever the holders could not lend in time; in a cut nobody asks it, so 286,000 of 319,000 tokens of one budget lay at two such routers while requests for it were refused. The demand that such routers left in the page also lowered what the holders took.

Change: BudgetNeed says what leaves the router (consumed, lent less borrowed) and who holds the budget. GrantRule prefetches the usage of the prefetch time and 3 s of reservations, never more than before; a router that is no holder of the budget takes what its requests require; only holders count in the share of what is left. In fleets of up to eight routers all are holders, as before. After a return from an older copy the write-off for a silent router of a large fleet no longer counts on the demand of others, since the holders may be among what is lost.

Test: mvn -B -o verify -pl jayhead-admission,jayhead-gateway,platform -am -Dtest='BudgetAccountTest,LendersTest, PeerLoansTest,LoanRequestTest,BudgetHoldersTest,GrantRuleTest,Ledger*Test,FleetReportsTest' passes; the new tests name fields that the code before does not have.

--- a/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/GrantRule.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/GrantRule.java
@@ -4,17 +4,26 @@
  * Decides how many tokens a router takes from a budget at once.
  *
  * <p>Prefetched tokens, taken before requests need them, let a router serve while the store is unreachable, but are
- * lost if the router is killed. Therefore the routers together prefetch at most a share of the tokens left in the
- * budget, each in proportion to its demand.
+ * lost if the router is killed. Therefore a router holds what its requests are likely to consume in an outage, which is
+ * far less than what they reserve, and the routers together prefetch at most a share of the tokens left in the budget,
+ * each in proportion to its demand.
  */
 public final class GrantRule {
 
+    /** Up to this number of routers in the fleet, all of them prefetch each budget. */
+    public static final int SMALL_FLEET = 8;
+
     /** The most seconds of demand that are prefetched, because outages of the store last for several seconds. */
     public static final double MAX_PREFETCH_S = 12;
     /** The prefetch limit right after a start or an outage, so that one ledger update still serves many requests. */
     private static final double MIN_PREFETCH_S = 1;
     /** The share of the tokens left in the budget that the routers together prefetch at most. */
     private static final double PREFETCH_SHARE = 0.5;
+    /**
+     * Beside what requests consume, the demand of this many seconds is held, because requests reserve their largest
+     * size until they end and come in bursts.
+     */
+    private static final double RESERVED_S = 3;
 
     /** Other routers read a page at least this often while a budget is in demand. */
     private static final double UNSEEN_DEMAND_S = 2;
@@ -22,7 +31,7 @@
     private GrantRule() {}
 
     /**
-     * Returns how many seconds of its demand a router may prefetch.
+     * Returns for how many seconds a router may prefetch.
      *
      * <p>Routers are often restarted after an outage, and lose their prefetched tokens then. The limit therefore grows
      * with the time since the store became reachable.
@@ -67,14 +76,16 @@
      * @param need the need of the router
      * @param leftTokens the tokens that no router has taken; negative if the budget is overdrawn
      * @param othersTokensPerS the demand of the other routers in tokens per second
-     * @param prefetchLimitS the seconds of its demand that this router may prefetch
+     * @param prefetchLimitS the seconds for which this router may prefetch; 0 if it is no holder of the budget
      * @return the tokens to take; fewer than required if the budget does not cover them
      */
     public static long tokensToTake(BudgetNeed need, long leftTokens, long othersTokensPerS, double prefetchLimitS) {
         long availableTokens = Math.max(0, leftTokens);
         double allTokensPerS = Math.max(1.0, (double) othersTokensPerS + need.tokensPerS());
-        double prefetchS = Math.min(prefetchLimitS, PREFETCH_SHARE * availableTokens / allTokensPerS);
-        long prefetchTokens = (long) (need.tokensPerS() * prefetchS) - need.freeTokens();
+        double sharedS = PREFETCH_SHARE * availableTokens / allTokensPerS;
+        double mostTokens = need.tokensPerS() * Math.min(prefetchLimitS, sharedS);
+        double neededTokens = need.usedTokensPerS() * prefetchLimitS + need.tokensPerS() * RESERVED_S;
+        long prefetchTokens = (long) Math.min(mostTokens, neededTokens) - need.freeTokens();
         return Math.min(Math.max(need.requiredTokens(), prefetchTokens), availableTokens);
     }
 }
--- a/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/LedgerPage.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/LedgerPage.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 
 /**
  * Holds the entries of all routers for a group of budgets; immutable.
@@ -95,6 +96,18 @@
      * @return the demand in tokens per second
      */
     public long otherVmsTokensPerS(String organisation, String vmName) {
+        return otherVmsTokensPerS(organisation, vmName, name -> true);
+    }
+
+    /**
+     * Returns the demand of some other VMs, as {@link #otherVmsTokensPerS(String, String)} does.
+     *
+     * @param organisation the organisation
+     * @param vmName the VM to exclude
+     * @param counts tells whether the demand of a VM counts
+     * @return the demand in tokens per second
+     */
+    public long otherVmsTokensPerS(String organisation, String vmName, Predicate<String> counts) {
         Map<String, Holder> newest = new HashMap<>();
         for (String name : holders(organisation).keySet()) {
             Holder holder = Holder.of(name);
@@ -104,7 +117,7 @@
                     (first, second) -> first.startedAtEpochMs() >= second.startedAtEpochMs() ? first : second);
         }
         return newest.values().stream()
-                .filter(holder -> !holder.vmName().equals(vmName))
+                .filter(holder -> !holder.vmName().equals(vmName) && counts.test(holder.vmName()))
                 .mapToLong(holder -> holders(organisation)
                         .getOrDefault(holder.name(), LedgerEntry.NONE)
                         .tokensPerS())
--- a/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/LedgerRebuild.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/LedgerRebuild.java
@@ -90,11 +90,18 @@
         boolean oneUpdate = lost.replicatedVms().contains(holder.vmName())
                 || pagesReadSince.contains(LedgerPages.indexOf(organisation));
         return oneUpdate
-                ? GrantRule.mostUnseenTokens(
-                        tokensPerS, leftTokens, exact.otherVmsTokensPerS(organisation, holder.vmName()))
+                ? GrantRule.mostUnseenTokens(tokensPerS, leftTokens, othersTokensPerS(organisation, holder.vmName()))
                 : GrantRule.mostTokensSinceCopy(tokensPerS, leftTokens);
     }
 
+    /**
+     * Returns the least demand of other routers by which a router may have limited its prefetching. In a large fleet
+     * only the holders of a budget limit each other, and their names may be among what is lost.
+     */
+    private long othersTokensPerS(String organisation, String vmName) {
+        return lost.fleetSize() > GrantRule.SMALL_FLEET ? 0 : exact.otherVmsTokensPerS(organisation, vmName);
+    }
+
     /**
      * Tells whether a holder had ended when its page was last read: a page with an entry of a newer incarnation of the
      * same VM was written after its end, so nothing of what it took is unseen.
--- a/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/LedgerSession.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/LedgerSession.java
@@ -169,8 +169,9 @@
                 page.isUnknown(organisation) ? withUnknownTokens(page, organisation, need, prepaidTokens) : page;
         long writtenOffTokens = base.totalTakenTokens(organisation) - page.totalTakenTokens(organisation);
         long leftTokens = leftTokens(organisation, prepaidTokens) - writtenOffTokens;
-        long otherTokensPerS = base.otherVmsTokensPerS(organisation, holder.vmName());
-        long tokens = GrantRule.tokensToTake(need, leftTokens, otherTokensPerS, prefetchLimitS);
+        long otherTokensPerS = base.otherVmsTokensPerS(organisation, holder.vmName(), need::isHolder);
+        double limitS = need.isHolder(holder.vmName()) ? prefetchLimitS : 0;
+        long tokens = GrantRule.tokensToTake(need, leftTokens, otherTokensPerS, limitS);
         if (tokens <= 0) {
             return base;
         }
--- a/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/LostRouters.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/LostRouters.java
@@ -14,6 +14,11 @@
  */
 record LostRouters(Set<String> continuousVms, Set<String> replicatedVms, Set<String> unknownVms) {
 
+    /** Returns the number of all known VMs. */
+    int fleetSize() {
+        return continuousVms.size() + replicatedVms.size() + unknownVms.size();
+    }
+
     /**
      * Sorts the VMs of all known routers. In the first era nothing is lost.
      *
--- a/jayhead-admission/src/test/java/io/jayhead/admission/prepaid/GrantRuleTest.java
+++ b/jayhead-admission/src/test/java/io/jayhead/admission/prepaid/GrantRuleTest.java
@@ -2,6 +2,9 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -43,4 +46,40 @@
     void nothingIsTakenFromAnOverdrawnBudget() {
         assertEquals(0, GrantRule.tokensToTake(new BudgetNeed(100, 0, 0, 0), -5, 2, GrantRule.MAX_PREFETCH_S));
     }
+
+    @Test
+    void aRouterHoldsWhatItsRequestsConsumeAndNotWhatTheyReserve() {
+        BudgetNeed need = new BudgetNeed(0, 0, 1_000, 300, Set.of(), 0);
+        assertEquals(300 * 12 + 1_000 * 3, GrantRule.tokensToTake(need, 1_000_000, 500, GrantRule.MAX_PREFETCH_S));
+        assertEquals(2_000, GrantRule.tokensToTake(need, 1_000_000, 500, GrantRule.prefetchLimitS(1)));
+    }
+
+    @Test
+    void aRouterThatIsNoHolderTakesOnlyWhatItsRequestsRequire() {
+        LedgerSession session = sessionThatHasRead("front-9");
+        BudgetNeed need = new BudgetNeed(700, 0, 1_000, 1_000, Set.of("front-1", "front-2"), 0);
+        assertEquals(700, taken(session, need));
+    }
+
+    @Test
+    void routersThatAreNoHoldersDoNotLowerWhatHoldersPrefetch() {
+        LedgerSession session = sessionThatHasRead("front-1");
+        BudgetNeed need = new BudgetNeed(0, 0, 1_000, 1_000, Set.of("front-1", "front-2"), 0);
+        assertEquals(6_000, taken(session, need));
+        assertEquals(1_000, taken(session, need.withHolderVms(Set.of())));
+    }
+
+    /** Returns a session that has read a page on which another router has left a demand of 5,000 tokens a second. */
+    private static LedgerSession sessionThatHasRead(String vmName) {
+        LedgerPage page = LedgerPage.empty().with("shop", "front-5/1/a", new LedgerEntry(0, 5_000));
+        return LedgerSession.of(new Holder(vmName, 1, "a")).withPage(new VersionedPage(page, 1));
+    }
+
+    private static long taken(LedgerSession session, BudgetNeed need) {
+        LedgerPage page = session.nextUpdate(
+                        Map.of("shop", need), organisation -> OptionalLong.of(12_000), GrantRule.MAX_PREFETCH_S)
+                .orElseThrow()
+                .page();
+        return page.takenTokens("shop", session.holder().name());
+    }
 }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetAccount.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetAccount.java
@@ -5,6 +5,7 @@
 import io.jayhead.admission.prepaid.Wallet;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
@@ -39,6 +40,9 @@
     private final LoanSource loans;
     private final BooleanSupplier isBudgetHolder;
     private final RankedDemand demand = new RankedDemand();
+    /** The tokens that leave this router: consumed by ended requests, or lent and not borrowed. */
+    private final DemandRate usage = new DemandRate();
+
     private final WaitingRequests waiting = new WaitingRequests();
     private final FailedLoans failedLoans = new FailedLoans();
     private final List<WaitingLoan> waitingLoans = new ArrayList<>();
@@ -104,7 +108,9 @@
     }
 
     void settle(long reserved, long consumed) {
+        long consumedBefore = wallet.consumedTokens();
         wallet = wallet.settle(reserved, consumed);
+        usage.add(wallet.consumedTokens() - consumedBefore);
         serveWaiting();
     }
 
@@ -208,6 +214,7 @@
 
     private void deductLent(long tokens) {
         lentTokens += tokens;
+        usage.add(tokens);
         updateWallet();
     }
 
@@ -256,6 +263,7 @@
 
     private void credit(long tokens) {
         borrowedTokens += tokens;
+        usage.add(-tokens);
         updateWallet();
         serveWaiting();
     }
@@ -366,7 +374,9 @@
     }
 
     private BudgetNeed need(long required) {
-        return new BudgetNeed(required, Math.max(0, wallet.freeTokens()), (long) demand.tokensPerS(), 0);
+        long usedTokensPerS = (long) Math.max(0, usage.tokensPerS());
+        long freeTokens = Math.max(0, wallet.freeTokens());
+        return new BudgetNeed(required, freeTokens, (long) demand.tokensPerS(), usedTokensPerS, Set.of(), 0);
     }
 
     /** A loan to another router that waits for the ledger. */
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetAccounts.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetAccounts.java
@@ -205,7 +205,7 @@
         return accounts.computeIfAbsent(
                 organisation,
                 name -> new BudgetAccount(
-                        need -> needs.accept(name, need),
+                        need -> needs.accept(name, need.withHolderVms(loans.holderVms(name))),
                         () -> joinLedgerCall(name),
                         (need, onLoan, onDone) -> loans.borrow(name, need, onLoan, onDone),
                         () -> loans.isBudgetHolder(name, vmName)));
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/PeerLoans.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/PeerLoans.java
@@ -1,5 +1,6 @@
 package io.jayhead.gateway.budget;
 
+import io.jayhead.admission.prepaid.GrantRule;
 import io.jayhead.gateway.control.RouterAddress;
 import io.jayhead.gateway.log.LogKind;
 import io.jayhead.gateway.log.StructuredLog;
@@ -13,11 +14,13 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 
 /**
  * Borrows tokens from other routers and limits how many a router lends; used by the traffic thread.
@@ -98,6 +101,21 @@
                         .anyMatch(address -> address.vmName().equals(router));
     }
 
+    /**
+     * Returns the routers that prefetch the tokens of a budget.
+     *
+     * @param organisation the organisation
+     * @return the names of their VMs; empty if all routers of the fleet do
+     */
+    Set<String> holderVms(String organisation) {
+        List<RouterAddress> all = routers.get();
+        return all.size() <= GrantRule.SMALL_FLEET
+                ? Set.of()
+                : BudgetHolders.of(organisation, all).stream()
+                        .map(RouterAddress::vmName)
+                        .collect(Collectors.toSet());
+    }
+
     /**
      * Asks the holders of a budget for tokens, one after the other.
      *
--- a/jayhead-gateway/src/test/java/io/jayhead/gateway/budget/BudgetAccountTest.java
+++ b/jayhead-gateway/src/test/java/io/jayhead/gateway/budget/BudgetAccountTest.java
@@ -143,6 +143,19 @@
         assertEquals(List.of(0L, 600L), lent);
     }
 
+    @Test
+    void theNeedCountsWhatWasConsumedAndLentAsUsedAndNotWhatWasReserved() {
+        BudgetAccount account = account(noLoans);
+        account.ledgerRead(100_000, 500_000, 0);
+        reserve(account, 30_000);
+        account.settle(30_000, 6_000);
+        lend(account, 1_000);
+        reserve(account, 90_000);
+        BudgetNeed need = needs.get(needs.size() - 1);
+        assertTrue(need.usedTokensPerS() > 0);
+        assertTrue(need.usedTokensPerS() < need.tokensPerS() / 10);
+    }
+
     private BudgetAccount account(LoanSource loans) {
         return new BudgetAccount(needs::add, () -> {}, loans, () -> true);
     }
