Let calls wait for the probe as soon as the platform counts as unavailable

Cause: calls queued for the end of an outage only after the watch of the configuration had failed and its reading too.

Change: PlatformHealth.awaitRecovery also queues while the platform counts as unavailable. The first answer to any call, so the probe's at the latest, lets the queued calls go on.

Test: PlatformHealthTest.callsAwaitTheEndOfAnOutageAlsoWhileTheWatchThatProbesHasNotFailedYet; the first assertion is false on the code before. PlatformHealthTest, LivenessProbeTest, WatchLoopTest and WatchTimesTest pass.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/PlatformHealth.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/PlatformHealth.java
@@ -70,17 +70,18 @@
     }
 
     /**
-     * Queues a call until the platform has recovered, so that only one caller probes the platform in an outage.
+     * Queues a call until the platform has recovered, so that only one caller probes the platform in an outage. Once
+     * the platform counts as unavailable, {@link LivenessProbe} does.
      *
      * @param retry repeats the call
-     * @return true if the call is queued; false if no caller is probing the platform, so that this caller must retry by
-     *     itself
+     * @return true if the call is queued; false if nobody probes the platform, so that this caller must retry by itself
      */
     boolean awaitRecovery(Runnable retry) {
-        if (probing) {
+        boolean isProbed = probing || unavailable;
+        if (isProbed) {
             awaitingRecovery.add(retry);
         }
-        return probing;
+        return isProbed;
     }
 
     /** Records that the probe failed and will be repeated. */
--- a/jayhead-gateway/src/test/java/io/jayhead/gateway/control/PlatformHealthTest.java
+++ b/jayhead-gateway/src/test/java/io/jayhead/gateway/control/PlatformHealthTest.java
@@ -118,6 +118,17 @@
         assertFalse(health.awaitRecovery(repeated::incrementAndGet));
     }
 
+    @Test
+    void callsAwaitTheEndOfAnOutageAlsoWhileTheWatchThatProbesHasNotFailedYet() {
+        health.failed("update ledger", failure(PlatformFault.REFUSED));
+        AtomicInteger repeated = new AtomicInteger();
+        assertTrue(health.awaitRecovery(repeated::incrementAndGet));
+        health.failed("probe", failure(PlatformFault.REFUSED));
+        assertEquals(0, repeated.get());
+        health.succeeded("probe");
+        assertEquals(1, repeated.get());
+    }
+
     private static PlatformException failure(PlatformFault fault) {
         return new PlatformException(fault, "no answer");
     }
