Borrow ahead at busy routers that are no holders, and let holders return to the ledger after a loan

Change: after a covered loan a holder that reaches the ledger asks it again. A router that is no holder borrows the demand of one second ahead, also while the ledger answers, but only demand that has lasted: a single request borrows what it needs, so that no tokens are scattered over the fleet.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetAccount.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetAccount.java
@@ -30,7 +30,7 @@
     private static final long LOAN_WAIT_NS = 45_000_000L;
     /** Tokens are also borrowed from other routers once a request has waited longer than this for the ledger. */
     private static final long BORROW_AFTER_NS = 80_000_000L;
-    /** A loan in an outage of the ledger also covers the demand of this many seconds. */
+    /** A loan also covers the demand of this many seconds. */
     private static final double BORROWED_DEMAND_S = 1.0;
     /** Limits the tokens borrowed for next requests, as a multiple of those that waiting requests lack. */
     private static final long MAX_AHEAD_FACTOR = 3;
@@ -252,13 +252,13 @@
         loans.borrow(need, this::credit, result -> borrowingEnded(rank, result));
     }
 
-    /** Returns the tokens to borrow for the next requests, so that not each of them needs a loan in an outage. */
+    /** Returns the tokens to borrow for the next requests, so that not each of them needs a loan at a busy router. */
     private long tokensAhead(long missingTokens) {
-        if (!ledgerOutage) {
+        if (!ledgerOutage && isBudgetHolder.getAsBoolean()) {
             return 0;
         }
-        long demandTokens = (long) (demand.tokensPerS() * BORROWED_DEMAND_S);
-        return Math.min(demandTokens, Math.max(0, missingTokens) * MAX_AHEAD_FACTOR);
+        long demandTokens = (long) (demand.sustainedTokensPerS() * BORROWED_DEMAND_S);
+        return Math.max(0, Math.min(demandTokens - missingTokens, missingTokens * MAX_AHEAD_FACTOR));
     }
 
     private void credit(long tokens) {
@@ -278,11 +278,11 @@
         if (waiting.isEmpty()) {
             return;
         }
-        if (result == LoanResult.COVERED) {
+        boolean noLedgerTokens = ledgerOutage || waiting.all(request -> isExhausted(request.tokens()));
+        if (result == LoanResult.COVERED && (noLedgerTokens || !isBudgetHolder.getAsBoolean())) {
             borrow();
             return;
         }
-        boolean noLedgerTokens = ledgerOutage || waiting.all(request -> isExhausted(request.tokens()));
         if (noLedgerTokens && (ledgerOutage || isPageFresh())) {
             failedLoans.recordFailure(rank, waiting.least(rank, this::missingTokens));
             waiting.completeIf(
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/DemandRate.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/DemandRate.java
@@ -31,6 +31,12 @@
         return averageTokensPerS / (1 - Math.exp(-ageS / WINDOW_S));
     }
 
+    /** Returns the average, in which the demand of the first seconds counts little, since it may not last. */
+    double sustainedTokensPerS() {
+        decay();
+        return averageTokensPerS;
+    }
+
     private void decay() {
         long nowNs = System.nanoTime();
         averageTokensPerS *= Math.exp(-(nowNs - updatedAtNs) / 1e9 / WINDOW_S);
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/RankedDemand.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/RankedDemand.java
@@ -1,5 +1,7 @@
 package io.jayhead.gateway.budget;
 
+import java.util.Arrays;
+
 /** Measures the demand for tokens by rank, that is, by urgency; used by the traffic thread. */
 final class RankedDemand {
 
@@ -23,6 +25,13 @@
         return moreUrgentThan(MAX_RANK + 1);
     }
 
+    /** Returns the demand that has lasted, see {@link DemandRate#sustainedTokensPerS()}, in tokens per second. */
+    double sustainedTokensPerS() {
+        return Arrays.stream(byRank)
+                .mapToDouble(DemandRate::sustainedTokensPerS)
+                .sum();
+    }
+
     /** Returns the demand of requests that are more urgent than a rank, in tokens per second. */
     double moreUrgentThan(int rank) {
         double sum = 0;
