--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetAccounts.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetAccounts.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 import java.util.function.Supplier;
 
 /**
@@ -197,6 +198,13 @@
         });
     }
 
+    private void borrow(String organisation, LoanNeed need, LongConsumer onLoan, Consumer<LoanResult> onDone) {
+        loans.borrow(organisation, need, onLoan, result -> {
+            metrics.loanEnded(result.name());
+            onDone.accept(result);
+        });
+    }
+
     private void tick() {
         accounts.values().forEach(BudgetAccount::tick);
     }
@@ -207,7 +215,7 @@
                 name -> new BudgetAccount(
                         need -> needs.accept(name, need.withHolderVms(loans.holderVms(name))),
                         () -> joinLedgerCall(name),
-                        (need, onLoan, onDone) -> loans.borrow(name, need, onLoan, onDone),
+                        (need, onLoan, onDone) -> borrow(name, need, onLoan, onDone),
                         () -> loans.isBudgetHolder(name, vmName)));
     }
 }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/metrics/GatewayMetrics.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/metrics/GatewayMetrics.java
@@ -53,6 +53,11 @@
             .help("Tokens of budgets at this router, by organisation and state")
             .labelNames("organisation", "state")
             .register(registry);
+    private final Counter loans = Counter.builder()
+            .name("jayhead_budget_loans_total")
+            .help("Requests for tokens of other routers, by result")
+            .labelNames("result")
+            .register(registry);
     private final Gauge droppedLines = Gauge.builder()
             .name("jayhead_log_lines_dropped")
             .help("Log lines that were not written")
@@ -132,6 +137,15 @@
         budgetTokens.labelValues(organisation, "consumed").set(consumedTokens);
     }
 
+    /**
+     * Counts a request for tokens of other routers.
+     *
+     * @param result whether they lent enough
+     */
+    public void loanEnded(String result) {
+        loans.labelValues(result).inc();
+    }
+
     /**
      * Writes all metrics in the Prometheus text format.
      *
