Hold less right after a start or an outage, when kills often follow

Cause: the 3 s of reservations beside consumption did not grow with the time in touch, so soon after an outage a router held as much as before. Restarts often follow an outage.

Change: beside consumption GrantRule holds a quarter of what is reserved, each for the prefetch time, which is 3 s of reservations at its longest and little after an outage; one second of reservations at least, as before.

Test: GrantRuleTest passes, with the held tokens at 2 s in touch and before any request has ended; Ledger*Test, FleetReportsTest, BudgetAccountTest and OutageReplayTest pass.

--- a/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/GrantRule.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/GrantRule.java
@@ -20,10 +20,10 @@
     /** The share of the tokens left in the budget that the routers together prefetch at most. */
     private static final double PREFETCH_SHARE = 0.5;
     /**
-     * Beside what requests consume, the demand of this many seconds is held, because requests reserve their largest
-     * size until they end and come in bursts.
+     * Beside what requests consume, this share of what they reserve is held, because they reserve their largest size
+     * until they end and come in bursts.
      */
-    private static final double RESERVED_S = 3;
+    private static final double RESERVED_SHARE = 0.25;
 
     /** Other routers read a page at least this often while a budget is in demand. */
     private static final double UNSEEN_DEMAND_S = 2;
@@ -84,7 +84,8 @@
         double allTokensPerS = Math.max(1.0, (double) othersTokensPerS + need.tokensPerS());
         double sharedS = PREFETCH_SHARE * availableTokens / allTokensPerS;
         double mostTokens = need.tokensPerS() * Math.min(prefetchLimitS, sharedS);
-        double neededTokens = need.usedTokensPerS() * prefetchLimitS + need.tokensPerS() * RESERVED_S;
+        double usedTokens = prefetchLimitS * (need.usedTokensPerS() + RESERVED_SHARE * need.tokensPerS());
+        double neededTokens = Math.max(usedTokens, MIN_PREFETCH_S * need.tokensPerS());
         long prefetchTokens = (long) Math.min(mostTokens, neededTokens) - need.freeTokens();
         return Math.min(Math.max(need.requiredTokens(), prefetchTokens), availableTokens);
     }
