--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/Gateway.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/Gateway.java
@@ -114,7 +114,7 @@
                 upstreams,
                 budgets,
                 new RetryBudgets(),
-                new ServiceGates(traffic, service -> ServiceRoom.unknown(), log, metrics),
+                new ServiceGates(traffic, this::room, log, metrics),
                 new AnswerTimes(),
                 new AnswerBuffers(),
                 log,
@@ -149,6 +149,10 @@
                 settings.statusAddress());
     }
 
+    private ServiceRoom room(String service) {
+        return upstreams.room(control.snapshot().registry(), service);
+    }
+
     private CompletableFuture<Frame> answerPeer(Frame request) {
         return request.hasReplicateEntries()
                 ? control.replicate(request.getReplicateEntries())
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetAccount.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetAccount.java
@@ -5,6 +5,7 @@
 import io.jayhead.admission.prepaid.Wallet;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
@@ -29,12 +30,19 @@
     private static final long LOAN_WAIT_NS = 45_000_000L;
     /** Tokens are also borrowed from other routers once a request has waited longer than this for the ledger. */
     private static final long BORROW_AFTER_NS = 80_000_000L;
+    /** A loan also covers the demand of this many seconds. */
+    private static final double BORROWED_DEMAND_S = 1.0;
+    /** Limits the tokens borrowed for next requests, as a multiple of those that waiting requests lack. */
+    private static final long MAX_AHEAD_FACTOR = 3;
 
     private final Consumer<BudgetNeed> needs;
     private final Runnable beforeLedgerCall;
     private final LoanSource loans;
     private final BooleanSupplier isBudgetHolder;
     private final RankedDemand demand = new RankedDemand();
+    /** The tokens that leave this router: consumed by ended requests, or lent and not borrowed. */
+    private final DemandRate usage = new DemandRate();
+
     private final WaitingRequests waiting = new WaitingRequests();
     private final FailedLoans failedLoans = new FailedLoans();
     private final List<WaitingLoan> waitingLoans = new ArrayList<>();
@@ -100,7 +108,9 @@
     }
 
     void settle(long reserved, long consumed) {
+        long consumedBefore = wallet.consumedTokens();
         wallet = wallet.settle(reserved, consumed);
+        usage.add(wallet.consumedTokens() - consumedBefore);
         serveWaiting();
     }
 
@@ -186,7 +196,11 @@
     private long lendableTokens(long tokens, int rank) {
         boolean ownFirst = waiting.any(
                 own -> own.rank() < rank || own.rank() == rank && missingTokens(own.tokens(), own.rank()) <= tokens);
-        return ownFirst ? 0 : PeerLoans.tokensToLend(tokens, wallet.freeTokens() - heldBackTokens(rank));
+        if (ownFirst) {
+            return 0;
+        }
+        long lendable = PeerLoans.tokensToLend(tokens, wallet.freeTokens() - heldBackTokens(rank));
+        return PeerLoans.isWorthLending(tokens, lendable) ? lendable : 0;
     }
 
     /** Returns the tokens that a request lacks; 0 or negative if it can be served. */
@@ -200,6 +214,7 @@
 
     private void deductLent(long tokens) {
         lentTokens += tokens;
+        usage.add(tokens);
         updateWallet();
     }
 
@@ -233,22 +248,41 @@
         borrowing = true;
         int rank = waiting.mostUrgentRank();
         long missingTokens = missingTokens(waiting.tokens(rank), rank);
-        loans.borrow(missingTokens, rank, ledgerOutage, this::credit, () -> borrowingEnded(rank));
+        LoanNeed need = new LoanNeed(missingTokens, missingTokens + tokensAhead(missingTokens), rank, ledgerOutage);
+        loans.borrow(need, this::credit, result -> borrowingEnded(rank, result));
+    }
+
+    /** Returns the tokens to borrow for the next requests, so that not each of them needs a loan at a busy router. */
+    private long tokensAhead(long missingTokens) {
+        if (!ledgerOutage && isBudgetHolder.getAsBoolean()) {
+            return 0;
+        }
+        long demandTokens = (long) (demand.sustainedTokensPerS() * BORROWED_DEMAND_S);
+        return Math.max(0, Math.min(demandTokens - missingTokens, missingTokens * MAX_AHEAD_FACTOR));
     }
 
     private void credit(long tokens) {
         borrowedTokens += tokens;
+        usage.add(-tokens);
         updateWallet();
         serveWaiting();
     }
 
-    private void borrowingEnded(int rank) {
+    /**
+     * Refuses the requests for which no router has lent enough. A loan that covers what was asked shows no lack of
+     * tokens, even if requests that have come meanwhile have used it up; the others then borrow again.
+     */
+    private void borrowingEnded(int rank, LoanResult result) {
         borrowing = false;
         serveWaiting();
         if (waiting.isEmpty()) {
             return;
         }
         boolean noLedgerTokens = ledgerOutage || waiting.all(request -> isExhausted(request.tokens()));
+        if (result == LoanResult.COVERED && (noLedgerTokens || !isBudgetHolder.getAsBoolean())) {
+            borrow();
+            return;
+        }
         if (noLedgerTokens && (ledgerOutage || isPageFresh())) {
             failedLoans.recordFailure(rank, waiting.least(rank, this::missingTokens));
             waiting.completeIf(
@@ -340,7 +374,9 @@
     }
 
     private BudgetNeed need(long required) {
-        return new BudgetNeed(required, Math.max(0, wallet.freeTokens()), (long) demand.tokensPerS(), 0);
+        long usedTokensPerS = (long) Math.max(0, usage.tokensPerS());
+        long freeTokens = Math.max(0, wallet.freeTokens());
+        return new BudgetNeed(required, freeTokens, (long) demand.tokensPerS(), usedTokensPerS, Set.of(), 0);
     }
 
     /** A loan to another router that waits for the ledger. */
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/metrics/GatewayMetrics.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/metrics/GatewayMetrics.java
@@ -87,6 +87,11 @@
             .help("Prompt tokens that an upstream of a service reads in a millisecond, learned from its answers")
             .labelNames("service")
             .register(registry);
+    private final Counter loans = Counter.builder()
+            .name("jayhead_budget_loans_total")
+            .help("Requests for tokens of other routers, by result")
+            .labelNames("result")
+            .register(registry);
     private final Gauge droppedLines = Gauge.builder()
             .name("jayhead_log_lines_dropped")
             .help("Log lines that were not written")
@@ -215,6 +220,15 @@
         servicePromptTokensPerMs.labelValues(service).set(promptTokensPerMs);
     }
 
+    /**
+     * Counts a request for tokens of other routers.
+     *
+     * @param result whether they lent enough
+     */
+    public void loanEnded(String result) {
+        loans.labelValues(result).inc();
+    }
+
     /**
      * Writes all metrics in the Prometheus text format.
      *
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamTable.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamTable.java
@@ -20,6 +20,8 @@
 public final class UpstreamTable {
 
     private static final long NS_PER_MS = 1_000_000;
+    /** The room is asked for with each request, and adding it up takes a step for each upstream. */
+    private static final long ROOM_MAX_AGE_NS = 50 * NS_PER_MS;
 
     private final EventLoop loop;
     private final WireDialect dialect;
@@ -27,6 +29,7 @@
     private final ConnectionListener listener;
     private final Map<String, UpstreamHandle> handles = new HashMap<>();
     private final Map<String, ServiceObservations> observationsByService = new HashMap<>();
+    private final Map<String, TimedRoom> rooms = new HashMap<>();
 
     /**
      * Creates an empty table.
@@ -84,11 +87,19 @@
      */
     public ServiceRoom room(UpstreamRegistry registry, String service) {
         long nowNs = System.nanoTime();
-        return RoomEstimate.of(registry.ready(service).stream()
+        TimedRoom last = rooms.get(service);
+        if (last != null && nowNs - last.atNs() < ROOM_MAX_AGE_NS) {
+            return last.room();
+        }
+        ServiceRoom room = RoomEstimate.of(registry.ready(service).stream()
                 .map(upstream -> handle(upstream).room(nowNs))
                 .toList());
+        rooms.put(service, new TimedRoom(room, nowNs));
+        return room;
     }
 
+    private record TimedRoom(ServiceRoom room, long atNs) {}
+
     /**
      * Returns how fast the upstreams of a service work.
      *
