Keep the loads of organisations in a persistent map

Each arrival copied the whole map of organisations; at 14,000 of them that is a copy of 14,000 entries a request.

--- a/jayhead-admission/src/main/java/io/jayhead/admission/room/OrganisationLoad.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/room/OrganisationLoad.java
@@ -1,8 +1,7 @@
 package io.jayhead.admission.room;
 
+import io.jayhead.admission.collection.PersistentMap;
 import io.jayhead.model.OrganisationName;
-import java.util.HashMap;
-import java.util.Map;
 
 /**
  * Compares the recent requests of each organisation with its usual ones; immutable.
@@ -21,22 +20,21 @@
     /** The usual load is not known before this time. */
     private static final long LEARNING_MS = 5_000;
 
-    private final Map<OrganisationName, Load> loads;
+    private final PersistentMap<OrganisationName, Load> loads;
     private final long sinceMs;
 
-    private OrganisationLoad(Map<OrganisationName, Load> loads, long sinceMs) {
+    private OrganisationLoad(PersistentMap<OrganisationName, Load> loads, long sinceMs) {
         this.loads = loads;
         this.sinceMs = sinceMs;
     }
 
     static OrganisationLoad empty() {
-        return new OrganisationLoad(Map.of(), 0);
+        return new OrganisationLoad(PersistentMap.empty(), 0);
     }
 
     OrganisationLoad arrived(OrganisationName organisation, long nowMs) {
-        Map<OrganisationName, Load> next = new HashMap<>(loads);
-        next.put(organisation, load(organisation).plusOne(nowMs));
-        return new OrganisationLoad(next, sinceMs == 0 ? nowMs : sinceMs);
+        Load next = load(organisation).plusOne(nowMs);
+        return new OrganisationLoad(loads.with(organisation, next), sinceMs == 0 ? nowMs : sinceMs);
     }
 
     boolean exceedsUsual(OrganisationName organisation, long nowMs) {
@@ -57,7 +55,7 @@
     }
 
     private Load load(OrganisationName organisation) {
-        return loads.getOrDefault(organisation, Load.NONE);
+        return loads.get(organisation).orElse(Load.NONE);
     }
 
     private record Load(DecayedCount recent, DecayedCount usual) {
