--- a/jayhead-admission/src/main/java/io/jayhead/admission/room/RankDemand.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/room/RankDemand.java
@@ -29,6 +29,10 @@
         return new RankDemand(arrivals, nextHoldMs, inFlight - 1);
     }
 
+    double recentArrivals(long nowMs) {
+        return arrivals.at(nowMs, ARRIVALS_HALF_LIFE_MS);
+    }
+
     /** Returns the requests that would be in flight if all were admitted (Little's law). */
     double expectedInFlight(long nowMs) {
         return arrivals.ratePerMs(nowMs, ARRIVALS_HALF_LIFE_MS) * holdMs;
--- a/jayhead-admission/src/main/java/io/jayhead/admission/room/RankShares.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/room/RankShares.java
@@ -24,8 +24,6 @@
      */
     private static final double SMALL_SHARE = 0.1;
 
-    private static final long HOLD_WEIGHT_HALF_LIFE_MS = 4_000;
-
     private final List<RankDemand> demands;
 
     private RankShares(List<RankDemand> demands) {
@@ -107,7 +105,7 @@
         double weighted = 0;
         double arrivals = 0;
         for (RankDemand demand : demands) {
-            double weight = demand.holdMs() == 0 ? 0 : demand.arrivals().at(nowMs, HOLD_WEIGHT_HALF_LIFE_MS);
+            double weight = demand.holdMs() == 0 ? 0 : demand.recentArrivals(nowMs);
             weighted += weight * demand.holdMs();
             arrivals += weight;
         }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/GatePass.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/GatePass.java
@@ -95,6 +95,7 @@
                 .orElse(ANONYMOUS);
         long nowMs = ServiceGate.nowMs();
         int objectiveMs = request.route().latencyObjectiveMs();
+        long elapsedMs = triedForMs + request.limitMs() - leftMs;
         return new RoomRequest(
                 id,
                 organisation,
@@ -102,7 +103,7 @@
                 request.rank(),
                 nowMs,
                 objectiveMs,
-                nowMs + objectiveMs - triedForMs,
+                nowMs + objectiveMs - elapsedMs,
                 nowMs + leftMs,
                 request.metadata().size().map(this::work).orElse(1.0));
     }
