--- a/jayhead-admission/src/main/java/io/jayhead/admission/room/RankShares.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/room/RankShares.java
@@ -1,9 +1,8 @@
 package io.jayhead.admission.room;
 
 import io.jayhead.admission.overload.AdaptiveLimit;
-import java.util.ArrayList;
-import java.util.Collections;
-import java.util.List;
+import java.util.Collection;
+import java.util.TreeMap;
 
 /**
  * Divides the limit of a service between ranks by their recent demand; immutable.
@@ -24,41 +23,41 @@
      */
     private static final double SMALL_SHARE = 0.1;
 
-    private final List<RankDemand> demands;
+    private final TreeMap<Integer, RankDemand> demands;
 
-    private RankShares(List<RankDemand> demands) {
+    private RankShares(TreeMap<Integer, RankDemand> demands) {
         this.demands = demands;
     }
 
     static RankShares empty() {
-        return new RankShares(Collections.nCopies(EXCESS_RANK + 1, RankDemand.NONE));
+        return new RankShares(new TreeMap<>());
     }
 
     RankShares arrived(int rank, long nowMs) {
-        return with(rank, demands.get(rank).arrived(nowMs));
+        return with(rank, demand(rank).arrived(nowMs));
     }
 
     RankShares admitted(int rank) {
-        return with(rank, demands.get(rank).admitted());
+        return with(rank, demand(rank).admitted());
     }
 
     RankShares left(int rank, double heldMs) {
-        return with(rank, demands.get(rank).left(heldMs));
+        return with(rank, demand(rank).left(heldMs));
     }
 
     int inFlight() {
-        return inFlight(0, demands.size());
+        return inFlight(demands.values());
     }
 
     /** Returns the requests in flight of more urgent ranks. */
     int inFlightBefore(int rank) {
-        return inFlight(0, rank);
+        return inFlight(before(rank));
     }
 
     /** Returns what the more urgent ranks are expected to need and do not use yet. */
     double reservedBefore(int rank, long nowMs) {
         double reserved = 0;
-        for (RankDemand demand : demands.subList(0, rank)) {
+        for (RankDemand demand : before(rank)) {
             reserved += Math.max(0, demand.expectedInFlight(nowMs) - demand.inFlight());
         }
         return reserved;
@@ -81,7 +80,7 @@
         if (limit.admits(total + reservedBefore(rank, nowMs), draw)) {
             return true;
         }
-        return rank > 0 && demands.get(rank).inFlight() + draw < guaranteed(rank, limit.requests(), nowMs);
+        return rank > 0 && demand(rank).inFlight() + draw < guaranteed(rank, limit.requests(), nowMs);
     }
 
     /**
@@ -93,10 +92,10 @@
      * @param unknownHoldMs the time for which requests are in flight, as long as that is not known
      */
     double placeMs(int rank, double limit, long nowMs, double unknownHoldMs) {
-        double left = Math.max(0, limit - expected(0, rank, nowMs));
+        double left = Math.max(0, limit - expected(before(rank), nowMs));
         double leftPerMs = left / known(holdMs(nowMs), unknownHoldMs);
         double guaranteedPerMs =
-                guaranteed(rank, limit, nowMs) / known(demands.get(rank).holdMs(), unknownHoldMs);
+                guaranteed(rank, limit, nowMs) / known(demand(rank).holdMs(), unknownHoldMs);
         return 1 / Math.max(leftPerMs, guaranteedPerMs);
     }
 
@@ -104,7 +103,7 @@
     private double holdMs(long nowMs) {
         double weighted = 0;
         double arrivals = 0;
-        for (RankDemand demand : demands) {
+        for (RankDemand demand : demands.values()) {
             double weight = demand.holdMs() == 0 ? 0 : demand.recentArrivals(nowMs);
             weighted += weight * demand.holdMs();
             arrivals += weight;
@@ -113,11 +112,11 @@
     }
 
     private double guaranteed(int rank, double limit, long nowMs) {
-        double all = expected(0, demands.size(), nowMs);
+        double all = expected(demands.values(), nowMs);
         if (all == 0) {
             return 0;
         }
-        double demand = demands.get(rank).expectedInFlight(nowMs);
+        double demand = demand(rank).expectedInFlight(nowMs);
         double byDemand = GUARANTEED_SHARE * limit * demand / all;
         // The square root allows for the random variation of the demand.
         double small = Math.min(demand + Math.sqrt(demand), SMALL_SHARE * limit);
@@ -128,25 +127,33 @@
         return holdMs == 0 ? unknownHoldMs : holdMs;
     }
 
-    private double expected(int fromRank, int toRank, long nowMs) {
+    private RankDemand demand(int rank) {
+        return demands.getOrDefault(rank, RankDemand.NONE);
+    }
+
+    private Collection<RankDemand> before(int rank) {
+        return demands.headMap(rank).values();
+    }
+
+    private static double expected(Collection<RankDemand> demands, long nowMs) {
         double sum = 0;
-        for (RankDemand demand : demands.subList(fromRank, toRank)) {
+        for (RankDemand demand : demands) {
             sum += demand.expectedInFlight(nowMs);
         }
         return sum;
     }
 
-    private int inFlight(int fromRank, int toRank) {
+    private static int inFlight(Collection<RankDemand> demands) {
         int sum = 0;
-        for (RankDemand demand : demands.subList(fromRank, toRank)) {
+        for (RankDemand demand : demands) {
             sum += demand.inFlight();
         }
         return sum;
     }
 
     private RankShares with(int rank, RankDemand demand) {
-        List<RankDemand> next = new ArrayList<>(demands);
-        next.set(rank, demand);
+        TreeMap<Integer, RankDemand> next = new TreeMap<>(demands);
+        next.put(rank, demand);
         return new RankShares(next);
     }
 }
--- a/jayhead-admission/src/main/java/io/jayhead/admission/room/RoomRequest.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/room/RoomRequest.java
@@ -8,7 +8,7 @@
  * @param id identifies the request; no other waiting request has it
  * @param organisation the organisation of the caller
  * @param route the name of its route; answer times are learned by route
- * @param rank the urgency, from 0, the most urgent, to 9
+ * @param rank the urgency, from 0, the most urgent, to 99
  * @param arrivedAtMs when this attempt of the caller arrived
  * @param objectiveMs the objective of the route for the answer or first event; 0 if it has none
  * @param objectiveAtMs when the objective ends, counted from the caller's first attempt
@@ -27,7 +27,7 @@
         double work) {
 
     /** The least urgent rank. */
-    public static final int LAST_RANK = 9;
+    public static final int LAST_RANK = 99;
 
     /** The time that a request may wait, as a multiple of its objective. */
     private static final double MAX_WAIT_OBJECTIVES = 1.0;
--- a/jayhead-admission/src/test/java/io/jayhead/admission/room/FairQueuePolicy.java
+++ b/jayhead-admission/src/test/java/io/jayhead/admission/room/FairQueuePolicy.java
@@ -40,13 +40,8 @@
             return List.of(new Decision(request.id(), true, 0));
         }
         QueuedRequest queued = new QueuedRequest(
-                request.id(),
-                request.organisation(),
-                "service",
-                RoomRequest.LAST_RANK - request.rank(),
-                (long) request.work(),
-                1,
-                (long) (nowMs + MAX_WAIT_OBJECTIVES * request.objectiveMs()));
+                request.id(), request.organisation(), "service", -request.rank(), (long) request.work(), 1, (long)
+                        (nowMs + MAX_WAIT_OBJECTIVES * request.objectiveMs()));
         double waitMs =
                 inFlight == 0 ? Double.MAX_VALUE : (queue.ahead(queued) + 1) * holdMs / Math.max(1, limit.requests());
         var offered = queue.offer(queued, (long) nowMs, (long) waitMs);
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/AdmittedRequest.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/AdmittedRequest.java
@@ -45,6 +45,15 @@
         return Math.max(0, Math.min(MAX_RANK, rank));
     }
 
+    /**
+     * Returns the place of the request in the order of its service, from 0 to 99: by {@link #rank()}, and among requests
+     * of the same rank by the priority of the route, since one priority of an organisation covers all its routes.
+     */
+    int orderRank() {
+        int routePriority = Math.max(0, Math.min(MAX_RANK, route.priority()));
+        return rank() * (MAX_RANK + 1) + routePriority;
+    }
+
     boolean isGeneration() {
         return metadata.size().isPresent();
     }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/GatePass.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/GatePass.java
@@ -100,7 +100,7 @@
                 id,
                 organisation,
                 request.route().name(),
-                request.rank(),
+                request.orderRank(),
                 nowMs,
                 objectiveMs,
                 nowMs + objectiveMs - elapsedMs,
