--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/GatePass.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/GatePass.java
@@ -95,14 +95,15 @@
                 .orElse(ANONYMOUS);
         long nowMs = ServiceGate.nowMs();
         int objectiveMs = request.route().latencyObjectiveMs();
+        long elapsedMs = triedForMs + request.limitMs() - leftMs;
         return new RoomRequest(
                 id,
                 organisation,
                 request.route().name(),
-                request.rank(),
+                request.orderRank(),
                 nowMs,
                 objectiveMs,
-                nowMs + objectiveMs - triedForMs,
+                nowMs + objectiveMs - elapsedMs,
                 nowMs + leftMs,
                 request.metadata().size().map(this::work).orElse(1.0));
     }
