Take an upstream that accepts no connection for one that may be starting

Cause: while the platform is away, an upstream that ends and starts again under its name stays listed as warm, and looks idle when it is back.

Change: FailedConnects (pure) remembers which upstreams accepted no connection of this router; for twice the warm-up they get the share of upstreams that warm up. Only for services with such a limit.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
@@ -123,6 +123,10 @@
         return context.filter().maySend(upstream.upstream());
     }
 
+    void unreachable(UpstreamHandle upstream) {
+        context.filter().unreachable(upstream.upstream());
+    }
+
     void send(UpstreamAttempt attempt, UpstreamConnection connection) {
         Optional<String> resumeAfter = relay.events() > 0 ? Optional.of(relay.lastId()) : Optional.empty();
         FullHttpRequest message = forwarded.build(attempt.upstream().upstream().id(), deadline.leftMs(), resumeAfter);
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamAttempt.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamAttempt.java
@@ -118,6 +118,7 @@
             return;
         }
         upstream.unreachable();
+        exchange.unreachable(upstream);
         finish(AttemptOutcome.NOT_SENT, "not connected");
     }
 
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamFilter.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamFilter.java
@@ -74,6 +74,15 @@
         return snapshot.get().registry().isReady(upstream) && !isEvacuated(upstream) && warmUps.trySend(upstream);
     }
 
+    /**
+     * Records an upstream that accepted no connection, and may therefore be one that starts.
+     *
+     * @param upstream the upstream
+     */
+    void unreachable(Upstream upstream) {
+        warmUps.unreachable(upstream);
+    }
+
     private Optional<String> region(Upstream upstream) {
         return Optional.ofNullable(regionByZone.get(upstream.availabilityZone()));
     }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/WarmUpLimiter.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/WarmUpLimiter.java
@@ -4,6 +4,7 @@
 import io.jayhead.gateway.control.RoutingSnapshot;
 import io.jayhead.gateway.metrics.GatewayMetrics;
 import io.jayhead.routing.catalog.ServiceProfile;
+import io.jayhead.routing.registry.FailedConnects;
 import io.jayhead.routing.registry.RecentSends;
 import io.jayhead.routing.registry.Upstream;
 import io.jayhead.routing.registry.WarmUpShare;
@@ -19,6 +20,7 @@
     private final Supplier<RoutingSnapshot> snapshot;
     private final GatewayMetrics metrics;
     private final Map<String, RecentSends> sendsByIncarnation = new HashMap<>();
+    private FailedConnects failedConnects = FailedConnects.none();
 
     /**
      * Creates a limiter.
@@ -57,9 +59,18 @@
         return true;
     }
 
+    /** Records an upstream that accepted no connection. */
+    void unreachable(Upstream upstream) {
+        if (service(upstream).limitsWarmUp()) {
+            failedConnects = failedConnects.with(upstream.incarnation(), nowMs());
+        }
+    }
+
     private boolean isWarmingUp(Upstream upstream, long nowMs) {
         RoutingSnapshot current = snapshot.get();
-        return current.warmUps().isWarmingUp(upstream, service(upstream), current.evacuations(), nowMs);
+        ServiceProfile service = service(upstream);
+        return current.warmUps().isWarmingUp(upstream, service, current.evacuations(), nowMs)
+                || failedConnects.mayBeStarting(upstream.incarnation(), service.warmUpMs(), nowMs);
     }
 
     private RecentSends sends(Upstream upstream) {
