--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
@@ -123,6 +123,7 @@
         return context.filter().maySend(upstream.upstream());
     }
 
+    /** Records that an upstream accepted no connection. */
     void unreachable(UpstreamHandle upstream) {
         context.filter().unreachable(upstream.upstream());
     }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/WarmUpLimiter.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/WarmUpLimiter.java
@@ -69,6 +69,9 @@
     private boolean isWarmingUp(Upstream upstream, long nowMs) {
         RoutingSnapshot current = snapshot.get();
         ServiceProfile service = service(upstream);
+        if (!service.limitsWarmUp()) {
+            return false;
+        }
         return current.warmUps().isWarmingUp(upstream, service, current.evacuations(), nowMs)
                 || failedConnects.mayBeStarting(upstream.incarnation(), service.warmUpMs(), nowMs);
     }
