Choose the holders of a budget once a fleet, and others when they do not answer

Cause: each reservation, loan and need sorted all routers by their weight for the organisation to find four holders. And since routers that are no holders take nothing ahead, a budget whose four holders have all ended would cost a ledger call for each request.

Change: PeerLoans keeps the holders until the list of routers changes.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/PeerLoans.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/PeerLoans.java
@@ -50,6 +50,9 @@
     private final StructuredLog log;
     private final Map<String, Long> silentSinceNs = new HashMap<>();
     private final Map<String, Lenders> lenders = new HashMap<>();
+    private final Map<String, List<RouterAddress>> holdersByOrganisation = new HashMap<>();
+    /** The routers from which the holders were chosen. */
+    private List<RouterAddress> fleet = List.of();
 
     PeerLoans(
             EventLoop traffic,
@@ -97,23 +100,40 @@
     boolean isBudgetHolder(String organisation, String router) {
         List<RouterAddress> all = routers.get();
         return all.stream().noneMatch(address -> address.vmName().equals(router))
-                || BudgetHolders.of(organisation, all).stream()
+                || holders(organisation).stream()
                         .anyMatch(address -> address.vmName().equals(router));
     }
 
     /**
-     * Returns the routers that prefetch the tokens of a budget.
+     * Returns the routers that prefetch the tokens of a budget. Routers that do not answer are replaced by the next
+     * ones, so that a budget whose holders have all ended is still prefetched.
      *
      * @param organisation the organisation
      * @return the names of their VMs; empty if all routers of the fleet do
      */
     Set<String> holderVms(String organisation) {
         List<RouterAddress> all = routers.get();
-        return all.size() <= GrantRule.SMALL_FLEET
-                ? Set.of()
-                : BudgetHolders.of(organisation, all).stream()
-                        .map(RouterAddress::vmName)
-                        .collect(Collectors.toSet());
+        if (all.size() <= GrantRule.SMALL_FLEET) {
+            return Set.of();
+        }
+        long nowNs = System.nanoTime();
+        List<RouterAddress> holders = holders(organisation);
+        if (holders.stream().anyMatch(router -> isSilent(router, nowNs))) {
+            List<RouterAddress> answering =
+                    all.stream().filter(router -> !isSilent(router, nowNs)).toList();
+            holders = BudgetHolders.of(organisation, answering);
+        }
+        return holders.stream().map(RouterAddress::vmName).collect(Collectors.toSet());
+    }
+
+    /** Returns the holders of a budget among all routers, which are chosen anew only if the fleet changes. */
+    private List<RouterAddress> holders(String organisation) {
+        List<RouterAddress> all = routers.get();
+        if (all != fleet) {
+            fleet = all;
+            holdersByOrganisation.clear();
+        }
+        return holdersByOrganisation.computeIfAbsent(organisation, name -> BudgetHolders.of(name, all));
     }
 
     /**
