--- a/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/GrantRule.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/GrantRule.java
@@ -4,9 +4,9 @@
  * Decides how many tokens a router takes from a budget at once.
  *
  * <p>Prefetched tokens, taken before requests need them, let a router serve while the store is unreachable, but are
- * lost if the router is killed. Therefore a router holds what its requests are likely to consume in an outage, which is
- * far less than what they reserve, and the routers together prefetch at most a share of the tokens left in the budget,
- * each in proportion to its demand.
+ * lost if the router is killed. Therefore the holders of a budget in a large fleet, which lend to all others, keep
+ * what requests are likely to consume in an outage and not all that they reserve, and the routers together prefetch at
+ * most a share of the tokens left in the budget, each in proportion to its demand.
  */
 public final class GrantRule {
 
@@ -20,10 +20,10 @@
     /** The share of the tokens left in the budget that the routers together prefetch at most. */
     private static final double PREFETCH_SHARE = 0.5;
     /**
-     * Beside what requests consume, this share of what they reserve is held, because they reserve their largest size
-     * until they end and come in bursts.
+     * In a large fleet, the holders keep this share of what requests reserve beside what they consume, because they
+     * reserve their largest size until they end and come in bursts.
      */
-    private static final double RESERVED_SHARE = 0.25;
+    private static final double RESERVED_SHARE = 0.5;
 
     /** Other routers read a page at least this often while a budget is in demand. */
     private static final double UNSEEN_DEMAND_S = 2;
@@ -84,9 +84,18 @@
         double allTokensPerS = Math.max(1.0, (double) othersTokensPerS + need.tokensPerS());
         double sharedS = PREFETCH_SHARE * availableTokens / allTokensPerS;
         double mostTokens = need.tokensPerS() * Math.min(prefetchLimitS, sharedS);
-        double usedTokens = prefetchLimitS * (need.usedTokensPerS() + RESERVED_SHARE * need.tokensPerS());
-        double neededTokens = Math.max(usedTokens, MIN_PREFETCH_S * need.tokensPerS());
+        double neededTokens = Math.max(prefetchLimitS * neededTokensPerS(need), MIN_PREFETCH_S * need.tokensPerS());
         long prefetchTokens = (long) Math.min(mostTokens, neededTokens) - need.freeTokens();
         return Math.min(Math.max(need.requiredTokens(), prefetchTokens), availableTokens);
     }
+
+    /**
+     * Returns the tokens per second that a router prefetches. In a small fleet each router holds tokens for its own
+     * requests only, so that a burst at one of them may need all that they reserve.
+     */
+    private static double neededTokensPerS(BudgetNeed need) {
+        return need.holderVms().isEmpty()
+                ? need.tokensPerS()
+                : need.usedTokensPerS() + RESERVED_SHARE * need.tokensPerS();
+    }
 }
--- a/jayhead-admission/src/test/java/io/jayhead/admission/prepaid/GrantRuleTest.java
+++ b/jayhead-admission/src/test/java/io/jayhead/admission/prepaid/GrantRuleTest.java
@@ -13,6 +13,8 @@
  */
 class GrantRuleTest {
 
+    private static final Set<String> HOLDERS = Set.of("front-1", "front-2");
+
     @Test
     void aWaitingRequestIsCoveredFromAllThatIsLeft() {
         assertEquals(
@@ -48,29 +50,35 @@
     }
 
     @Test
-    void aRouterHoldsWhatItsRequestsConsumeAndNotWhatTheyReserve() {
+    void aHolderInALargeFleetKeepsWhatRequestsConsumeAndNotAllThatTheyReserve() {
+        BudgetNeed need = new BudgetNeed(0, 0, 1_000, 300, HOLDERS, 0);
+        assertEquals((300 + 500) * 12, GrantRule.tokensToTake(need, 1_000_000, 500, GrantRule.MAX_PREFETCH_S));
+        assertEquals(1_600, GrantRule.tokensToTake(need, 1_000_000, 500, GrantRule.prefetchLimitS(1)));
+    }
+
+    @Test
+    void aRouterOfASmallFleetHoldsAllThatItsRequestsReserve() {
         BudgetNeed need = new BudgetNeed(0, 0, 1_000, 300, Set.of(), 0);
-        assertEquals((300 + 250) * 12, GrantRule.tokensToTake(need, 1_000_000, 500, GrantRule.MAX_PREFETCH_S));
-        assertEquals(1_100, GrantRule.tokensToTake(need, 1_000_000, 500, GrantRule.prefetchLimitS(1)));
+        assertEquals(12_000, GrantRule.tokensToTake(need, 1_000_000, 500, GrantRule.MAX_PREFETCH_S));
     }
 
     @Test
     void aRouterHoldsASecondOfDemandBeforeAnyRequestHasEnded() {
-        BudgetNeed need = new BudgetNeed(0, 0, 1_000, 0, Set.of(), 0);
+        BudgetNeed need = new BudgetNeed(0, 0, 1_000, 0, HOLDERS, 0);
         assertEquals(1_000, GrantRule.tokensToTake(need, 1_000_000, 500, GrantRule.prefetchLimitS(0)));
     }
 
     @Test
     void aRouterThatIsNoHolderTakesOnlyWhatItsRequestsRequire() {
         LedgerSession session = sessionThatHasRead("front-9");
-        BudgetNeed need = new BudgetNeed(700, 0, 1_000, 1_000, Set.of("front-1", "front-2"), 0);
+        BudgetNeed need = new BudgetNeed(700, 0, 1_000, 1_000, HOLDERS, 0);
         assertEquals(700, taken(session, need));
     }
 
     @Test
     void routersThatAreNoHoldersDoNotLowerWhatHoldersPrefetch() {
         LedgerSession session = sessionThatHasRead("front-1");
-        BudgetNeed need = new BudgetNeed(0, 0, 1_000, 1_000, Set.of("front-1", "front-2"), 0);
+        BudgetNeed need = new BudgetNeed(0, 0, 1_000, 1_000, HOLDERS, 0);
         assertEquals(6_000, taken(session, need));
         assertEquals(1_000, taken(session, need.withHolderVms(Set.of())));
     }
