Leave the wait for a slot out of the momentary slowdown

Cause: the expected wait for a slot, which is taken from whole generations, was multiplied with a slowdown that lasts for a fraction of a second. The cost of a candidate was computed twice for each comparison.

Change: the slowdown multiplies the work that starts now only; each candidate's cost is computed once.

--- a/jayhead-routing/src/main/java/io/jayhead/routing/placement/FirstEventRates.java
+++ b/jayhead-routing/src/main/java/io/jayhead/routing/placement/FirstEventRates.java
@@ -39,6 +39,11 @@
         return new FirstEventRates(PRIOR_BASE_MS, PRIOR_MS_PER_THOUSAND_TOKENS, PRIOR_MS_PER_REQUEST, Sums.EMPTY, 0);
     }
 
+    /** Tells whether there has been an observation. */
+    boolean isFitted() {
+        return !sums.equals(Sums.EMPTY);
+    }
+
     /** Returns the expected time to the first event in milliseconds. */
     double expectedMs(double tokens, double requests) {
         return baseMs + msPerThousandTokens * tokens / THOUSAND + msPerRequest * requests;
--- a/jayhead-routing/src/main/java/io/jayhead/routing/placement/Placement.java
+++ b/jayhead-routing/src/main/java/io/jayhead/routing/placement/Placement.java
@@ -45,10 +45,10 @@
         PartAffinity affinity = PartAffinity.of(untried, request, rates);
         return untried.stream()
                 .filter(candidate -> memory(candidate, request, affinity) != EngineMemory.FULL)
-                .min(Comparator.comparingDouble(
-                                (PlacementCandidate candidate) -> cost(candidate, request, affinity, rates))
-                        .thenComparingInt(candidate ->
-                                RendezvousHash.weight(candidate.upstream().id(), Integer.toString(request.salt()))))
+                .map(candidate -> new Ranked(candidate, cost(candidate, request, affinity, rates)))
+                .min(Comparator.comparingDouble(Ranked::costMs)
+                        .thenComparingInt(ranked -> ranked.tieBreaker(request.salt())))
+                .map(Ranked::candidate)
                 .map(candidate -> new PlacementChoice(
                         candidate, affinity.tokensToRead(candidate), affinity.memoryTokens(candidate)));
     }
@@ -89,7 +89,7 @@
         double firstEventMs = rates.firstEventMs(tokens, requests(candidate));
         double queueMs = rates.queueMs(requests(candidate), Math.max(1, candidate.slots()));
         double slowness = Math.max(1, Math.min(MAX_SLOWNESS, candidate.slowness()));
-        return (firstEventMs + queueMs) * slowness * candidate.slowdown();
+        return (firstEventMs * candidate.slowdown() + queueMs) * slowness;
     }
 
     private static EngineMemory memory(PlacementCandidate candidate, PlacementRequest request, PartAffinity affinity) {
@@ -99,4 +99,11 @@
     private static double requests(PlacementCandidate candidate) {
         return candidate.inFlight() + candidate.otherRequests();
     }
+
+    /** A candidate with its cost, which is computed once. */
+    private record Ranked(PlacementCandidate candidate, double costMs) {
+        int tieBreaker(int salt) {
+            return RendezvousHash.weight(candidate.upstream().id(), Integer.toString(salt));
+        }
+    }
 }
--- a/jayhead-routing/src/main/java/io/jayhead/routing/placement/ServiceRates.java
+++ b/jayhead-routing/src/main/java/io/jayhead/routing/placement/ServiceRates.java
@@ -5,8 +5,9 @@
 /**
  * Holds how fast the upstreams of one service work, learned from their answers to this router; immutable.
  *
- * <p>All times are those of an upstream of normal speed whose machine works as usual. Without answers they are the
- * defaults; old answers lose weight as new ones arrive.
+ * <p>The times are those of an upstream of normal speed whose machine works as usual, but for that of a whole
+ * generation, during which machines are slow by turns. Without answers they are the defaults; old answers lose weight
+ * as new ones arrive.
  *
  * @param firstEvent the rates that make up the time to the first event of a generation
  * @param plainCallMs the time from sending a plain call to the end of its answer
@@ -33,7 +34,7 @@
      * @return true once a generation has been answered
      */
     public boolean isLearned() {
-        return !firstEvent.equals(FirstEventRates.prior());
+        return firstEvent.isFitted();
     }
 
     /**
