Keep the barrier before a third engine for a shared part

Cause: with factors that rise from 1.5 to 4 over six engines, parts spread to a third engine early.

Change: beyond the second engine the factors start at 4 and rise in small steps only, so that routers with overflow still agree on the next engine.

--- a/jayhead-routing/src/main/java/io/jayhead/routing/placement/PartAffinity.java
+++ b/jayhead-routing/src/main/java/io/jayhead/routing/placement/PartAffinity.java
@@ -21,10 +21,10 @@
      */
     private static final double[] TWO_ENGINES = {0, 1.5, 4};
     /**
-     * As above, for services whose load is known: the overflow of a part with much traffic goes to one engine after the
-     * other, the same for all routers.
+     * As above, for services whose load is known: what the first two engines cannot take goes to one engine after the
+     * other, the same for all routers. The small steps decide between engines of about the same load.
      */
-    private static final double[] ONE_AFTER_THE_OTHER = {0, 1.5, 2, 2.5, 3, 3.5, 4};
+    private static final double[] ONE_AFTER_THE_OTHER = {0, 1.5, 4, 4.2, 4.4, 4.6, 4.8, 5};
     /** The factor for an engine that had the parts, but may have replaced them. */
     private static final double HOLDER_FACTOR = 0.5;
 
