Bound what connections make a router hold

Clients that stay within the limits of a request ended a router: heads of many short lines, answers that nobody reads, bodies that do not end, unread metrics pages, messages of other routers without an end. Nothing bounded what they hold together, a line of a head costs many times its bytes, an answer was written in one piece, and decoders kept direct read buffers of 64 KB.

Each connection is now charged for its heads line by line as they are decoded, for bodies in pages that are copied out of the read buffers, for pipelined requests, and for answers and events until the socket has taken them. Above 0.3 of the largest heap, the router gives up what SheddingOrder chooses: it refuses what has not run with 503 and Retry-After, answers what was sent with 502, and cuts off callers that do not read. An answer is collected without doubling and released in parts. Connections of callers and of other routers are limited by MaxFds, those to the status address to 64. AnswerBuffers, a bound of collected answers alone, is replaced by the account.

The two new tests, a single request at the limits and a long answer read late, are green.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/Gateway.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/Gateway.java
@@ -7,8 +7,8 @@
 import io.jayhead.gateway.control.RouterAddress;
 import io.jayhead.gateway.edge.CallerServer;
 import io.jayhead.gateway.edge.LinkMeter;
+import io.jayhead.gateway.edge.PeerConnections;
 import io.jayhead.gateway.edge.StatusServer;
-import io.jayhead.gateway.exchange.AnswerBuffers;
 import io.jayhead.gateway.exchange.AnswerTimes;
 import io.jayhead.gateway.exchange.DrainState;
 import io.jayhead.gateway.exchange.GatewayContext;
@@ -17,6 +17,7 @@
 import io.jayhead.gateway.log.GuardedTask;
 import io.jayhead.gateway.log.LogKind;
 import io.jayhead.gateway.log.StructuredLog;
+import io.jayhead.gateway.memory.ProcessMemory;
 import io.jayhead.gateway.metrics.GatewayMetrics;
 import io.jayhead.gateway.quarantine.PromptGuard;
 import io.jayhead.gateway.upstream.ConnectionRecorder;
@@ -53,6 +54,7 @@
     private final EventLoop traffic = trafficGroup.next();
     private final DrainState drain = new DrainState();
     private final GatewayMetrics metrics = new GatewayMetrics();
+    private final ProcessMemory memory = new ProcessMemory();
     private final ControlPlane control;
     private final BudgetAccounts budgets;
     private final UpstreamTable upstreams;
@@ -114,13 +116,13 @@
                 new RetryBudgets(),
                 new ServiceGates(traffic),
                 new AnswerTimes(),
-                new AnswerBuffers(),
+                memory,
                 log,
                 metrics,
                 drain,
                 new PromptGuard(traffic, control::snapshot, control, log),
                 meter::pressure);
-        this.callers = new CallerServer(context, meter);
+        this.callers = new CallerServer(context, meter, settings.maxDescriptors());
     }
 
     /** Starts the periodic tasks, the servers and the control plane. */
@@ -128,9 +130,11 @@
         budgets.start();
         repeat("measure link", this::measureLink, LINK_CHECK_MS);
         repeat("sweep connections", this::sweep, SWEEP_MS);
-        PeerServer.start(trafficGroup, settings.peersAddress(), this::answerPeer, PeerTrafficListener.NONE);
+        PeerConnections peers = new PeerConnections(memory, settings.maxDescriptors());
+        PeerServer.start(
+                trafficGroup, settings.peersAddress(), this::answerPeer, PeerTrafficListener.NONE, peers::accepted);
         callers.listen(trafficGroup, trafficGroup, settings.callersAddress());
-        new StatusServer(dialect.readinessPath(), this::isReady, () -> metrics.text(log.droppedLines()))
+        new StatusServer(dialect.readinessPath(), this::isReady, () -> metrics.text(log.droppedLines()), memory)
                 .listen(trafficGroup, settings.statusAddress());
         control.start();
         log.write(
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/GatewaySettings.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/GatewaySettings.java
@@ -14,6 +14,7 @@
  * @param stopMs the time in milliseconds between the stop signal and the end of the process
  * @param controlTimes the times that the control plane depends on
  * @param linkMbps the capacity of the VM's network link in each direction, in megabits per second; 0 if unknown
+ * @param maxDescriptors the file descriptors that the process may have open; 0 if unknown
  */
 public record GatewaySettings(
         String vmName,
@@ -23,7 +24,8 @@
         InetSocketAddress peersAddress,
         long stopMs,
         ControlTimes controlTimes,
-        double linkMbps) {
+        double linkMbps,
+        int maxDescriptors) {
 
     /**
      * Validates the values.
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/edge/CallerConnection.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/edge/CallerConnection.java
@@ -1,10 +1,17 @@
 package io.jayhead.gateway.edge;
 
+import io.jayhead.admission.memory.Holding;
+import io.jayhead.admission.memory.HoldingPhase;
+import io.jayhead.gateway.exchange.AnswerWriter;
 import io.jayhead.gateway.exchange.CallerChannel;
 import io.jayhead.gateway.exchange.Exchange;
 import io.jayhead.gateway.exchange.GatewayContext;
+import io.jayhead.gateway.exchange.Refusal;
 import io.jayhead.gateway.log.GuardedTask;
 import io.jayhead.gateway.log.LogKind;
+import io.jayhead.gateway.memory.ChargedHeaders;
+import io.jayhead.gateway.memory.ConnectionMemory;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -23,6 +30,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -32,25 +40,45 @@
 import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
 
 /** Serves the requests of one connection of a caller, one after the other. */
 final class CallerConnection extends ChannelInboundHandlerAdapter implements CallerChannel {
 
     private static final int MAX_PIPELINED = 8;
+    /** Time for a caller to read a refusal while it still sends; a connection closed with unread bytes is reset. */
+    private static final long REFUSED_MS = 1_000;
 
     private final GatewayContext context;
     private final Deque<FullHttpRequest> pipelined = new ArrayDeque<>();
     private Channel channel;
+    private ConnectionMemory memory;
+    private InboundPieces pieces;
     private Exchange exchange;
+    private FullHttpRequest served;
     private boolean keepAlive = true;
 
     CallerConnection(GatewayContext context) {
         this.context = context;
     }
 
+    /** Starts the accounting of the connection. */
+    ConnectionMemory open(Channel accepted) {
+        channel = accepted;
+        memory = context.memory().open(this::shed);
+        pieces = new InboundPieces(memory);
+        return memory;
+    }
+
+    /** Returns the handler that precedes the decoder of the connection. */
+    InboundPieces pieces() {
+        return pieces;
+    }
+
     @Override
-    public void handlerAdded(ChannelHandlerContext handler) {
-        channel = handler.channel();
+    public ConnectionMemory memory() {
+        return memory;
     }
 
     @Override
@@ -64,32 +92,55 @@
             ReferenceCountUtil.release(message);
             return;
         }
-        if (exchange == null && keepAlive) {
+        if (!keepAlive && exchange == null) {
+            drop(request);
+        } else if (exchange == null && channel.isWritable()) {
             serve(request);
-        } else if (exchange == null) {
-            request.release();
         } else if (pipelined.size() < MAX_PIPELINED) {
             pipelined.add(request);
+            enterPhase();
         } else {
-            request.release();
+            drop(request);
             channel.close();
         }
     }
 
+    private static void drop(FullHttpRequest request) {
+        endHead(request);
+        request.release();
+    }
+
+    private static void endHead(FullHttpRequest request) {
+        ChargedHeaders.release(request.headers());
+        ChargedHeaders.release(request.trailingHeaders());
+    }
+
     private void serve(FullHttpRequest request) {
         if (request.decoderResult().isFailure()) {
             refuseMalformed(request);
             return;
         }
         keepAlive = HttpUtil.isKeepAlive(request);
+        served = request;
         exchange = new Exchange(context, this, request);
+        memory.restart(HoldingPhase.RUNNING);
         exchange.start();
     }
 
+    private void enterPhase() {
+        if (!channel.isWritable()) {
+            memory.enter(HoldingPhase.DELIVERING);
+        } else if (exchange == null || !pipelined.isEmpty()) {
+            memory.enter(HoldingPhase.RECEIVING);
+        } else {
+            memory.enter(HoldingPhase.RUNNING);
+        }
+    }
+
     private void refuseMalformed(FullHttpRequest request) {
         Throwable cause = request.decoderResult().cause();
         keepAlive = cause instanceof TooLongHttpContentException && HttpUtil.isKeepAlive(request);
-        request.release();
+        drop(request);
         FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, refusalOf(cause));
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
         setConnectionHeader(response);
@@ -109,13 +160,23 @@
     }
 
     @Override
-    public void answer(HttpResponseStatus status, HttpHeaders headers, byte[] body) {
-        FullHttpResponse response =
-                new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(body));
+    public void answer(HttpResponseStatus status, HttpHeaders headers, List<ByteBuf> body) {
+        int length = body.stream().mapToInt(ByteBuf::readableBytes).sum();
+        HttpResponse response = body.size() > 1
+                ? new DefaultHttpResponse(HttpVersion.HTTP_1_1, status)
+                : new DefaultFullHttpResponse(
+                        HttpVersion.HTTP_1_1, status, body.isEmpty() ? Unpooled.EMPTY_BUFFER : body.get(0));
         response.headers().set(headers);
-        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
+        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
         setConnectionHeader(response);
-        finish(channel.writeAndFlush(response));
+        if (body.size() <= 1) {
+            finish(channel.writeAndFlush(response));
+            return;
+        }
+        channel.write(response, channel.voidPromise());
+        // Each part is released as soon as the caller has taken it.
+        body.forEach(part -> channel.write(new DefaultHttpContent(part), channel.voidPromise()));
+        endStream();
     }
 
     @Override
@@ -129,7 +190,7 @@
 
     @Override
     public void stream(byte[] bytes) {
-        channel.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)), channel.voidPromise());
+        channel.writeAndFlush(new DefaultHttpContent(memory.hold(bytes)), channel.voidPromise());
     }
 
     @Override
@@ -153,6 +214,9 @@
     }
 
     private void finish(ChannelFuture written) {
+        if (pieces.isDiscarding()) {
+            return;
+        }
         if (!keepAlive) {
             written.addListener(ChannelFutureListener.CLOSE);
             return;
@@ -162,7 +226,15 @@
 
     private void serveNext() {
         exchange = null;
-        while (exchange == null && keepAlive && !pipelined.isEmpty()) {
+        endHead(served);
+        memory.restart(HoldingPhase.RECEIVING);
+        servePipelined();
+        enterPhase();
+    }
+
+    /** Serves the next request once the caller has taken most of the answer to the one before. */
+    private void servePipelined() {
+        while (exchange == null && keepAlive && !pipelined.isEmpty() && channel.isWritable()) {
             serve(pipelined.poll());
         }
     }
@@ -171,7 +243,10 @@
     public void channelWritabilityChanged(ChannelHandlerContext handler) {
         if (exchange != null) {
             exchange.writabilityChanged();
+        } else {
+            servePipelined();
         }
+        enterPhase();
     }
 
     @Override
@@ -183,10 +258,13 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext handler) {
-        if (exchange != null) {
-            exchange.callerClosed();
-        }
-        pipelined.forEach(FullHttpRequest::release);
+        endExchange();
+        dropPipelined();
+        memory.close();
+    }
+
+    private void dropPipelined() {
+        pipelined.forEach(CallerConnection::drop);
         pipelined.clear();
     }
 
@@ -198,6 +276,70 @@
         channel.close();
     }
 
+    /** Closes the connection to make room for another one. */
+    void closeForDescriptor() {
+        recordShed("descriptors");
+        channel.close();
+    }
+
+    /**
+     * Ends the connection to give up what it holds. A request that has not run is refused, and a caller that does not
+     * read its answer is cut off.
+     */
+    private void shed() {
+        recordShed("memory");
+        boolean refusable = exchange != null || memory.holdsRequest();
+        if (memory.holding().phase() == HoldingPhase.DELIVERING || !refusable) {
+            endExchange();
+            dropPipelined();
+            memory.close();
+            channel.config().setOption(ChannelOption.SO_LINGER, 0);
+            ImmediateClose.close(channel);
+            return;
+        }
+        refuseShed();
+        channel.eventLoop().schedule(() -> channel.close(), REFUSED_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Answers the open or unfinished request, and discards everything else that has arrived and will arrive. */
+    private void refuseShed() {
+        keepAlive = false;
+        pieces.discard();
+        if (exchange == null) {
+            new AnswerWriter(context, this).refuse(Refusal.MEMORY_EXHAUSTED, 0);
+        } else {
+            exchange.shed();
+        }
+        dropPipelined();
+        channel.pipeline().remove(RequestAggregator.class);
+        channel.pipeline().remove(BodyPages.class);
+        channel.pipeline().remove(HttpServerCodec.class);
+        memory.close();
+    }
+
+    private void recordShed(String scarce) {
+        Holding holding = memory.holding();
+        context.metrics().callerShed(scarce, holding.phase().name());
+        context.log()
+                .write(
+                        LogKind.SHED,
+                        "caller shed",
+                        "address",
+                        channel.remoteAddress(),
+                        "scarce",
+                        scarce,
+                        "phase",
+                        holding.phase(),
+                        "held_bytes",
+                        holding.bytes());
+    }
+
+    private void endExchange() {
+        if (exchange != null) {
+            exchange.callerClosed();
+        }
+    }
+
     /** Tells whether a request is being served, so that no other may be answered. */
     boolean isServing() {
         return exchange != null;
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/edge/CallerServer.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/edge/CallerServer.java
@@ -1,6 +1,8 @@
 package io.jayhead.gateway.edge;
 
 import io.jayhead.gateway.exchange.GatewayContext;
+import io.jayhead.gateway.memory.ChargedHeaders;
+import io.jayhead.gateway.memory.ConnectionMemory;
 import io.jayhead.routing.catalog.CallerLimits;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
@@ -8,6 +10,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.timeout.IdleStateHandler;
 import java.net.InetSocketAddress;
@@ -19,6 +22,9 @@
 public final class CallerServer {
 
     private static final int BACKLOG = 1_024;
+    /** The other descriptors are for files, upstreams, other routers and the platform. */
+    private static final double DESCRIPTOR_SHARE = 0.6;
+
     private static final int MAX_LINE_BYTES = 8_192;
     private static final int MAX_CHUNK_BYTES = 8_192;
     /**
@@ -29,6 +35,7 @@
 
     private final GatewayContext context;
     private final LinkMeter meter;
+    private final ConnectionLimit limit;
     private final Set<CallerConnection> connections = new HashSet<>();
     private Channel server;
 
@@ -37,10 +44,12 @@
      *
      * @param context the objects that all exchanges of the router share
      * @param meter measures the traffic of callers
+     * @param maxDescriptors the descriptors that the process may have open; 0 if unknown
      */
-    public CallerServer(GatewayContext context, LinkMeter meter) {
+    public CallerServer(GatewayContext context, LinkMeter meter, int maxDescriptors) {
         this.context = context;
         this.meter = meter;
+        this.limit = ConnectionLimit.ofDescriptors(maxDescriptors, DESCRIPTOR_SHARE);
     }
 
     /**
@@ -71,14 +80,27 @@
     private void initConnection(Channel channel) {
         CallerLimits limits = context.snapshot().get().catalog().limits();
         CallerConnection connection = new CallerConnection(context);
-        connections.add(connection);
-        channel.closeFuture().addListener(closed -> connections.remove(connection));
+        ConnectionMemory memory = connection.open(channel);
+        HttpDecoderConfig decoding = new HttpDecoderConfig()
+                .setMaxInitialLineLength(MAX_LINE_BYTES)
+                .setMaxHeaderSize(limits.maxHeaderBytes())
+                .setMaxChunkSize(MAX_CHUNK_BYTES)
+                .setHeadersFactory(ChargedHeaders.headsOf(memory))
+                .setTrailersFactory(ChargedHeaders.trailersOf(memory));
         channel.pipeline()
                 .addLast(meter)
                 .addLast(new IdleStateHandler(0, 0, limits.idleTimeoutMs() + IDLE_MARGIN_MS, TimeUnit.MILLISECONDS))
-                .addLast(new HttpServerCodec(MAX_LINE_BYTES, limits.maxHeaderBytes(), MAX_CHUNK_BYTES))
+                .addLast(connection.pieces())
+                .addLast(new HttpServerCodec(decoding))
+                .addLast(new BodyPages(memory))
                 .addLast(new RequestAggregator(limits.maxBodyBytes(), connection::isServing))
                 .addLast(connection);
+        connections.add(connection);
+        channel.closeFuture().addListener(closed -> {
+            connections.remove(connection);
+            limit.remove(memory);
+        });
+        limit.add(memory, connection::closeForDescriptor);
     }
 
     /** Stops accepting connections; open connections stay open. */
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/edge/RequestAggregator.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/edge/RequestAggregator.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpMessage;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -48,8 +49,13 @@
     @Override
     protected void handleOversizedMessage(ChannelHandlerContext context, HttpMessage oversized) {
         HttpRequest head = (HttpRequest) oversized;
-        FullHttpRequest refused =
-                new DefaultFullHttpRequest(head.protocolVersion(), head.method(), head.uri(), Unpooled.EMPTY_BUFFER);
+        FullHttpRequest refused = new DefaultFullHttpRequest(
+                head.protocolVersion(),
+                head.method(),
+                head.uri(),
+                Unpooled.EMPTY_BUFFER,
+                head.headers(),
+                EmptyHttpHeaders.INSTANCE);
         // Only a body whose length is known from the head is skipped to its end.
         HttpUtil.setKeepAlive(refused, HttpUtil.isKeepAlive(head) && !(oversized instanceof FullHttpMessage));
         refused.setDecoderResult(DecoderResult.failure(new TooLongHttpContentException("body is too long")));
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/edge/StatusServer.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/edge/StatusServer.java
@@ -1,5 +1,9 @@
 package io.jayhead.gateway.edge;
 
+import io.jayhead.admission.memory.HoldingPhase;
+import io.jayhead.gateway.memory.ChargedHeaders;
+import io.jayhead.gateway.memory.ConnectionMemory;
+import io.jayhead.gateway.memory.ProcessMemory;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -12,6 +16,7 @@
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpObjectAggregator;
@@ -19,6 +24,8 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.timeout.IdleStateEvent;
+import io.netty.handler.timeout.IdleStateHandler;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.function.BooleanSupplier;
@@ -31,10 +38,14 @@
     public static final String METRICS_PATH = "/metrics";
 
     private static final int MAX_REQUEST_BYTES = 8_192;
+    private static final int MAX_CONNECTIONS = 64;
+    private static final int IDLE_LIMIT_S = 60;
 
     private final String readinessPath;
     private final BooleanSupplier ready;
     private final Supplier<byte[]> metrics;
+    private final ProcessMemory process;
+    private final ConnectionLimit limit = new ConnectionLimit(MAX_CONNECTIONS);
 
     /**
      * Creates a server that does not listen yet.
@@ -42,11 +53,13 @@
      * @param readinessPath the path of the readiness check
      * @param ready tells whether the router accepts connections
      * @param metrics returns the metrics page in UTF-8
+     * @param process the account of the memory that connections hold
      */
-    public StatusServer(String readinessPath, BooleanSupplier ready, Supplier<byte[]> metrics) {
+    public StatusServer(String readinessPath, BooleanSupplier ready, Supplier<byte[]> metrics, ProcessMemory process) {
         this.readinessPath = readinessPath;
         this.ready = ready;
         this.metrics = metrics;
+        this.process = process;
     }
 
     /**
@@ -62,24 +75,38 @@
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        channel.pipeline()
-                                .addLast(
-                                        new HttpServerCodec(),
-                                        new HttpObjectAggregator(MAX_REQUEST_BYTES),
-                                        new Handler());
+                        initConnection(channel);
                     }
                 })
                 .bind(address)
                 .syncUninterruptibly();
     }
 
-    private FullHttpResponse answerTo(String path) {
+    private void initConnection(Channel channel) {
+        ConnectionMemory memory = process.open(() -> ImmediateClose.close(channel));
+        HttpDecoderConfig decoding = new HttpDecoderConfig()
+                .setHeadersFactory(ChargedHeaders.headsOf(memory))
+                .setTrailersFactory(ChargedHeaders.trailersOf(memory));
+        channel.pipeline()
+                .addLast(
+                        new IdleStateHandler(0, 0, IDLE_LIMIT_S),
+                        new InboundPieces(memory),
+                        new HttpServerCodec(decoding),
+                        new HttpObjectAggregator(MAX_REQUEST_BYTES),
+                        new Handler(memory));
+        channel.closeFuture().addListener(closed -> {
+            limit.remove(memory);
+            memory.close();
+        });
+        limit.add(memory, channel::close);
+    }
+
+    private FullHttpResponse answerTo(String path, ConnectionMemory memory) {
         if (path.equals(readinessPath)) {
             return answer(ready.getAsBoolean() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE, "");
         }
         if (path.equals(METRICS_PATH)) {
-            return new DefaultFullHttpResponse(
-                    HttpVersion.HTTP_1_1, HttpResponseStatus.OK, Unpooled.wrappedBuffer(metrics.get()));
+            return new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK, memory.hold(metrics.get()));
         }
         return answer(HttpResponseStatus.NOT_FOUND, "");
     }
@@ -92,9 +119,23 @@
     /** Answers the requests of one connection. */
     private final class Handler extends SimpleChannelInboundHandler<FullHttpRequest> {
 
+        private final ConnectionMemory memory;
+
+        Handler(ConnectionMemory memory) {
+            this.memory = memory;
+        }
+
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
-            FullHttpResponse response = answerTo(request.uri());
+            ChargedHeaders.release(request.headers());
+            ChargedHeaders.release(request.trailingHeaders());
+            memory.restart(HoldingPhase.RECEIVING);
+            if (!context.channel().isWritable()) {
+                // The answers before are not read.
+                context.close();
+                return;
+            }
+            FullHttpResponse response = answerTo(request.uri(), memory);
             response.headers()
                     .set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
             if (HttpUtil.isKeepAlive(request)) {
@@ -105,6 +146,13 @@
             context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
         }
 
+        @Override
+        public void userEventTriggered(ChannelHandlerContext context, Object event) {
+            if (event instanceof IdleStateEvent) {
+                context.close();
+            }
+        }
+
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
             context.close();
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/AnswerWriter.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/AnswerWriter.java
@@ -1,16 +1,24 @@
 package io.jayhead.gateway.exchange;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import java.util.List;
 
 /** Writes the answer of one exchange to its caller; used by the traffic thread. */
-final class AnswerWriter {
+public final class AnswerWriter {
 
     private final GatewayContext context;
     private final CallerChannel caller;
 
-    AnswerWriter(GatewayContext context, CallerChannel caller) {
+    /**
+     * Creates a writer.
+     *
+     * @param context the objects that all exchanges of the router share
+     * @param caller writes the answer
+     */
+    public AnswerWriter(GatewayContext context, CallerChannel caller) {
         this.context = context;
         this.caller = caller;
     }
@@ -21,10 +29,10 @@
      * @param refusal the refusal
      * @param causeMs the milliseconds for which its cause, such as an outage, has lasted
      */
-    void refuse(Refusal refusal, long causeMs) {
+    public void refuse(Refusal refusal, long causeMs) {
         HttpHeaders headers = new DefaultHttpHeaders();
         RetryAfter.of(refusal, causeMs).ifPresent(value -> headers.set(HttpHeaderNames.RETRY_AFTER, value));
-        caller.answer(refusal.status(), headers, new byte[0]);
+        caller.answer(refusal.status(), headers, List.of());
     }
 
     /** Passes the head of a stream on. */
@@ -33,7 +41,7 @@
     }
 
     /** Passes a complete answer on. */
-    void passOn(UpstreamAttempt attempt, byte[] body) {
+    void passOn(UpstreamAttempt attempt, List<ByteBuf> body) {
         caller.answer(attempt.head().status(), headersOf(attempt), body);
     }
 
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/CallerChannel.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/CallerChannel.java
@@ -1,8 +1,11 @@
 package io.jayhead.gateway.exchange;
 
+import io.jayhead.gateway.memory.ConnectionMemory;
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import java.util.List;
 
 /** Writes answers to a caller; used by the traffic thread. */
 public interface CallerChannel {
@@ -12,9 +15,9 @@
      *
      * @param status the status of the answer
      * @param headers the headers of the answer, without {@code Content-Length} and other framing headers
-     * @param body the complete body; may be empty
+     * @param body the parts of the complete body, which the channel releases; may be empty
      */
-    void answer(HttpResponseStatus status, HttpHeaders headers, byte[] body);
+    void answer(HttpResponseStatus status, HttpHeaders headers, List<ByteBuf> body);
 
     /**
      * Writes the status and headers of a stream.
@@ -43,4 +46,11 @@
      * @return the channel
      */
     Channel channel();
+
+    /**
+     * Returns the memory that the connection makes the router hold.
+     *
+     * @return the memory of the connection
+     */
+    ConnectionMemory memory();
 }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
@@ -169,14 +169,19 @@
         context.promptGuard().closedBeforeAnswer(metadata.requestId(), metadata.sharedParts(), upstream);
     }
 
-    AnswerBuffers buffers() {
-        return context.buffers();
+    AnswerBody newBody() {
+        return new AnswerBody(caller.memory(), context.memory().maxAnswerBytes());
     }
 
     boolean isEnded() {
         return ended;
     }
 
+    /** Gives up holdings if an answer has made the process hold too much; the exchange may have ended afterwards. */
+    void shedIfExceeded() {
+        caller.memory().shedIfExceeded();
+    }
+
     void streamBytes(UpstreamAttempt attempt, byte[] bytes) {
         if (ended) {
             return;
@@ -220,7 +225,7 @@
         }
     }
 
-    void answered(UpstreamAttempt attempt, byte[] body) {
+    void answered(UpstreamAttempt attempt, AnswerBody body) {
         if (ended) {
             runWithoutCaller.end();
             return;
@@ -234,9 +239,9 @@
         end(ExchangeRecorder.SERVED, attempt);
     }
 
-    private void passOn(UpstreamAttempt attempt, byte[] body) {
+    private void passOn(UpstreamAttempt attempt, AnswerBody body) {
         answerStarted = attempt.isSuccess();
-        answers.passOn(attempt, body);
+        answers.passOn(attempt, body.take());
         recorder.firstByte(admitted.route().name());
     }
 
@@ -293,7 +298,7 @@
             refuse(Refusal.OUTCOME_UNKNOWN);
             return;
         }
-        passOn(attempt, attempt.bufferedBody());
+        passOn(attempt, attempt.body());
         end("upstream failure " + status.code(), attempt);
     }
 
@@ -325,6 +330,11 @@
         giveUp("planned stop", mayHaveRun > 0 ? Refusal.OUTCOME_UNKNOWN : Refusal.STOPPING);
     }
 
+    /** Ends the request because its connection holds too much of the memory. */
+    public void shed() {
+        giveUp("memory", mayHaveRun > 0 ? Refusal.OUTCOME_UNKNOWN : Refusal.MEMORY_EXHAUSTED);
+    }
+
     private void giveUp(String reason, Refusal refusal) {
         if (ended) {
             return;
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/GatewayContext.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/GatewayContext.java
@@ -4,6 +4,7 @@
 import io.jayhead.gateway.budget.BudgetAccounts;
 import io.jayhead.gateway.control.RoutingSnapshot;
 import io.jayhead.gateway.log.StructuredLog;
+import io.jayhead.gateway.memory.ProcessMemory;
 import io.jayhead.gateway.metrics.GatewayMetrics;
 import io.jayhead.gateway.quarantine.PromptGuard;
 import io.jayhead.gateway.upstream.UpstreamTable;
@@ -22,7 +23,7 @@
  * @param retries the retry budgets of the services
  * @param gates admit requests to the services
  * @param answerTimes the recent answer times of the routes
- * @param buffers the memory for answers that are being collected
+ * @param memory the account of the memory that connections hold
  * @param log the log
  * @param metrics the metrics
  * @param drain the state of a planned stop
@@ -38,7 +39,7 @@
         RetryBudgets retries,
         ServiceGates gates,
         AnswerTimes answerTimes,
-        AnswerBuffers buffers,
+        ProcessMemory memory,
         StructuredLog log,
         GatewayMetrics metrics,
         DrainState drain,
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Refusal.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Refusal.java
@@ -30,6 +30,8 @@
      * lasted.
      */
     OVER_LIMIT(HttpResponseStatus.SERVICE_UNAVAILABLE, 0),
+    /** Connections hold all the memory that they may hold together. */
+    MEMORY_EXHAUSTED(HttpResponseStatus.SERVICE_UNAVAILABLE, 1_000),
     /** Upstreams ended under a part of the prompt. */
     PROMPT_BLOCKED(HttpResponseStatus.SERVICE_UNAVAILABLE, 60_000),
     /** The request was sent to an upstream and its outcome is unknown. */
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamAttempt.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamAttempt.java
@@ -12,7 +12,6 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.AsciiString;
-import java.io.ByteArrayOutputStream;
 
 /** Sends the request of an exchange to one upstream and receives the answer; used by the traffic thread. */
 final class UpstreamAttempt implements AttemptListener {
@@ -20,13 +19,11 @@
     /** An upstream that goes on after its first event did not end under the prompt. */
     private static final int ANSWERING_EVENTS = 2;
 
-    private static final int MAX_ANSWER_BYTES = 16 * 1024 * 1024;
-
     private final Exchange exchange;
     private final String requestId;
     private final UpstreamHandle upstream;
     private final long tokensToRead;
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private final AnswerBody body;
     private UpstreamConnection connection;
     private HttpResponse head;
     private AnswerMetadata metadata;
@@ -47,6 +44,7 @@
         this.requestId = requestId;
         this.upstream = upstream;
         this.tokensToRead = tokensToRead;
+        this.body = exchange.newBody();
     }
 
     UpstreamHandle upstream() {
@@ -157,13 +155,10 @@
             if (exchange.relay().eventsOfAttempt() >= ANSWERING_EVENTS) {
                 promptAnswered();
             }
-            return;
-        }
-        if (body.size() + copy.length > MAX_ANSWER_BYTES || !exchange.buffers().reserve(copy.length)) {
+        } else if (!body.add(copy)) {
             giveUp("answer is too large");
-            return;
         }
-        body.writeBytes(copy);
+        exchange.shedIfExceeded();
     }
 
     @Override
@@ -199,7 +194,8 @@
         if (isSuccess()) {
             promptAnswered();
         }
-        exchange.answered(this, body.toByteArray());
+        exchange.answered(this, body);
+        body.release();
     }
 
     @Override
@@ -219,8 +215,8 @@
         exchange.writabilityChanged();
     }
 
-    byte[] bufferedBody() {
-        return body.toByteArray();
+    AnswerBody body() {
+        return body;
     }
 
     /** Cancels the attempt and closes its connection, so that the upstream can stop working on the request. */
@@ -229,6 +225,7 @@
             return;
         }
         end();
+        body.release();
         if (connection != null) {
             connection.abort();
         }
@@ -300,6 +297,7 @@
     private void finish(AttemptOutcome outcome, String reason) {
         end();
         exchange.attemptEnded(this, outcome, reason);
+        body.release();
     }
 
     private void end() {
@@ -307,7 +305,6 @@
             return;
         }
         ended = true;
-        exchange.buffers().release(body.size());
         promptRead();
         upstream.ended();
     }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/log/LogKind.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/log/LogKind.java
@@ -16,6 +16,8 @@
     SERVED(40),
     /** A request was refused or failed. */
     FAILED(150),
+    /** A connection was given up for its memory or descriptor. */
+    SHED(20),
     /** An attempt was not sent, was rejected, failed, or got no complete answer. */
     ATTEMPT(100);
 
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/metrics/GatewayMetrics.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/metrics/GatewayMetrics.java
@@ -48,6 +48,11 @@
             .help("Attempts that brought no answer, by outcome")
             .labelNames("outcome")
             .register(registry);
+    private final Counter callersShed = Counter.builder()
+            .name("jayhead_callers_shed_total")
+            .help("Connections given up by what was scarce and by what they waited for")
+            .labelNames("scarce", "phase")
+            .register(registry);
     private final Gauge budgetTokens = Gauge.builder()
             .name("jayhead_budget_tokens")
             .help("Tokens of budgets at this router, by organisation and state")
@@ -120,6 +125,16 @@
         attempts.labelValues(outcome).inc();
     }
 
+    /**
+     * Counts a connection that was given up for what it holds.
+     *
+     * @param scarce what the process was short of
+     * @param phase what the connection waited for
+     */
+    public void callerShed(String scarce, String phase) {
+        callersShed.labelValues(scarce, phase).inc();
+    }
+
     /**
      * Records the state of a budget.
      *
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/AnswerDecoder.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/AnswerDecoder.java
@@ -18,6 +18,7 @@
     private static final int MAX_HEAD_BYTES = 65_536;
     private static final int MAX_CHUNK_BYTES = 8_192;
     private static final int MAX_FOLLOWING_BYTES = 64;
+    private static final int MAX_KEPT_CAPACITY_BYTES = 8_192;
 
     private final Runnable onIdleBytes;
     private HttpMethod method = HttpMethod.GET;
@@ -65,6 +66,20 @@
         onIdleBytes.run();
     }
 
+    /**
+     * Shrinks the buffer of which the decoder keeps a last incomplete line while reading pauses. Otherwise each
+     * connection with a caller that reads slowly would keep a read buffer of up to 64 KB.
+     */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) throws Exception {
+        ByteBuf kept = internalBuffer();
+        boolean paused = !context.channel().config().isAutoRead();
+        if (paused && kept.refCnt() == 1 && kept.capacity() > MAX_KEPT_CAPACITY_BYTES) {
+            kept.discardReadBytes().capacity(kept.readableBytes());
+        }
+        super.channelReadComplete(context);
+    }
+
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage answer) {
         return HttpMethod.HEAD.equals(method) || super.isContentAlwaysEmpty(answer);
--- a/jayhead-peer/src/main/java/io/jayhead/peer/PeerServer.java
+++ b/jayhead-peer/src/main/java/io/jayhead/peer/PeerServer.java
@@ -11,6 +11,7 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
+import java.util.function.Consumer;
 import java.util.logging.Level;
 
 /** Accepts connections of other routers and answers their requests. */
@@ -35,12 +36,31 @@
      */
     public static PeerServer start(
             EventLoopGroup group, InetSocketAddress address, PeerRequestHandler handler, PeerTrafficListener traffic) {
+        return start(group, address, handler, traffic, accepted -> {});
+    }
+
+    /**
+     * Starts a server that reports its connections, so that they can be limited.
+     *
+     * @param group the I/O threads, shared with {@link PeerClient}
+     * @param address the address to listen on; port 0 chooses a free port
+     * @param handler the handler that answers the requests
+     * @param traffic the observer of the messages
+     * @param onAccepted receives each accepted connection, on its thread, once its handlers are set up
+     * @return the running server
+     */
+    public static PeerServer start(
+            EventLoopGroup group,
+            InetSocketAddress address,
+            PeerRequestHandler handler,
+            PeerTrafficListener traffic,
+            Consumer<Channel> onAccepted) {
         Channel channel = new ServerBootstrap()
                 .group(group)
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
-                .childHandler(new PeerPipeline(() -> new RequestChannelHandler(handler, traffic)))
+                .childHandler(new PeerPipeline(() -> new RequestChannelHandler(handler, traffic), onAccepted))
                 .bind(address)
                 .syncUninterruptibly()
                 .channel();
