--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
@@ -23,6 +23,7 @@
     private final GatewayContext context;
     private final CallerChannel caller;
     private final FullHttpRequest request;
+    private final RequestBody body;
     private final CallerMetadata metadata;
     private final long startNs = System.nanoTime();
     private final AnswerWriter answers;
@@ -48,12 +49,13 @@
      *
      * @param context the objects that all exchanges of the router share
      * @param caller writes the answer
-     * @param request the complete request; released when the exchange ends
+     * @param request the complete request; released when no upstream can need it any more
      */
     public Exchange(GatewayContext context, CallerChannel caller, FullHttpRequest request) {
         this.context = context;
         this.caller = caller;
         this.request = request;
+        this.body = new RequestBody(request);
         this.metadata = context.dialect().readCaller(request.headers());
         this.answers = new AnswerWriter(context, caller);
         this.relay = new StreamRelay(caller);
@@ -215,6 +217,9 @@
         }
         answerStarted = true;
         answers.startStream(attempt);
+        if (!admitted.route().resumable()) {
+            body.release();
+        }
         recorder.firstByte(admitted.route().name());
     }
 
@@ -383,7 +388,7 @@
             consumedTokens = reservation.consumedTokens(answerStarted, relay.events());
             reservation.settle(consumedTokens);
         }
-        request.release();
+        body.release();
         recorder.ended(
                 outcome,
                 Optional.ofNullable(admitted),
