--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/GatewaySettings.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/GatewaySettings.java
@@ -16,6 +16,7 @@
  * @param controlTimes the times that the control plane depends on
  * @param linkMbps the capacity of the VM's network link in each direction, in megabits per second; 0 if unknown
  * @param regionByZone the regions of the availability zones
+ * @param maxDescriptors the file descriptors that the process may have open; 0 if unknown
  */
 public record GatewaySettings(
         String vmName,
@@ -26,7 +27,8 @@
         long stopMs,
         ControlTimes controlTimes,
         double linkMbps,
-        Map<String, String> regionByZone) {
+        Map<String, String> regionByZone,
+        int maxDescriptors) {
 
     /**
      * Validates the values.
@@ -77,6 +79,7 @@
                 stopMs,
                 controlTimes,
                 linkMbps,
-                Map.of());
+                Map.of(),
+                0);
     }
 }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
@@ -24,6 +24,7 @@
     private final GatewayContext context;
     private final CallerChannel caller;
     private final FullHttpRequest request;
+    private final RequestBody body;
     private final CallerMetadata metadata;
     private final long startNs = System.nanoTime();
     private final AnswerWriter answers;
@@ -49,12 +50,13 @@
      *
      * @param context the objects that all exchanges of the router share
      * @param caller writes the answer
-     * @param request the complete request; released when the exchange ends
+     * @param request the complete request; released when no upstream can need it any more
      */
     public Exchange(GatewayContext context, CallerChannel caller, FullHttpRequest request) {
         this.context = context;
         this.caller = caller;
         this.request = request;
+        this.body = new RequestBody(request);
         this.metadata = context.dialect().readCaller(request.headers());
         this.answers = new AnswerWriter(context, caller);
         this.relay = new StreamRelay(caller);
@@ -122,14 +124,8 @@
         }
     }
 
-    /** Tells whether the request may be sent to an upstream that was chosen before a connection was available. */
-    boolean maySend(UpstreamHandle upstream) {
-        return context.filter().maySend(upstream.upstream());
-    }
-
-    /** Records that an upstream accepted no connection. */
-    void unreachable(UpstreamHandle upstream) {
-        context.filter().unreachable(upstream.upstream());
+    UpstreamFilter filter() {
+        return context.filter();
     }
 
     void send(UpstreamAttempt attempt, UpstreamConnection connection) {
@@ -178,14 +174,19 @@
         context.promptGuard().closedBeforeAnswer(metadata.requestId(), metadata.sharedParts(), upstream);
     }
 
-    AnswerBuffers buffers() {
-        return context.buffers();
+    AnswerBody newBody() {
+        return new AnswerBody(caller.memory(), context.memory().maxAnswerBytes());
     }
 
     boolean isEnded() {
         return ended;
     }
 
+    /** Gives up holdings if an answer has made the process hold too much; the exchange may have ended afterwards. */
+    void shedIfExceeded() {
+        caller.memory().shedIfExceeded();
+    }
+
     void streamBytes(UpstreamAttempt attempt, byte[] bytes) {
         if (ended) {
             return;
@@ -219,6 +220,9 @@
         }
         answerStarted = true;
         answers.startStream(attempt);
+        if (!admitted.route().resumable()) {
+            body.release();
+        }
         recorder.firstByte(admitted.route().name());
     }
 
@@ -229,7 +233,7 @@
         }
     }
 
-    void answered(UpstreamAttempt attempt, byte[] body) {
+    void answered(UpstreamAttempt attempt, AnswerBody body) {
         if (ended) {
             runWithoutCaller.end();
             return;
@@ -243,9 +247,9 @@
         end(ExchangeRecorder.SERVED, attempt);
     }
 
-    private void passOn(UpstreamAttempt attempt, byte[] body) {
+    private void passOn(UpstreamAttempt attempt, AnswerBody body) {
         answerStarted = attempt.isSuccess();
-        answers.passOn(attempt, body);
+        answers.passOn(attempt, body.take());
         recorder.firstByte(admitted.route().name());
     }
 
@@ -302,7 +306,7 @@
             refuse(Refusal.OUTCOME_UNKNOWN);
             return;
         }
-        passOn(attempt, attempt.bufferedBody());
+        passOn(attempt, attempt.body());
         end("upstream failure " + status.code(), attempt);
     }
 
@@ -333,6 +337,11 @@
         giveUp("planned stop", mayHaveRun > 0 ? Refusal.OUTCOME_UNKNOWN : Refusal.STOPPING);
     }
 
+    /** Ends the request because its connection holds too much of the memory. */
+    public void shed() {
+        giveUp("memory", mayHaveRun > 0 ? Refusal.OUTCOME_UNKNOWN : Refusal.MEMORY_EXHAUSTED);
+    }
+
     private void giveUp(String reason, Refusal refusal) {
         if (ended) {
             return;
@@ -381,7 +390,7 @@
             consumedTokens = reservation.consumedTokens(answerStarted, relay.events());
             reservation.settle(consumedTokens);
         }
-        request.release();
+        body.release();
         recorder.ended(
                 outcome,
                 Optional.ofNullable(admitted),
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamAttempt.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamAttempt.java
@@ -13,7 +13,6 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.AsciiString;
-import java.io.ByteArrayOutputStream;
 
 /** Sends the request of an exchange to one upstream and receives the answer; used by the traffic thread. */
 final class UpstreamAttempt implements AttemptListener {
@@ -21,14 +20,12 @@
     /** An upstream that goes on after its first event did not end under the prompt. */
     private static final int ANSWERING_EVENTS = 2;
 
-    private static final int MAX_ANSWER_BYTES = 16 * 1024 * 1024;
-
     private final Exchange exchange;
     private final String requestId;
     private final UpstreamHandle upstream;
     private final long tokensToRead;
     private final long memoryTokens;
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private final AnswerBody body;
     private UpstreamConnection connection;
     private HttpResponse head;
     private AnswerMetadata metadata;
@@ -50,6 +47,7 @@
         this.upstream = selected.upstream();
         this.tokensToRead = selected.tokensToRead();
         this.memoryTokens = selected.memoryTokens();
+        this.body = exchange.newBody();
     }
 
     UpstreamHandle upstream() {
@@ -102,7 +100,7 @@
             end();
             return;
         }
-        if (!exchange.maySend(upstream)) {
+        if (!exchange.filter().maySend(upstream.upstream())) {
             acquired.abort();
             finish(AttemptOutcome.NOT_SENT, "the upstream takes no more requests");
             return;
@@ -121,7 +119,7 @@
             return;
         }
         upstream.unreachable();
-        exchange.unreachable(upstream);
+        exchange.filter().unreachable(upstream.upstream());
         finish(AttemptOutcome.NOT_SENT, "not connected");
     }
 
@@ -161,13 +159,10 @@
             if (exchange.relay().eventsOfAttempt() >= ANSWERING_EVENTS) {
                 promptAnswered();
             }
-            return;
-        }
-        if (body.size() + copy.length > MAX_ANSWER_BYTES || !exchange.buffers().reserve(copy.length)) {
+        } else if (!body.add(copy)) {
             giveUp("answer is too large");
-            return;
         }
-        body.writeBytes(copy);
+        exchange.shedIfExceeded();
     }
 
     @Override
@@ -205,7 +200,8 @@
         if (isSuccess()) {
             promptAnswered();
         }
-        exchange.answered(this, body.toByteArray());
+        exchange.answered(this, body);
+        body.release();
     }
 
     @Override
@@ -225,8 +221,8 @@
         exchange.writabilityChanged();
     }
 
-    byte[] bufferedBody() {
-        return body.toByteArray();
+    AnswerBody body() {
+        return body;
     }
 
     /** Cancels the attempt and closes its connection, so that the upstream can stop working on the request. */
@@ -235,6 +231,7 @@
             return;
         }
         end();
+        body.release();
         if (connection != null) {
             connection.abort();
         }
@@ -306,6 +303,7 @@
     private void finish(AttemptOutcome outcome, String reason) {
         end();
         exchange.attemptEnded(this, outcome, reason);
+        body.release();
     }
 
     private void end() {
@@ -313,7 +311,6 @@
             return;
         }
         ended = true;
-        exchange.buffers().release(body.size());
         promptRead();
         upstream.ended(memoryTokens);
     }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/log/LogKind.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/log/LogKind.java
@@ -18,6 +18,8 @@
     FAILED(150),
     /** A request waits, or was turned away, for want of room at its service. */
     ADMISSION(50),
+    /** A connection was given up for its memory or descriptor. */
+    SHED(20),
     /** An attempt was not sent, was rejected, failed, or got no complete answer. */
     ATTEMPT(100);
 
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/metrics/GatewayMetrics.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/metrics/GatewayMetrics.java
@@ -67,6 +67,11 @@
             .help("Requests that waited or were turned away for want of room, by route, decision and reason")
             .labelNames("route", "decision", "reason")
             .register(registry);
+    private final Counter callersShed = Counter.builder()
+            .name("jayhead_callers_shed_total")
+            .help("Connections given up by what was scarce and by what they waited for")
+            .labelNames("scarce", "phase")
+            .register(registry);
     private final Gauge budgetTokens = Gauge.builder()
             .name("jayhead_budget_tokens")
             .help("Tokens of budgets at this router, by organisation and state")
@@ -194,6 +199,16 @@
         roomDecisions.labelValues(route, decision, reason).inc();
     }
 
+    /**
+     * Counts a connection that was given up for what it holds.
+     *
+     * @param scarce what the process was short of
+     * @param phase what the connection waited for
+     */
+    public void callerShed(String scarce, String phase) {
+        callersShed.labelValues(scarce, phase).inc();
+    }
+
     /**
      * Records the state of a budget.
      *
