--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/AdmittedRequest.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/AdmittedRequest.java
@@ -46,8 +46,8 @@
     }
 
     /**
-     * Returns the place of the request in the order of its service, from 0 to 99: by {@link #rank()}, and among requests
-     * of the same rank by the priority of the route, since one priority of an organisation covers all its routes.
+     * Returns the place of the request in the order of its service, from 0 to 99: by {@link #rank()}, then by the
+     * priority of the route, since one priority of an organisation covers all its routes.
      */
     int orderRank() {
         int routePriority = Math.max(0, Math.min(MAX_RANK, route.priority()));
