--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamLoad.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamLoad.java
@@ -6,6 +6,7 @@
 import io.jayhead.routing.placement.ReportedLoad;
 import io.jayhead.routing.placement.SlowdownForecast;
 import io.jayhead.routing.placement.UpstreamReport;
+import io.jayhead.routing.placement.UpstreamWork;
 import io.jayhead.routing.registry.Upstream;
 
 /**
@@ -50,14 +51,16 @@
     PlacementCandidate candidate(Upstream upstream, boolean sameZone, long nowNs) {
         double decay = Math.pow(0.5, (nowNs - lastAnswerNs) / ANSWER_HALF_LIFE_NS);
         double otherRequests = otherRequests(upstream, nowNs);
-        return new PlacementCandidate(
-                upstream,
+        UpstreamWork work = new UpstreamWork(
                 slots(upstream),
                 inFlight,
                 otherRequests,
                 pendingTokensToRead,
                 memoryTokens,
-                otherRequests * service.meanMemoryTokens(),
+                otherRequests * service.meanMemoryTokens());
+        return new PlacementCandidate(
+                upstream,
+                work,
                 isSuspect(nowNs),
                 sameZone,
                 averageAnswerMs * decay,
--- a/jayhead-gateway/src/test/java/io/jayhead/gateway/upstream/UpstreamLoadTest.java
+++ b/jayhead-gateway/src/test/java/io/jayhead/gateway/upstream/UpstreamLoadTest.java
@@ -36,8 +36,8 @@
         assertEquals(SLOTS, room.slots());
         assertEquals(6, room.running());
         assertEquals(1, room.waiting());
-        assertEquals(4, load.candidate(upstream, true, START_NS).otherRequests());
-        assertEquals(3, load.candidate(upstream, true, START_NS).inFlight());
+        assertEquals(4, load.candidate(upstream, true, START_NS).work().otherRequests());
+        assertEquals(3, load.candidate(upstream, true, START_NS).work().inFlight());
     }
 
     @Test
@@ -75,10 +75,10 @@
         load.started(0, 10_000, START_NS);
         load.loadReported(report(5, 0, OptionalDouble.of(1)), START_NS);
         PlacementCandidate candidate = load.candidate(upstream, true, START_NS);
-        assertEquals(20_000, candidate.ownTokens());
-        assertEquals(30_000, candidate.otherTokens(), 1e-6);
+        assertEquals(20_000, candidate.work().ownTokens());
+        assertEquals(30_000, candidate.work().otherTokens(), 1e-6);
         load.ended(10_000);
-        assertEquals(10_000, load.candidate(upstream, true, START_NS).ownTokens());
+        assertEquals(10_000, load.candidate(upstream, true, START_NS).work().ownTokens());
     }
 
     private static ReportedLoad report(int running, int waiting, OptionalDouble slowdown) {
--- a/jayhead-routing/src/main/java/io/jayhead/routing/placement/EngineMemory.java
+++ b/jayhead-routing/src/main/java/io/jayhead/routing/placement/EngineMemory.java
@@ -20,19 +20,19 @@
     /**
      * Returns the state of an engine for a generation.
      *
-     * @param candidate the engine
+     * @param work the work at the engine
      * @param tokens the tokens that the generation adds there, with the longest output
      * @param capacityTokens the memory of the engine in tokens; 0 if unknown
      * @return the state
      */
-    static EngineMemory of(PlacementCandidate candidate, long tokens, long capacityTokens) {
+    static EngineMemory of(UpstreamWork work, long tokens, long capacityTokens) {
         if (capacityTokens <= 0) {
             return ENOUGH;
         }
-        if (candidate.ownTokens() + tokens > capacityTokens) {
+        if (work.ownTokens() + tokens > capacityTokens) {
             return FULL;
         }
-        double expected = candidate.ownTokens() + candidate.otherTokens() + tokens;
+        double expected = work.ownTokens() + work.otherTokens() + tokens;
         return expected > (1 - MARGIN_SHARE) * capacityTokens ? PROBABLY_FULL : ENOUGH;
     }
 }
--- a/jayhead-routing/src/main/java/io/jayhead/routing/placement/Placement.java
+++ b/jayhead-routing/src/main/java/io/jayhead/routing/placement/Placement.java
@@ -79,25 +79,22 @@
     private static double plainCallMs(PlacementCandidate candidate, ServiceRates rates) {
         double usualMs = rates.expectedPlainCallMs();
         double excessMs = Math.max(0, candidate.averageAnswerMs() - usualMs);
-        double loadShare = requests(candidate) / Math.max(1, candidate.slots());
+        double loadShare = candidate.work().requests() / candidate.work().slots();
         return usualMs * (candidate.slowdown() * (1 + loadShare) - 1) + excessMs;
     }
 
     /** Estimates the time to the first event of a generation whose whole prompt has to be read. */
     private static double generationMs(PlacementCandidate candidate, PlacementRequest request, ServiceRates rates) {
-        double tokens = (double) candidate.pendingTokensToRead() + request.promptTokens();
-        double firstEventMs = rates.firstEventMs(tokens, requests(candidate));
-        double queueMs = rates.queueMs(requests(candidate), Math.max(1, candidate.slots()));
+        UpstreamWork work = candidate.work();
+        double tokens = (double) work.pendingTokensToRead() + request.promptTokens();
+        double firstEventMs = rates.firstEventMs(tokens, work.requests());
+        double queueMs = rates.queueMs(work.requests(), work.slots());
         double slowness = Math.max(1, Math.min(MAX_SLOWNESS, candidate.slowness()));
         return (firstEventMs * candidate.slowdown() + queueMs) * slowness;
     }
 
     private static EngineMemory memory(PlacementCandidate candidate, PlacementRequest request, PartAffinity affinity) {
-        return EngineMemory.of(candidate, affinity.memoryTokens(candidate), request.engineMemoryTokens());
-    }
-
-    private static double requests(PlacementCandidate candidate) {
-        return candidate.inFlight() + candidate.otherRequests();
+        return EngineMemory.of(candidate.work(), affinity.memoryTokens(candidate), request.engineMemoryTokens());
     }
 
     /** A candidate with its cost, which is computed once. */
--- a/jayhead-routing/src/test/java/io/jayhead/routing/placement/EngineMemoryTest.java
+++ b/jayhead-routing/src/test/java/io/jayhead/routing/placement/EngineMemoryTest.java
@@ -43,14 +43,16 @@
     void anEngineThatOtherRoutersFillIsChosenLast() {
         PlacementCandidate full = engine("full", 0, 1, 0, 0.9 * CAPACITY_TOKENS);
         PlacementCandidate busy = engine("busy", 30, 30, 100_000, 100_000);
-        assertEquals(EngineMemory.PROBABLY_FULL, EngineMemory.of(full, PROMPT_TOKENS, CAPACITY_TOKENS));
+        assertEquals(EngineMemory.PROBABLY_FULL, EngineMemory.of(full.work(), PROMPT_TOKENS, CAPACITY_TOKENS));
         assertEquals("busy", chosen(List.of(full, busy)));
         assertEquals("full", chosen(List.of(full)));
     }
 
     @Test
     void withoutAKnownMemoryNothingIsFull() {
-        assertEquals(EngineMemory.ENOUGH, EngineMemory.of(engine("e", 64, 0, 1_000_000, 0), 1, 0));
+        assertEquals(
+                EngineMemory.ENOUGH,
+                EngineMemory.of(engine("e", 64, 0, 1_000_000, 0).work(), 1, 0));
     }
 
     private static String chosen(List<PlacementCandidate> engines) {
@@ -76,7 +78,7 @@
     private static PlacementCandidate engine(
             String id, int inFlight, double otherRequests, long ownTokens, double otherTokens) {
         Upstream upstream = new Upstream(id, 0, "pool", "10.0.0.1", 80, "z1", false, SLOTS);
-        return new PlacementCandidate(
-                upstream, SLOTS, inFlight, otherRequests, 0, ownTokens, otherTokens, false, true, 0, 1, 1);
+        UpstreamWork work = new UpstreamWork(SLOTS, inFlight, otherRequests, 0, ownTokens, otherTokens);
+        return new PlacementCandidate(upstream, work, false, true, 0, 1, 1);
     }
 }
--- a/jayhead-routing/src/test/java/io/jayhead/routing/placement/PlacementTest.java
+++ b/jayhead-routing/src/test/java/io/jayhead/routing/placement/PlacementTest.java
@@ -124,7 +124,7 @@
         List<PlacementCandidate> engines = new ArrayList<>(engines(6, 0, 0));
         String first = chosen(engines, generation("part", 1));
         engines.replaceAll(engine -> engine.upstream().id().equals(first)
-                ? new PlacementCandidate(engine.upstream(), 64, 0, 0, 0, 0, 0, false, true, 0, 4, 1)
+                ? new PlacementCandidate(engine.upstream(), UpstreamWork.none(64), false, true, 0, 4, 1)
                 : engine);
         assertFalse(chosen(engines, generation("part", 1)).equals(first));
     }
@@ -188,11 +188,13 @@
 
     private static PlacementCandidate loaded(String id, int inFlight, double otherRequests, double slowdown) {
         Upstream upstream = new Upstream(id, 0, "pool", "10.0.0.1", 80, "z1", false, 2);
-        return new PlacementCandidate(upstream, 2, inFlight, otherRequests, 0, 0, 0, false, true, 0, 1, slowdown);
+        UpstreamWork work = new UpstreamWork(2, inFlight, otherRequests, 0, 0, 0);
+        return new PlacementCandidate(upstream, work, false, true, 0, 1, slowdown);
     }
 
     private static PlacementCandidate candidate(String id, int inFlight, long pendingTokens, boolean suspect) {
         Upstream upstream = new Upstream(id, 0, "pool", "10.0.0.1", 80, "z1", false, 64);
-        return new PlacementCandidate(upstream, 64, inFlight, 0, pendingTokens, 0, 0, suspect, true, 0, 1, 1);
+        UpstreamWork work = new UpstreamWork(64, inFlight, 0, pendingTokens, 0, 0);
+        return new PlacementCandidate(upstream, work, suspect, true, 0, 1, 1);
     }
 }
