--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/memory/ConnectionMemory.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/memory/ConnectionMemory.java
@@ -4,7 +4,7 @@
 import io.jayhead.admission.memory.HoldingPhase;
 import io.netty.buffer.ByteBuf;
 
-/** The memory that one connection of a caller makes the router hold, in both directions; used by the traffic thread. */
+/** The memory that one connection makes the router hold, in both directions; used by the traffic thread. */
 public final class ConnectionMemory {
 
     /** The objects of an open connection: channel, pipeline, handlers and timer. */
