Tell upstreams the priority of the route beside that of the organisation

Seen by callers: where all organisations have one priority, model engines were told the same rank for every kind of request, so that short urgent questions waited behind long reports at the engine.

Cause: the priority of an organisation goes before that of the route, and only the first was sent, which hid the order among routes.

Change: UpstreamRanks maps the pairs of priorities that a configuration has to the ten ranks of upstreams, in the order of admission; up to ten pairs have ranks of their own.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/AdmittedRequest.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/AdmittedRequest.java
@@ -5,6 +5,7 @@
 import io.jayhead.routing.catalog.Organisation;
 import io.jayhead.routing.catalog.Route;
 import io.jayhead.routing.catalog.ServiceProfile;
+import io.jayhead.routing.catalog.UpstreamRanks;
 import java.util.Optional;
 import java.util.OptionalInt;
 
@@ -15,9 +16,14 @@
  * @param route the route that matches its host and path
  * @param service the service that the route chose for it
  * @param organisation the organisation of the caller; empty if the request needs no key
+ * @param ranks the ranks of requests at upstreams
  */
 record AdmittedRequest(
-        CallerMetadata metadata, Route route, ServiceProfile service, Optional<Organisation> organisation) {
+        CallerMetadata metadata,
+        Route route,
+        ServiceProfile service,
+        Optional<Organisation> organisation,
+        UpstreamRanks ranks) {
 
     private static final int MAX_RANK = 9;
     /** The deadline of requests whose caller sets none. */
@@ -54,14 +60,15 @@
                 .and(route.regions());
     }
 
-    /**
-     * Returns the place of the request in the order of its service, from 0 to 99: by {@link #rank()}, and among
-     * requests of the same rank by the priority of the route, since one priority of an organisation covers all its
-     * routes.
-     */
+    /** Returns the place of the request in the order of its service, from 0, the most urgent, to 99. */
     int orderRank() {
-        int routePriority = Math.max(0, Math.min(MAX_RANK, route.priority()));
-        return rank() * (MAX_RANK + 1) + routePriority;
+        return UpstreamRanks.place(
+                organisation.map(Organisation::priority).orElse(OptionalInt.empty()), route.priority());
+    }
+
+    /** Returns the rank of the request at its upstream, from 0, the most urgent, to 9. */
+    int upstreamRank() {
+        return ranks.rankOf(orderRank());
     }
 
     boolean isGeneration() {
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/ForwardedRequest.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/ForwardedRequest.java
@@ -84,7 +84,7 @@
                 upstreamId,
                 Math.max(1, leftMs),
                 admitted.organisation().map(Organisation::name),
-                admitted.isGeneration() ? OptionalInt.of(admitted.rank()) : OptionalInt.empty(),
+                admitted.isGeneration() ? OptionalInt.of(admitted.upstreamRank()) : OptionalInt.empty(),
                 resumeAfter);
         dialect.writeForward(request.headers(), metadata, forward.headers());
         if (forward.content().isReadable() || request.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/RequestAdmission.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/RequestAdmission.java
@@ -56,7 +56,8 @@
             return Either.left(Refusal.PROMPT_BLOCKED);
         }
         String service = route.serviceFor(metadata.requestId().hashCode());
-        AdmittedRequest admitted = new AdmittedRequest(metadata, route, catalog.service(service), organisation);
+        AdmittedRequest admitted =
+                new AdmittedRequest(metadata, route, catalog.service(service), organisation, catalog.ranks());
         if (drain.refuses(admitted.isStreaming(), longestAnswerMs(admitted, answerTimes))) {
             return Either.left(Refusal.STOPPING);
         }
--- a/jayhead-routing/src/main/java/io/jayhead/routing/catalog/CallerKeys.java
+++ b/jayhead-routing/src/main/java/io/jayhead/routing/catalog/CallerKeys.java
@@ -2,8 +2,10 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 
 /**
  * Holds the organisations of a configuration and the API keys of their callers; immutable.
@@ -76,6 +78,11 @@
         return Optional.ofNullable(byName.get(name));
     }
 
+    /** Returns the priorities of all organisations; empty for each that has none. */
+    List<OptionalInt> priorities() {
+        return byName.values().stream().map(Organisation::priority).toList();
+    }
+
     /**
      * Returns the sizes of all prepaid budgets, also of organisations without a key, whose tokens stay spent.
      *
--- a/jayhead-routing/src/main/java/io/jayhead/routing/catalog/Catalog.java
+++ b/jayhead-routing/src/main/java/io/jayhead/routing/catalog/Catalog.java
@@ -16,18 +16,21 @@
     private final Map<String, ServiceProfile> services;
     private final CallerKeys keys;
     private final CallerLimits limits;
+    private final UpstreamRanks ranks;
 
     private Catalog(
             long version,
             Map<String, List<Route>> routesByHost,
             Map<String, ServiceProfile> services,
             CallerKeys keys,
-            CallerLimits limits) {
+            CallerLimits limits,
+            UpstreamRanks ranks) {
         this.version = version;
         this.routesByHost = routesByHost;
         this.services = Map.copyOf(services);
         this.keys = keys;
         this.limits = limits;
+        this.ranks = ranks;
     }
 
     /**
@@ -54,7 +57,9 @@
                 .reversed();
         byHost.replaceAll(
                 (host, hostRoutes) -> hostRoutes.stream().sorted(longestFirst).toList());
-        return new Catalog(version, Map.copyOf(byHost), services, keys, limits);
+        List<Integer> priorities = routes.stream().map(Route::priority).toList();
+        UpstreamRanks ranks = UpstreamRanks.of(keys.priorities(), priorities);
+        return new Catalog(version, Map.copyOf(byHost), services, keys, limits, ranks);
     }
 
     /**
@@ -120,6 +125,15 @@
         return services.getOrDefault(name, new ServiceProfile(name, 0, false, 0, 0, 0));
     }
 
+    /**
+     * Returns the ranks of requests at upstreams.
+     *
+     * @return the ranks
+     */
+    public UpstreamRanks ranks() {
+        return ranks;
+    }
+
     /**
      * Returns the limits for callers.
      *
