--- a/jayhead-admission/src/main/java/io/jayhead/admission/memory/SheddingOrder.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/memory/SheddingOrder.java
@@ -9,7 +9,8 @@
 /**
  * Chooses the holding that is given up when the memory account is exceeded.
  *
- * <p>It answers a crowd of callers that each send or leave unread much within their limits. A holding that waits for
+ * <p>It answers many callers that each stay within their own limits, but together send or leave unread more than the
+ * process can hold. A holding that waits for
  * its caller goes before one whose answer is being made, and one above its equal part before smaller ones, so that
  * callers with ordinary requests keep theirs. Among equals the one that holds most for longest goes first.
  */
--- a/jayhead-admission/src/main/java/io/jayhead/admission/overload/AdaptiveLimit.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/overload/AdaptiveLimit.java
@@ -120,7 +120,7 @@
         return previous + NEWEST_WEIGHT * (newest - previous);
     }
 
-    /** Lowers the part of the limit that is used by the least urgent requests. */
+    /** Returns the lowered limit; what requests more urgent than the late one use is not lowered. */
     private double decreased(double factor, LimitUsage usage) {
         double used = Math.min(requests, usage.inFlight());
         double kept = Math.min(used, usage.spared());
--- a/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/GrantRule.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/GrantRule.java
@@ -4,9 +4,9 @@
  * Decides how many tokens a router takes from a budget at once.
  *
  * <p>Prefetched tokens, taken before requests need them, let a router serve while the store is unreachable, but are
- * lost if the router is killed. Therefore the holders of a budget in a large fleet, which lend to all others, keep
- * what requests are likely to consume in an outage and not all that they reserve, and the routers together prefetch at
- * most a share of the tokens left in the budget, each in proportion to its demand.
+ * lost if the router is killed. Therefore the routers together prefetch at most a share of the tokens left in the
+ * budget, each in proportion to its demand. In a large fleet only some routers, the holders of the budget, prefetch;
+ * they lend to all others, and keep what requests are likely to consume in an outage, which is less than they reserve.
  */
 public final class GrantRule {
 
--- a/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/LedgerPage.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/LedgerPage.java
@@ -104,7 +104,7 @@
      *
      * @param organisation the organisation
      * @param vmName the VM to exclude
-     * @param counts tells whether the demand of a VM counts
+     * @param counts tells by the name of a VM whether its demand counts
      * @return the demand in tokens per second
      */
     public long otherVmsTokensPerS(String organisation, String vmName, Predicate<String> counts) {
--- a/jayhead-admission/src/main/java/io/jayhead/admission/room/DecayedCount.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/room/DecayedCount.java
@@ -1,7 +1,7 @@
 package io.jayhead.admission.room;
 
 /**
- * Counts events, of which older ones weigh less.
+ * Counts events; the weight of each event halves with every half-life. Times are in milliseconds.
  *
  * @param events the weighted number at the time of the last event
  * @param atMs the time of the last event
@@ -18,7 +18,7 @@
         return events * Math.pow(0.5, Math.max(0, nowMs - atMs) / (double) halfLifeMs);
     }
 
-    /** Returns the events for each millisecond. */
+    /** Returns the recent rate in events per millisecond: a constant rate gives a count of rate * half-life / ln 2. */
     double ratePerMs(long nowMs, long halfLifeMs) {
         return at(nowMs, halfLifeMs) * Math.log(2) / halfLifeMs;
     }
--- a/jayhead-admission/src/main/java/io/jayhead/admission/room/OrganisationLoad.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/room/OrganisationLoad.java
@@ -6,8 +6,8 @@
 /**
  * Compares the recent requests of each organisation with its usual ones; immutable.
  *
- * <p>It answers the load pattern in which one organisation sends many times its usual load: what lies beyond gives way
- * to the requests of all others. Large organisations at their usual load are not affected.
+ * <p>It answers the load pattern in which one organisation sends many times its usual load: its requests beyond that
+ * load give way to those of all others. Large organisations at their usual load are not affected.
  */
 final class OrganisationLoad {
 
@@ -15,8 +15,8 @@
     private static final long USUAL_HALF_LIFE_MS = 60_000;
     /** The recent requests, as a multiple of the usual ones, from which an organisation exceeds its usual load. */
     private static final double EXCESS_FACTOR = 2.5;
-    /** Allows the random bursts of organisations with few requests. */
-    private static final double ALLOWED_BURST = 5;
+    /** Allows for the random bursts of organisations with few requests. */
+    private static final double ALLOWED_BURST_REQUESTS = 5;
     /** The usual load is not known before this time. */
     private static final long LEARNING_MS = 5_000;
 
@@ -43,10 +43,11 @@
         }
         Load load = load(organisation);
         double recent = load.recent().at(nowMs, RECENT_HALF_LIFE_MS);
+        // The count that the recent half-life would give at the usual rate.
         double expected = load.usual().ratePerMs(nowMs, USUAL_HALF_LIFE_MS)
                 / observedShare(nowMs)
                 * (RECENT_HALF_LIFE_MS / Math.log(2));
-        return recent > ALLOWED_BURST + EXCESS_FACTOR * expected;
+        return recent > ALLOWED_BURST_REQUESTS + EXCESS_FACTOR * expected;
     }
 
     /** Returns the share of its final weight that a count has reached since the first request. */
--- a/jayhead-admission/src/main/java/io/jayhead/admission/room/OverloadAge.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/room/OverloadAge.java
@@ -3,8 +3,8 @@
 /**
  * For how long a service has been turning requests away; immutable.
  *
- * @param sinceMs when the first request of the present overload was turned away
- * @param lastMs when the last one was; 0 if none was
+ * @param sinceMs the time in milliseconds at which the first request of the present overload was turned away
+ * @param lastMs the time in milliseconds at which the last one was; 0 if none was
  */
 record OverloadAge(long sinceMs, long lastMs) {
 
--- a/jayhead-admission/src/main/java/io/jayhead/admission/room/RankDemand.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/room/RankDemand.java
@@ -4,7 +4,7 @@
  * The demand of the requests of one rank.
  *
  * @param arrivals the recent arrivals, refused ones included
- * @param holdMs the mean time for which recent requests were in flight; 0 before the first one has ended
+ * @param holdMs the mean time in milliseconds for which recent requests were in flight; 0 before the first has ended
  * @param inFlight the requests in flight
  */
 record RankDemand(DecayedCount arrivals, double holdMs, int inFlight) {
--- a/jayhead-admission/src/main/java/io/jayhead/admission/room/RankShares.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/room/RankShares.java
@@ -84,22 +84,23 @@
     }
 
     /**
-     * Returns the mean time in which a place becomes free for a rank.
+     * Returns the mean time between two places that become free for a rank.
      *
      * @param rank the rank
-     * @param limit the limit of the service
-     * @param nowMs the time
-     * @param unknownHoldMs the time for which requests are in flight, as long as that is not known
+     * @param limit the requests that may be in flight at the service
+     * @param nowMs the time in milliseconds
+     * @param unknownHoldMs the assumed time in milliseconds for which requests are in flight, used until it is known
+     * @return the time in milliseconds
      */
-    double placeMs(int rank, double limit, long nowMs, double unknownHoldMs) {
-        double left = Math.max(0, limit - expected(before(rank), nowMs));
-        double leftPerMs = left / known(holdMs(nowMs), unknownHoldMs);
+    double placeIntervalMs(int rank, double limit, long nowMs, double unknownHoldMs) {
+        double available = Math.max(0, limit - expected(before(rank), nowMs));
+        double availablePerMs = available / knownOr(holdMs(nowMs), unknownHoldMs);
         double guaranteedPerMs =
-                guaranteed(rank, limit, nowMs) / known(demand(rank).holdMs(), unknownHoldMs);
-        return 1 / Math.max(leftPerMs, guaranteedPerMs);
+                guaranteed(rank, limit, nowMs) / knownOr(demand(rank).holdMs(), unknownHoldMs);
+        return 1 / Math.max(availablePerMs, guaranteedPerMs);
     }
 
-    /** Returns the mean time for which a request of any rank is in flight; 0 if unknown. */
+    /** Returns the mean time in milliseconds for which a request of any rank is in flight; 0 if unknown. */
     private double holdMs(long nowMs) {
         double weighted = 0;
         double arrivals = 0;
@@ -111,6 +112,7 @@
         return arrivals == 0 ? 0 : weighted / arrivals;
     }
 
+    /** Returns the requests that a rank may have in flight whatever the more urgent ranks need. */
     private double guaranteed(int rank, double limit, long nowMs) {
         double all = expected(demands.values(), nowMs);
         if (all == 0) {
@@ -123,7 +125,7 @@
         return Math.max(byDemand, small);
     }
 
-    private static double known(double holdMs, double unknownHoldMs) {
+    private static double knownOr(double holdMs, double unknownHoldMs) {
         return holdMs == 0 ? unknownHoldMs : holdMs;
     }
 
--- a/jayhead-admission/src/main/java/io/jayhead/admission/room/RoomCircumstances.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/room/RoomCircumstances.java
@@ -3,9 +3,9 @@
 import io.jayhead.admission.overload.ServiceRoom;
 
 /**
- * The circumstances of a decision.
+ * The input of a decision that does not come from the request.
  *
- * @param atMs the time
+ * @param atMs the time of a monotonic clock in milliseconds, like all times of this package
  * @param room what the upstreams of the service report
  * @param draw a random number from 0, inclusive, to 1, exclusive; decides about fractions of requests
  */
--- a/jayhead-admission/src/main/java/io/jayhead/admission/room/RoomDecision.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/room/RoomDecision.java
@@ -2,7 +2,7 @@
 
 /** What a {@link RoomVerdict} says; each request gets exactly one. */
 public enum RoomDecision {
-    /** The request may be sent. */
+    /** The request may be sent; logged only if it has waited. */
     ADMITTED("admitted after a wait"),
     /** The request is turned away at its arrival. */
     REFUSED("refused for room"),
--- a/jayhead-admission/src/main/java/io/jayhead/admission/room/RoomRequest.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/room/RoomRequest.java
@@ -7,11 +7,11 @@
  *
  * @param id identifies the request; no other waiting request has it
  * @param organisation the organisation of the caller
- * @param route the name of its route; answer times are learned by route
+ * @param route the name of its route; the answer times are learned per route
  * @param rank the urgency, from 0, the most urgent, to 99
  * @param arrivedAtMs when this attempt of the caller arrived
- * @param objectiveMs the objective of the route for the answer or first event; 0 if it has none
- * @param objectiveAtMs when the objective ends, counted from the caller's first attempt
+ * @param objectiveMs the target time until the answer or first event in milliseconds; 0 if it has none
+ * @param objectiveAtMs when the target time ends, counted from the caller's first attempt
  * @param deadlineAtMs when the caller gives up
  * @param work the work that it needs, in prompt tokens; 1 if unknown
  */
--- a/jayhead-admission/src/main/java/io/jayhead/admission/room/RoomVerdict.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/room/RoomVerdict.java
@@ -7,9 +7,9 @@
  * @param rank the rank that it counts under; one less urgent than all others if its organisation exceeds its usual load
  * @param decision what is decided
  * @param reason why
- * @param slackMs the time that was left to send it within its objective; negative if the objective was out of reach
- * @param roomInMs when room is expected for the caller to return; 0 for admitted requests
- * @param answerMs the mean time of recent answers of its route; 0 if unknown
+ * @param slackMs the milliseconds left to send it within its objective; negative if the objective is out of reach
+ * @param roomInMs the milliseconds until room is expected for the caller to return; 0 for admitted requests
+ * @param answerMs the mean time in milliseconds to recent answers of its route; 0 if unknown
  */
 public record RoomVerdict(
         RoomRequest request,
--- a/jayhead-admission/src/main/java/io/jayhead/admission/room/RouteAnswers.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/room/RouteAnswers.java
@@ -6,8 +6,8 @@
 /**
  * The mean answer times by route, and the mean work of the requests of a service; immutable.
  *
- * @param meanMsByRoute the mean time from sending a request to its answer or first event
- * @param meanWork the mean work of recent requests; 0 before the first
+ * @param meanMsByRoute the mean milliseconds from sending a request to its answer or first event
+ * @param meanWork the mean work of recent requests in prompt tokens; 0 before the first
  */
 record RouteAnswers(Map<String, Double> meanMsByRoute, double meanWork) {
 
@@ -30,7 +30,7 @@
         return new RouteAnswers(next, meanWork);
     }
 
-    /** Returns the mean time to the answer; 0 if unknown. */
+    /** Returns the mean time to the answer in milliseconds; 0 if unknown. */
     double meanMs(String route) {
         return meanMsByRoute.getOrDefault(route, 0.0);
     }
--- a/jayhead-admission/src/main/java/io/jayhead/admission/room/ServiceAdmission.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/room/ServiceAdmission.java
@@ -24,12 +24,12 @@
     private static final int MAX_WAITING = 64;
     /** A waiting request is displaced when its expected wait exceeds what it may still wait by this factor. */
     private static final double DISPLACEMENT_FACTOR = 2;
-    /** The part of the capacity of its rank that a request gets while others of the rank can still be in time. */
+    /** The assumed share of the capacity of its rank for a request that is late, since those in time go first. */
     private static final double LATE_SHARE = 0.25;
     /** The reports of upstreams are believed when this share of the places is covered by recent ones. */
     private static final double MIN_REPORTED_SHARE = 0.5;
-
-    private static final double FREE_SHARE = 0.5;
+    /** Below this share of places in use, the reports of upstreams overrule the limit. */
+    private static final double MAX_USED_SHARE = 0.5;
 
     private final AdaptiveLimit limit;
     private final RankShares shares;
@@ -97,7 +97,7 @@
      * Ends an admitted request.
      *
      * @param admitted the verdict that admitted it
-     * @param heldMs the time since then
+     * @param heldMs the milliseconds since then
      * @param now the circumstances of the decision
      * @return the decisions on waiting requests
      */
@@ -142,27 +142,27 @@
      * Records when an admitted request was answered.
      *
      * @param admitted the verdict that admitted it
-     * @param answerMs the time from sending it to its answer or to the first event
-     * @param nowMs the time
+     * @param answerMs the milliseconds from sending it to its answer or to the first event
+     * @param nowMs the time in milliseconds
      * @return the new state
      */
     public ServiceAdmission answered(RoomVerdict admitted, double answerMs, long nowMs) {
-        return timed(admitted, answerMs, true, nowMs);
+        return withTimedAnswer(admitted, answerMs, true, nowMs);
     }
 
     /**
      * Records that an admitted request was given up without an answer.
      *
      * @param admitted the verdict that admitted it
-     * @param heldMs the time since then
-     * @param nowMs the time
+     * @param heldMs the milliseconds since then
+     * @param nowMs the time in milliseconds
      * @return the new state
      */
     public ServiceAdmission givenUp(RoomVerdict admitted, double heldMs, long nowMs) {
-        return timed(admitted, heldMs, false, nowMs);
+        return withTimedAnswer(admitted, heldMs, false, nowMs);
     }
 
-    private ServiceAdmission timed(RoomVerdict admitted, double answerMs, boolean answered, long nowMs) {
+    private ServiceAdmission withTimedAnswer(RoomVerdict admitted, double answerMs, boolean answered, long nowMs) {
         RoomRequest request = admitted.request();
         TimedAnswer answer = new TimedAnswer(request.route(), answerMs, request.objectiveMs(), answered);
         LimitUsage usage = new LimitUsage(
@@ -182,27 +182,27 @@
     /**
      * Returns for how long requests have been turned away.
      *
-     * @param nowMs the time
+     * @param nowMs the time in milliseconds
      * @return the age of the overload in milliseconds; 0 without one
      */
     public long overloadMs(long nowMs) {
         return overload.ageMs(nowMs);
     }
 
-    /** Admits the newest request if it goes first in its rank and there is room; an arrival makes none for others. */
+    /** Admits the newest request if it goes first in its rank and there is room; others gain none by an arrival. */
     private RoomStep admitOrRevise(WaitingRequest newest, RoomCircumstances now) {
         List<WaitingRequest> ordered = inOrder(now.atMs());
-        boolean first = ordered.stream()
+        boolean isFirstOfRank = ordered.stream()
                 .filter(candidate -> candidate.rank() == newest.rank())
                 .findFirst()
                 .filter(newest::equals)
                 .isPresent();
-        Optional<RoomReason> room = first ? roomFor(newest, now) : Optional.empty();
-        if (room.isEmpty()) {
+        Optional<RoomReason> reason = isFirstOfRank ? roomFor(newest, now) : Optional.empty();
+        if (reason.isEmpty()) {
             return revise(newest, ordered, now);
         }
         List<RoomVerdict> verdicts = new ArrayList<>();
-        ServiceAdmission next = admit(newest, room.get(), now, verdicts);
+        ServiceAdmission next = admit(newest, reason.get(), now, verdicts);
         return new RoomStep(next, verdicts);
     }
 
@@ -215,12 +215,12 @@
             if (blockedRanks.contains(candidate.rank())) {
                 continue;
             }
-            Optional<RoomReason> room = next.roomFor(candidate, now);
-            if (room.isEmpty()) {
+            Optional<RoomReason> reason = next.roomFor(candidate, now);
+            if (reason.isEmpty()) {
                 blockedRanks.add(candidate.rank());
                 continue;
             }
-            next = next.admit(candidate, room.get(), now, verdicts);
+            next = next.admit(candidate, reason.get(), now, verdicts);
         }
         return new RoomStep(next, verdicts);
     }
@@ -280,7 +280,7 @@
             RoomCircumstances now,
             List<RoomVerdict> verdicts) {
         long nowMs = now.atMs();
-        double spacingMs = placeMs(request, nowMs);
+        double spacingMs = placeIntervalMs(request, nowMs);
         ReturnSchedule booked = returns.book(nowMs, spacingMs, spacingMs);
         long roomInMs = (long) Math.max(0, booked.bookedUntilMs() - nowMs);
         OverloadAge nextOverload = overload.turnedAway(nowMs);
@@ -300,20 +300,20 @@
                 answers.meanMs(request.request().route()));
     }
 
-    /** Returns the time until a request starts that has a number of others before it. */
+    /** Returns the expected milliseconds until a request with a number of others ahead of it starts. */
     private double expectedWaitMs(WaitingRequest request, int ahead, long nowMs) {
         if (shares.inFlight() == 0) {
             // No request will leave and make room.
             return Double.POSITIVE_INFINITY;
         }
-        return (ahead + 1) * placeMs(request, nowMs);
+        return (ahead + 1) * placeIntervalMs(request, nowMs);
     }
 
-    /** Returns the mean time in which one place becomes free for a request of this rank. */
-    private double placeMs(WaitingRequest request, long nowMs) {
+    /** Returns the mean milliseconds between two places that become free for a request. */
+    private double placeIntervalMs(WaitingRequest request, long nowMs) {
         double share = request.isLate(nowMs) ? LATE_SHARE : 1;
         int objectiveMs = request.request().objectiveMs();
-        return shares.placeMs(request.rank(), limit.requests(), nowMs, objectiveMs) / share;
+        return shares.placeIntervalMs(request.rank(), limit.requests(), nowMs, objectiveMs) / share;
     }
 
     private List<WaitingRequest> inOrder(long nowMs) {
@@ -331,7 +331,7 @@
     /** Tells whether most places of the upstreams are free, as far as their reports can be believed. */
     private static boolean isRoomReported(ServiceRoom room) {
         return room.reportedShare() >= MIN_REPORTED_SHARE
-                && room.running() < FREE_SHARE * room.slots()
+                && room.running() < MAX_USED_SHARE * room.slots()
                 && room.waiting() < 1;
     }
 }
--- a/jayhead-admission/src/main/java/io/jayhead/admission/room/UsualDeadline.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/room/UsualDeadline.java
@@ -1,11 +1,11 @@
 package io.jayhead.admission.room;
 
 /**
- * Learns the deadline that the callers of a route usually name, by which those that return after a refusal are
- * recognised: their deadline is what is left of it; immutable.
+ * Learns the deadline that the callers of a route usually set; immutable. A caller that returns after a refusal is
+ * recognised by it, as its new deadline is what is left of the usual one.
  *
- * @param deadlineMs the longest deadline of late
- * @param shorterShare the recent share of requests with a clearly shorter one, from 0 to 1
+ * @param deadlineMs the longest deadline so far in milliseconds
+ * @param shorterShare the recent share of requests with a clearly shorter deadline, from 0 to 1
  * @param requests the requests so far, up to the number from which the deadline is believed
  */
 public record UsualDeadline(long deadlineMs, double shorterShare, int requests) {
--- a/jayhead-admission/src/main/java/io/jayhead/admission/room/WaitingRequest.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/room/WaitingRequest.java
@@ -7,8 +7,8 @@
  *
  * @param request the request
  * @param rank the rank that it counts under; that of the request, or the excess rank
- * @param latestStartMs the latest time at which it can be sent and answered within its objective
- * @param startByMs the latest start, moved by the work that it needs; the earlier goes first
+ * @param latestStartMs the latest time in milliseconds at which it can be sent and answered within its objective
+ * @param startByMs the latest start, moved by the work that it needs; the earliest goes first
  */
 record WaitingRequest(RoomRequest request, int rank, double latestStartMs, double startByMs) {
 
@@ -22,8 +22,8 @@
      *
      * @param request the request
      * @param rank the rank that it counts under
-     * @param answerMs the mean time to the answer of its route
-     * @param meanWork the mean work of recent requests of the service
+     * @param answerMs the mean milliseconds to an answer of its route
+     * @param meanWork the mean work of recent requests of the service in prompt tokens; 0 if unknown
      */
     static WaitingRequest of(RoomRequest request, int rank, double answerMs, double meanWork) {
         double latestStartMs = request.objectiveAtMs() - answerMs;
--- a/jayhead-admission/src/test/java/io/jayhead/admission/memory/SheddingOrderTest.java
+++ b/jayhead-admission/src/test/java/io/jayhead/admission/memory/SheddingOrderTest.java
@@ -14,7 +14,7 @@
 import java.util.function.Function;
 import org.junit.jupiter.api.Test;
 
-/** Guards against a crowd that uses up the memory and has the requests of ordinary callers given up for it. */
+/** Guards against giving up the requests of ordinary callers when many others use up the memory. */
 class SheddingOrderTest {
 
     private static final long MB = 1_000_000;
--- a/jayhead-admission/src/test/java/io/jayhead/admission/room/LoadReplay.java
+++ b/jayhead-admission/src/test/java/io/jayhead/admission/room/LoadReplay.java
@@ -27,9 +27,13 @@
     private static final int ROUTERS = 8;
     private static final int SLOTS = 128;
     private static final double READ_TOKENS_PER_MS = 125;
-    private static final double STEP_MS = 3.3;
-    private static final double STEP_MS_PER_RUNNING_SHARE = 1.5;
-    private static final double FIRST_MS = 60;
+    /** The time to generate one output token at an idle service. */
+    private static final double TOKEN_MS = 3.3;
+    /** The time by which all slots in use lengthen each output token. */
+    private static final double FULL_SERVICE_TOKEN_MS = 1.5;
+    /** The time to the first event without reading the prompt. */
+    private static final double FIRST_EVENT_BASE_MS = 60;
+
     private static final int DURATION_MS = 60_000;
     private static final int BURST_EVERY_MS = 15_000;
     private static final int BURST_MS = 6_000;
@@ -159,8 +163,8 @@
             running++;
             double busyShare = running / (double) SLOTS;
             double readMs = call.kind.promptTokens(call.large) / READ_TOKENS_PER_MS;
-            double firstMs = FIRST_MS + readMs * (1 + 2 * busyShare);
-            double stepMs = STEP_MS + STEP_MS_PER_RUNNING_SHARE * busyShare;
+            double firstMs = FIRST_EVENT_BASE_MS + readMs * (1 + 2 * busyShare);
+            double stepMs = TOKEN_MS + FULL_SERVICE_TOKEN_MS * busyShare;
             schedule(nowMs + firstMs, at -> firstEvent(call, at));
             schedule(nowMs + firstMs + stepMs * call.kind.outputTokens(call.large), at -> finish(call, at));
         }
@@ -200,9 +204,9 @@
         for (int index = 0; index < samples; index++) {
             LoadKind kind = LoadKind.of(index / (double) samples);
             boolean large = index % 10 == 0;
-            sumMs += FIRST_MS
+            sumMs += FIRST_EVENT_BASE_MS
                     + 3 * kind.promptTokens(large) / READ_TOKENS_PER_MS
-                    + (STEP_MS + STEP_MS_PER_RUNNING_SHARE) * kind.outputTokens(large);
+                    + (TOKEN_MS + FULL_SERVICE_TOKEN_MS) * kind.outputTokens(large);
         }
         return sumMs / samples;
     }
--- a/jayhead-admission/src/test/java/io/jayhead/admission/room/ReturnScheduleTest.java
+++ b/jayhead-admission/src/test/java/io/jayhead/admission/room/ReturnScheduleTest.java
@@ -5,7 +5,7 @@
 
 import org.junit.jupiter.api.Test;
 
-/** Guards against callers that were turned away together and return as one wave. */
+/** Guards against callers that were turned away together and return all at once. */
 class ReturnScheduleTest {
 
     @Test
--- a/jayhead-dispatch/src/main/java/io/jayhead/dispatch/forward/RetryDelay.java
+++ b/jayhead-dispatch/src/main/java/io/jayhead/dispatch/forward/RetryDelay.java
@@ -16,8 +16,8 @@
     private static final long MAX_MS = 5_000;
 
     /**
-     * The share of its remaining time after which a caller is asked to retry at the latest. Callers wait for up to a
-     * third of it; the rest is for the spread of the delays.
+     * The longest mean delay, as a share of the time that the caller has left. Callers accept delays of up to a third
+     * of that time, which the spread around the mean must not exceed.
      */
     private static final double MAX_SHARE_OF_LEFT = 0.26;
 
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/Lenders.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/Lenders.java
@@ -7,10 +7,10 @@
 import java.util.Map;
 
 /**
- * Remembers which routers have lent tokens of one budget, and which had too few; used by the traffic thread.
+ * Remembers which router has lent tokens of one budget last, and which had too few; used by the traffic thread.
  *
  * <p>In an outage of the ledger all routers of a large fleet borrow from the same few holders, some of which run out of
- * tokens before others. Without this memory each request asks the empty ones again.
+ * tokens before others. Otherwise each request would ask the empty ones again.
  */
 final class Lenders {
 
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/PeerLoans.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/PeerLoans.java
@@ -40,7 +40,7 @@
     private static final int MAX_PEERS = 4;
     /** A lender keeps at least this share of its free tokens. */
     private static final double KEPT_SHARE = 0.4;
-    /** Smaller shares of a loan would not add up to the whole from the routers that are asked. */
+    /** Smaller shares of a loan would not add up to all of it, as at most {@link #MAX_PEERS} routers are asked. */
     private static final double MIN_LOAN_SHARE = 1.0 / MAX_PEERS;
 
     private final EventLoop traffic;
@@ -80,7 +80,8 @@
     }
 
     /**
-     * Tells whether a part of a loan helps the borrower. A smaller part would only scatter the tokens of a budget.
+     * Tells whether a part of a loan helps the borrower. Smaller parts would spread the tokens of a budget over many
+     * routers.
      *
      * @param askedTokens the tokens that another router needs
      * @param lendableTokens the tokens that this router can lend
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/edge/CallerConnection.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/edge/CallerConnection.java
@@ -48,7 +48,7 @@
 
     private static final int MAX_PIPELINED = 8;
     /** Time for a caller to read a refusal while it still sends; a connection closed with unread bytes is reset. */
-    private static final long REFUSED_MS = 1_000;
+    private static final long REFUSAL_LINGER_MS = 1_000;
 
     private final GatewayContext context;
     private final Deque<FullHttpRequest> pipelined = new ArrayDeque<>();
@@ -56,7 +56,7 @@
     private ConnectionMemory memory;
     private InboundPieces pieces;
     private Exchange exchange;
-    private FullHttpRequest served;
+    private FullHttpRequest servedRequest;
     private boolean keepAlive = true;
 
     CallerConnection(GatewayContext context) {
@@ -106,11 +106,11 @@
     }
 
     private static void drop(FullHttpRequest request) {
-        endHead(request);
+        releaseHeaders(request);
         request.release();
     }
 
-    private static void endHead(FullHttpRequest request) {
+    private static void releaseHeaders(FullHttpRequest request) {
         ChargedHeaders.release(request.headers());
         ChargedHeaders.release(request.trailingHeaders());
     }
@@ -121,11 +121,11 @@
             return;
         }
         keepAlive = HttpUtil.isKeepAlive(request);
-        served = request;
+        servedRequest = request;
         Exchange opened = new Exchange(context, this, request);
         exchange = opened;
         memory.restart(HoldingPhase.RUNNING);
-        // Started after all that has arrived was read, so that a caller that has left is known to have left.
+        // Runs after the pending reads, so that a connection that its caller has already closed is noticed first.
         context.loop().execute(() -> start(opened));
     }
 
@@ -187,7 +187,7 @@
             return;
         }
         channel.write(response, channel.voidPromise());
-        // Each part is released as soon as the caller has taken it.
+        // Each part is released as soon as it is written to the socket.
         body.forEach(part -> channel.write(new DefaultHttpContent(part), channel.voidPromise()));
         endStream();
     }
@@ -228,6 +228,7 @@
 
     private void finish(ChannelFuture written) {
         if (pieces.isDiscarding()) {
+            // A connection that was shed is closed later, see REFUSAL_LINGER_MS.
             return;
         }
         if (!keepAlive) {
@@ -239,7 +240,7 @@
 
     private void serveNext() {
         exchange = null;
-        endHead(served);
+        releaseHeaders(servedRequest);
         memory.restart(HoldingPhase.RECEIVING);
         servePipelined();
         enterPhase();
@@ -311,7 +312,7 @@
             return;
         }
         refuseShed();
-        channel.eventLoop().schedule(() -> channel.close(), REFUSED_MS, TimeUnit.MILLISECONDS);
+        channel.eventLoop().schedule(() -> channel.close(), REFUSAL_LINGER_MS, TimeUnit.MILLISECONDS);
     }
 
     /** Answers the open or unfinished request, and discards everything else that has arrived and will arrive. */
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/edge/CallerServer.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/edge/CallerServer.java
@@ -29,7 +29,7 @@
 
     private static final int MAX_LINE_BYTES = 8_192;
     private static final int MAX_CHUNK_BYTES = 8_192;
-    /** After this many reads from one connection, the others have their turn. */
+    /** The most reads from one connection before the other connections are read. */
     private static final int MAX_READS_IN_A_ROW = 16;
     /**
      * Callers reuse connections that have been idle for less than the limit, so the router closes them a little after
@@ -84,7 +84,7 @@
 
     /**
      * Reads until nothing is left, so that the end of a connection is noticed together with a request before it: a
-     * router that was held up finds both at once.
+     * router that was paused finds both at once.
      */
     private static RecvByteBufAllocator readsToTheEnd() {
         AdaptiveRecvByteBufAllocator allocator = new AdaptiveRecvByteBufAllocator();
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/edge/ConnectionLimit.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/edge/ConnectionLimit.java
@@ -8,7 +8,7 @@
 import java.util.Optional;
 
 /**
- * Limits the open connections of one server, so that those of others find descriptors; used by the traffic thread.
+ * Limits the open connections of one server, so that descriptors are left for others; used by the traffic thread.
  *
  * <p>At the limit, the connection that has waited longest for its next request or the rest of it is closed.
  */
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/edge/InboundPieces.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/edge/InboundPieces.java
@@ -8,7 +8,7 @@
 import io.netty.util.ReferenceCountUtil;
 
 /**
- * Passes what arrives on in small copies, and gives up holdings of the process between them.
+ * Splits received bytes into small copies, and sheds connections between them while the process holds too much.
  *
  * <p>A decoder keeps the buffer of the last read until it has the rest of a line. Without the copies that is a direct
  * buffer of up to 64 KB for each connection.
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/edge/PeerConnections.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/edge/PeerConnections.java
@@ -7,7 +7,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 
-/** Bounds what the connections of other routers make this one hold; used by the traffic thread. */
+/** Limits the memory and descriptors that connections of other routers take; used by the traffic thread. */
 public final class PeerConnections {
 
     private static final double DESCRIPTOR_SHARE = 0.15;
@@ -16,7 +16,7 @@
     private final ConnectionLimit limit;
 
     /**
-     * Creates bounds without a connection.
+     * Creates an instance without connections.
      *
      * @param process the account of the process
      * @param maxDescriptors the descriptors that the process may have open; 0 if unknown
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/edge/StatusServer.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/edge/StatusServer.java
@@ -131,7 +131,7 @@
             ChargedHeaders.release(request.trailingHeaders());
             memory.restart(HoldingPhase.RECEIVING);
             if (!context.channel().isWritable()) {
-                // The answers before are not read.
+                // The caller has not read the previous answers.
                 context.close();
                 return;
             }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/GatePass.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/GatePass.java
@@ -13,7 +13,7 @@
 
     /** Stands for the callers of routes that need no key. */
     private static final OrganisationName ANONYMOUS = OrganisationName.of("anonymous");
-    /** A token of the output takes a step of its own; those of the prompt are read many at a time. */
+    /** In prompt tokens: each output token takes a step of the engine, which reads many prompt tokens in a step. */
     private static final double WORK_PER_OUTPUT_TOKEN = 50;
 
     private final ServiceGate gate;
@@ -29,7 +29,7 @@
      *
      * @param gates the gates
      * @param request the request
-     * @param leftMs the time that its caller still waits
+     * @param leftMs the milliseconds for which its caller still waits
      */
     GatePass(ServiceGates gates, AdmittedRequest request, long leftMs) {
         this.gate = gates.of(request.service().name());
@@ -82,7 +82,7 @@
         gate.leave(verdict, heldMs);
     }
 
-    /** Returns when the caller should retry after a refusal; 0 if it cannot be served in the time that it has. */
+    /** Returns the delay of a retry after a refusal in milliseconds; 0 if the caller has no time left for one. */
     long retryDelayMs() {
         long leftMs = roomRequest.deadlineAtMs() - ServiceGate.nowMs();
         return RetryDelay.forRoomMs(gate.overloadedMs(), verdict.roomInMs(), leftMs, (long) verdict.answerMs());
@@ -95,6 +95,7 @@
                 .orElse(ANONYMOUS);
         long nowMs = ServiceGate.nowMs();
         int objectiveMs = request.route().latencyObjectiveMs();
+        // Since the first attempt of the caller.
         long elapsedMs = triedForMs + request.limitMs() - leftMs;
         return new RoomRequest(
                 id,
@@ -108,6 +109,7 @@
                 request.metadata().size().map(this::work).orElse(1.0));
     }
 
+    /** Returns the work of a generation in prompt tokens; shared parts are assumed to be cached. */
     private double work(GenerationSize size) {
         int sharedTokens = request.metadata().sharedParts().stream()
                 .mapToInt(PromptPart::tokens)
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/GateRecorder.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/GateRecorder.java
@@ -6,7 +6,7 @@
 import io.jayhead.gateway.log.StructuredLog;
 import io.jayhead.gateway.metrics.GatewayMetrics;
 
-/** Writes the log lines and metrics of requests that wait or are turned away for want of room. */
+/** Writes the log lines and metrics of requests that wait or are turned away because their service has no room. */
 final class GateRecorder {
 
     private static final String WAITS = "waits for room";
@@ -36,7 +36,7 @@
                 request.expiresAtMs() - request.arrivedAtMs());
     }
 
-    /** Records a decision; one that admits a request at its arrival is not worth a line. */
+    /** Records a decision, unless it admits a request at its arrival. */
     void decided(RoomVerdict verdict, String requestId, long nowMs) {
         RoomRequest request = verdict.request();
         long waitedMs = nowMs - request.arrivedAtMs();
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/ServiceGate.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/ServiceGate.java
@@ -92,12 +92,12 @@
     }
 
     private void apply(RoomStep step, long nowMs) {
-        // The waiters may enter or leave while they are told, so the state is replaced first.
+        // A waiter may call this gate again when it is notified, so the state is replaced first.
         admission = step.next();
         for (RoomVerdict verdict : step.verdicts()) {
             Waiter waiter = waiters.remove(verdict.request().id());
             if (waiter == null) {
-                // Another waiter has cancelled it while it was told.
+                // The request was cancelled when a waiter before it was notified.
                 cancelDecided(verdict);
                 continue;
             }
@@ -121,7 +121,7 @@
         return System.nanoTime() / 1_000_000;
     }
 
-    /** Is told the decision on a request. */
+    /** Receives the decision on a request. */
     interface Waiter {
 
         /** Returns the id that the caller chose. */
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamFilter.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamFilter.java
@@ -75,7 +75,7 @@
     }
 
     /**
-     * Records an upstream that accepted no connection, and may therefore be one that starts.
+     * Records an upstream that accepted no connection and may therefore be starting.
      *
      * @param upstream the upstream
      */
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/log/LogKind.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/log/LogKind.java
@@ -16,7 +16,7 @@
     SERVED(40),
     /** A request was refused or failed. */
     FAILED(150),
-    /** A request waits, or was turned away, for want of room at its service. */
+    /** A request waits, or was turned away, because its service has no room. */
     ADMISSION(50),
     /** A connection was given up for its memory or descriptor. */
     SHED(20),
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/memory/ConnectionMemory.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/memory/ConnectionMemory.java
@@ -17,7 +17,9 @@
     private long heldBytes;
     private long headBytes;
     private long undecodedBytes;
+    /** Whether a part of a message has been decoded since the last bytes arrived. */
     private boolean decoded;
+
     private boolean closed;
 
     ConnectionMemory(ProcessMemory process, Runnable shed) {
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/ServiceObservations.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/ServiceObservations.java
@@ -9,10 +9,10 @@
 import java.util.Set;
 
 /**
- * Keeps what this router observed of the upstreams of one service together; used by the traffic thread.
+ * Keeps what this router observed of all upstreams of one service; used by the traffic thread.
  *
  * <p>Rates are learned only where the upstreams report the slowdown of their machines; elsewhere a slow service could
- * not be told from busy machines.
+ * not be distinguished from busy machines.
  */
 final class ServiceObservations {
 
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamHandle.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamHandle.java
@@ -107,7 +107,7 @@
     }
 
     /**
-     * Returns the work before the upstream when a request has just been started there.
+     * Returns the work at the upstream, including a request that has just been started there.
      *
      * @return the work, with the expected time to the first event
      */
@@ -119,7 +119,7 @@
      * Records the first event of a stream.
      *
      * @param measuredMs the time in milliseconds from sending the request to the first event
-     * @param work the work before the upstream when the request was sent
+     * @param work the work at the upstream when the request was sent
      */
     public void firstEvent(double measuredMs, ExpectedWork work) {
         load.firstEvent(measuredMs, work, System.nanoTime());
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamTable.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamTable.java
@@ -20,7 +20,7 @@
 public final class UpstreamTable {
 
     private static final long NS_PER_MS = 1_000_000;
-    /** The room is asked for with each request, and adding it up takes a step for each upstream. */
+    /** Each request needs the room, and computing it visits every upstream, so it is reused for this time. */
     private static final long ROOM_MAX_AGE_NS = 50 * NS_PER_MS;
 
     private final EventLoop loop;
--- a/jayhead-routing/src/main/java/io/jayhead/routing/placement/EngineMemory.java
+++ b/jayhead-routing/src/main/java/io/jayhead/routing/placement/EngineMemory.java
@@ -14,7 +14,7 @@
     /** The generation does not fit beside the requests of this router alone. */
     FULL;
 
-    /** The share of the memory that is kept free, as the requests of other routers are estimated. */
+    /** The share of the memory that is kept free, because the requests of other routers are only estimated. */
     private static final double MARGIN_SHARE = 0.1;
 
     /**
--- a/jayhead-routing/src/main/java/io/jayhead/routing/placement/FirstEventRates.java
+++ b/jayhead-routing/src/main/java/io/jayhead/routing/placement/FirstEventRates.java
@@ -5,14 +5,14 @@
  * delay by the other requests at the engine; immutable.
  *
  * <p>The three rates are fitted to the measured times by weighted least squares. The prior counts as a constant number
- * of observations, while the weight of the measured ones halves over time. A time far from the expected one, as of a
- * request that waited in the queue of its engine, counts less.
+ * of observations, while the weight of measured times halves with every half-life. A measured time far from the
+ * expected one, such as that of a request that waited in the queue of its engine, counts less.
  *
- * @param baseMs the time without prompt tokens and other requests
- * @param msPerThousandTokens the time to read a thousand prompt tokens
- * @param msPerRequest the delay by each request at the engine
+ * @param baseMs the time in milliseconds without prompt tokens and other requests
+ * @param msPerThousandTokens the time in milliseconds to read a thousand prompt tokens
+ * @param msPerRequest the delay in milliseconds by each request at the engine
  * @param sums the weighted sums over the observations
- * @param observedMs when the last observation was made
+ * @param observedMs the time of the last observation in milliseconds
  */
 record FirstEventRates(double baseMs, double msPerThousandTokens, double msPerRequest, Sums sums, long observedMs) {
 
@@ -54,6 +54,7 @@
         double expectedMs = expectedMs(tokens, requests);
         double deviationMs = Math.max(MIN_DEVIATION_MS, DEVIATION_SHARE * expectedMs);
         double deviations = Math.abs(measuredMs - expectedMs) / deviationMs;
+        // Inverse variance; without a deviation the quotient is infinite and the weight is full.
         double weight = Math.min(1, FULL_WEIGHT_DEVIATIONS / deviations) / (deviationMs * deviationMs);
         double errorMs = measuredMs - prior().expectedMs(tokens, requests);
         double decay = Math.pow(0.5, Math.max(0, nowMs - observedMs) / HALF_LIFE_MS);
--- a/jayhead-routing/src/main/java/io/jayhead/routing/placement/PartAffinity.java
+++ b/jayhead-routing/src/main/java/io/jayhead/routing/placement/PartAffinity.java
@@ -19,12 +19,12 @@
      * engine has the parts cached, and the second takes the overflow of the first. On any other engine the prefill
      * benefits no other request and delays the requests that wait there.
      */
-    private static final double[] TWO_ENGINES = {0, 1.5, 4};
+    private static final double[] TWO_ENGINE_FACTORS = {0, 1.5, 4};
     /**
      * As above, for services whose load is known: what the first two engines cannot take goes to one engine after the
-     * other, the same for all routers. The small steps decide between engines of about the same load.
+     * other, in the same order for all routers. The small steps decide between engines of about the same load.
      */
-    private static final double[] ONE_AFTER_THE_OTHER = {0, 1.5, 4, 4.2, 4.4, 4.6, 4.8, 5};
+    private static final double[] OVERFLOW_FACTORS = {0, 1.5, 4, 4.2, 4.4, 4.6, 4.8, 5};
     /** The factor for an engine that had the parts, but may have replaced them. */
     private static final double HOLDER_FACTOR = 0.5;
 
@@ -39,7 +39,7 @@
     }
 
     static PartAffinity of(List<PlacementCandidate> candidates, PlacementRequest request, ServiceRates rates) {
-        double[] factorByRank = rates.isLearned() ? ONE_AFTER_THE_OTHER : TWO_ENGINES;
+        double[] factorByRank = rates.isLearned() ? OVERFLOW_FACTORS : TWO_ENGINE_FACTORS;
         String key = request.affinityKey();
         if (key.isEmpty()) {
             return new PartAffinity(request, List.of(), factorByRank);
--- a/jayhead-routing/src/main/java/io/jayhead/routing/placement/PartHolders.java
+++ b/jayhead-routing/src/main/java/io/jayhead/routing/placement/PartHolders.java
@@ -7,10 +7,10 @@
 import java.util.stream.Collectors;
 
 /**
- * Remembers which engines this router sent the shared prompt parts to lately; not thread-safe.
+ * Remembers which engines this router sent the shared prompt parts to recently; not thread-safe.
  *
- * <p>The load pattern: a part has more traffic than the engine that all routers prefer for it can take. What overflows
- * then goes where the part has been read already.
+ * <p>The load pattern: a part has more traffic than the engine that all routers prefer for it can take. The rest
+ * goes to engines that have read the part already.
  */
 public final class PartHolders {
 
--- a/jayhead-routing/src/main/java/io/jayhead/routing/placement/PlacementRequest.java
+++ b/jayhead-routing/src/main/java/io/jayhead/routing/placement/PlacementRequest.java
@@ -12,7 +12,7 @@
  * @param sharedTokens the number of tokens of the leading prompt parts that other requests share
  * @param affinityKey the key of the shared prompt parts, which determines the preferred engines; empty if no parts are
  *     shared
- * @param partHolders the upstream incarnations that this router sent the shared prompt parts to lately
+ * @param partHolders the upstream incarnations that this router sent the shared prompt parts to recently
  * @param excluded the upstream incarnations that must not be chosen, because earlier attempts used them
  * @param salt a random number that breaks ties between equally good upstreams
  */
--- a/jayhead-routing/src/main/java/io/jayhead/routing/placement/ServiceRates.java
+++ b/jayhead-routing/src/main/java/io/jayhead/routing/placement/ServiceRates.java
@@ -5,13 +5,13 @@
 /**
  * Holds how fast the upstreams of one service work, learned from their answers to this router; immutable.
  *
- * <p>The times are those of an upstream of normal speed whose machine works as usual, but for that of a whole
- * generation, during which machines are slow by turns. Without answers they are the defaults; old answers lose weight
- * as new ones arrive.
+ * <p>The times are those of an upstream of normal speed on a machine that is not slowed down. Only the time of a whole
+ * generation includes the slowdowns of machines, which change while it runs. Without answers the rates are the
+ * defaults; old answers lose weight as new ones arrive.
  *
  * @param firstEvent the rates that make up the time to the first event of a generation
- * @param plainCallMs the time from sending a plain call to the end of its answer
- * @param streamMs the time from sending a generation to the end of its answer
+ * @param plainCallMs the milliseconds from sending a plain call to the end of its answer
+ * @param streamMs the milliseconds from sending a generation to the end of its answer
  */
 public record ServiceRates(FirstEventRates firstEvent, DecayedMean plainCallMs, DecayedMean streamMs) {
 
@@ -41,7 +41,7 @@
      * Adds the first event of a generation.
      *
      * @param measuredMs the time from sending the request to the event, divided by the slowdown of the machine
-     * @param work what was expected when the request was sent
+     * @param work the work at the engine when the request was sent
      * @param nowMs the current time
      * @return the new rates
      */
--- a/jayhead-routing/src/main/java/io/jayhead/routing/placement/SlowdownForecast.java
+++ b/jayhead-routing/src/main/java/io/jayhead/routing/placement/SlowdownForecast.java
@@ -11,7 +11,7 @@
  *
  * @param mean the mean of the reported slowdowns
  * @param last the last reported slowdown
- * @param reportedMs the time of the last report
+ * @param reportedMs the time of the last report in milliseconds
  */
 public record SlowdownForecast(DecayedMean mean, double last, long reportedMs) {
 
--- a/jayhead-routing/src/main/java/io/jayhead/routing/placement/UpstreamReport.java
+++ b/jayhead-routing/src/main/java/io/jayhead/routing/placement/UpstreamReport.java
@@ -9,13 +9,13 @@
  *
  * @param load the reported load
  * @param ownRequests the requests of this router at the upstream when the report arrived
- * @param reportedMs when the report arrived
+ * @param reportedMs the time in milliseconds at which the report arrived
  */
 public record UpstreamReport(ReportedLoad load, int ownRequests, long reportedMs) {
 
-    /** Without knowledge of the service, a report counts in full for this time and then no more. */
+    /** For a service that does not report slowdowns, a report counts in full for this time and then no more. */
     private static final long MAX_AGE_MS = 1_000;
-    /** The time after which the difference of a report from the mean of the service counts by half. */
+    /** The time after which the difference of a report from the mean of the service counts half. */
     private static final double HALF_LIFE_MS = 500;
 
     /**
--- a/jayhead-routing/src/main/java/io/jayhead/routing/registry/FailedConnects.java
+++ b/jayhead-routing/src/main/java/io/jayhead/routing/registry/FailedConnects.java
@@ -4,17 +4,17 @@
 import java.util.Map;
 
 /**
- * The upstreams that have not accepted a connection of this router lately; immutable.
+ * The upstreams that recently did not accept a connection of this router; immutable.
  *
- * <p>Answers the load on upstreams that end and start again under their name before the platform has reported it, for
- * example while the platform is away: an upstream that accepts no connection may be one that starts.
+ * <p>Answers the load on upstreams that restart under the same name before the platform has reported it, for example
+ * while the platform is unreachable: an upstream that accepts no connection may be starting.
  *
- * @param lastAtMs when the last connection was not accepted, by incarnation
+ * @param lastAtMs the time in milliseconds at which the last connection was not accepted, by incarnation
  */
 public record FailedConnects(Map<String, Long> lastAtMs) {
 
-    /** An upstream may still be down for one warm-up after the last attempt, and warms up for another one then. */
-    private static final int WARM_UPS = 2;
+    /** After the last attempt an upstream may stay down for up to one warm-up time, and then warms up for another. */
+    private static final int WARM_UP_PERIODS = 2;
     /** Entries that are older than this count no more, whatever the warm-up of a service is. */
     private static final long REMEMBERED_MS = 60_000;
 
@@ -58,6 +58,6 @@
      */
     public boolean mayBeStarting(String incarnation, long warmUpMs, long nowMs) {
         Long failedMs = lastAtMs.get(incarnation);
-        return failedMs != null && nowMs - failedMs < WARM_UPS * warmUpMs;
+        return failedMs != null && nowMs - failedMs < WARM_UP_PERIODS * warmUpMs;
     }
 }
--- a/jayhead-routing/src/main/java/io/jayhead/routing/registry/RecentSends.java
+++ b/jayhead-routing/src/main/java/io/jayhead/routing/registry/RecentSends.java
@@ -6,7 +6,7 @@
 /**
  * The requests that one router has sent to an upstream that warms up, within a sliding window; immutable.
  *
- * @param sentAtMs when they were sent
+ * @param sentAtMs the times in milliseconds at which they were sent, oldest first
  */
 public record RecentSends(List<Long> sentAtMs) {
 
--- a/jayhead-routing/src/main/java/io/jayhead/routing/registry/Upstream.java
+++ b/jayhead-routing/src/main/java/io/jayhead/routing/registry/Upstream.java
@@ -11,8 +11,8 @@
  * @param availabilityZone the availability zone
  * @param draining whether the upstream accepts no new requests
  * @param slots the number of requests that the upstream runs at the same time
- * @param warmUpLeftMs the milliseconds for which the upstream warmed up at most when it wrote its entry; 0 if it had
- *     warmed up, or if that is unknown
+ * @param warmUpLeftMs the most milliseconds for which the upstream still had to warm up when it wrote its entry; 0 if
+ *     it had warmed up, or if that is unknown
  */
 public record Upstream(
         String id,
--- a/jayhead-routing/src/main/java/io/jayhead/routing/registry/WarmUpShare.java
+++ b/jayhead-routing/src/main/java/io/jayhead/routing/registry/WarmUpShare.java
@@ -8,7 +8,8 @@
  *
  * <p>Answers the load of many routers on one upstream that takes fewer requests a second than there are routers. The
  * whole requests of a second are dealt out to the routers in the order of a rendezvous hash of upstream and router, so
- * that all routers agree without messages, the shares add up to the limit, and each upstream has other routers.
+ * that all routers agree without messages, the shares add up to the limit, and the routers that may send
+ * differ between upstreams.
  *
  * @param requests the requests that this router may send within the window; 0 for none
  * @param windowMs the length of the sliding window in milliseconds
@@ -17,7 +18,7 @@
 
     private static final long SECOND_MS = 1_000;
 
-    /** The share of a router that is not in charge. */
+    /** The share of a router that may send nothing. */
     public static final WarmUpShare NONE = new WarmUpShare(0, SECOND_MS);
 
     /**
--- a/jayhead-routing/src/main/java/io/jayhead/routing/registry/WarmUps.java
+++ b/jayhead-routing/src/main/java/io/jayhead/routing/registry/WarmUps.java
@@ -10,14 +10,15 @@
  * Tells which upstreams warm up, that is, may get few requests a second only; immutable.
  *
  * <p>Answers the load on upstreams that have just started: they look idle to every router at the same time, and would
- * end under what the whole fleet sends them.
+ * fail under the load that the whole fleet sends.
  *
  * <p>An upstream warms up for a time that its service configures after this router first saw its incarnation, after its
  * availability zone was taken back, and for as long as its entry says. The first list that a router reads shows no
  * starts; there only the entries count.
  *
- * @param seenAtMs when incarnations were seen that were not listed before
- * @param reportedUntilMs until when incarnations warm up according to their newest entry
+ * @param seenAtMs the time in milliseconds, by incarnation, at which it was first seen; without those of the first list
+ * @param reportedUntilMs the time in milliseconds, by incarnation, until which it warms up according to its newest
+ *     entry
  */
 public record WarmUps(Map<String, Long> seenAtMs, Map<String, Long> reportedUntilMs) {
 
--- a/jayhead-routing/src/main/java/io/jayhead/routing/registry/ZoneEvacuations.java
+++ b/jayhead-routing/src/main/java/io/jayhead/routing/registry/ZoneEvacuations.java
@@ -17,7 +17,7 @@
  *
  * @param known whether the evacuations were read at least once
  * @param zones the evacuated availability zones
- * @param endedAtMs when the last evacuation of an availability zone was seen to have ended
+ * @param endedAtMs the time in milliseconds, by availability zone, at which its last evacuation was seen to have ended
  */
 public record ZoneEvacuations(boolean known, Set<String> zones, Map<String, Long> endedAtMs) {
 
--- a/jayhead-routing/src/test/java/io/jayhead/routing/placement/UpstreamReportTest.java
+++ b/jayhead-routing/src/test/java/io/jayhead/routing/placement/UpstreamReportTest.java
@@ -7,7 +7,7 @@
 import java.util.OptionalInt;
 import org.junit.jupiter.api.Test;
 
-/** Guards against a herd: all routers that remember an idle upstream send it requests long after it was idle. */
+/** Guards against a thundering herd: routers that remember an idle upstream send it requests long after it was idle. */
 class UpstreamReportTest {
 
     private static final int SLOTS = 16;
