--- a/jayhead-admission/src/main/java/io/jayhead/admission/room/UsualDeadline.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/room/UsualDeadline.java
@@ -4,7 +4,7 @@
  * Learns the deadline that the callers of a route usually set; immutable. A caller that returns after a refusal is
  * recognised by it, as its new deadline is what is left of the usual one.
  *
- * @param deadlineMs the longest deadline so far in milliseconds
+ * @param deadlineMs the longest deadline of late in milliseconds; it decays, so that a single long one is forgotten
  * @param shorterShare the recent share of requests with a clearly shorter deadline, from 0 to 1
  * @param requests the requests so far, up to the number from which the deadline is believed
  */
@@ -20,6 +20,8 @@
 
     private static final double NEWEST_WEIGHT = 0.02;
     private static final int MIN_REQUESTS = 20;
+    /** What is left of the longest deadline after a request with a shorter one. */
+    private static final double DECAY = 0.999;
 
     /**
      * Records the deadline of a request.
@@ -28,7 +30,7 @@
      * @return the new state
      */
     public UsualDeadline arrived(long newDeadlineMs) {
-        long longestMs = Math.max(deadlineMs, newDeadlineMs);
+        long longestMs = Math.max((long) (DECAY * deadlineMs), newDeadlineMs);
         double shorter = newDeadlineMs < USUAL_SHARE * longestMs ? 1 : 0;
         return new UsualDeadline(
                 longestMs,
--- a/jayhead-admission/src/test/java/io/jayhead/admission/room/UsualDeadlineTest.java
+++ b/jayhead-admission/src/test/java/io/jayhead/admission/room/UsualDeadlineTest.java
@@ -19,6 +19,15 @@
         assertEquals(1_500, usual.triedForMs(8_500));
     }
 
+    @Test
+    void aSingleLongDeadlineIsForgotten() {
+        UsualDeadline usual = UsualDeadline.UNKNOWN.arrived(1_000_000);
+        for (int request = 0; request < 5_000; request++) {
+            usual = usual.arrived(10_000);
+        }
+        assertEquals(2_000, usual.triedForMs(8_000));
+    }
+
     @Test
     void deadlinesThatDifferByCallerSayNothing() {
         UsualDeadline usual = UsualDeadline.UNKNOWN;
--- a/jayhead-ctl/src/main/java/io/jayhead/ctl/command/RequestCause.java
+++ b/jayhead-ctl/src/main/java/io/jayhead/ctl/command/RequestCause.java
@@ -26,6 +26,10 @@
     WARMING_UP(
             "WARMING_UP",
             "the upstreams that were left warm up and take few requests a second; the request did not run"),
+    MEMORY_EXHAUSTED(
+            "MEMORY_EXHAUSTED",
+            "connections held all the memory that they may hold, and this request was among those given up; it did not"
+                    + " run"),
     NOT_CONFIGURED("NOT_CONFIGURED", "the router had just started and had no configuration yet"),
     STOPPING("STOPPING", "the router was being stopped"),
     NO_ROUTE("NO_ROUTE", "no route of the configuration in force leads to the host and path"),
