Suspend streams whose callers do not read, and do not blame the upstream

Cause: a stream that its caller left unread was held back at its upstream until the time limit of the request, so that hostile or slow callers kept places of engines that ordinary requests needed. When the engine cut the stream off, its break counted as a failure of the engine, and the request was sent on at once, although its caller still read nothing, until its runs were used up.

Change: after the time in which callers give up a silent stream themselves (SilenceLimit.unreadMs, from the objectives of the route) a resumable stream gives up its place (UnreadStream) and goes on after its last event when its caller reads again; a stream that breaks off meanwhile waits in the same way. A break after a long pause is not held against the upstream. Streams that may not be resumed stay as they were. Counter jayhead_suspended_streams_total, log line "stream suspended".

--- a/jayhead-dispatch/src/main/java/io/jayhead/dispatch/forward/SilenceLimit.java
+++ b/jayhead-dispatch/src/main/java/io/jayhead/dispatch/forward/SilenceLimit.java
@@ -19,6 +19,11 @@
     private static final double EVENT_GAP_OBJECTIVES = 2;
     /** The spread of sound answer times around their recent mean. */
     private static final double RECENT_MEANS = 3;
+    /** Callers give up a stream after a pause of this many objectives for the first event or for pauses. */
+    private static final double UNREAD_FIRST_EVENT_OBJECTIVES = 4;
+
+    private static final double UNREAD_EVENT_GAP_OBJECTIVES = 8;
+    private static final int MIN_UNREAD_MS = 2_000;
 
     private SilenceLimit() {}
 
@@ -54,6 +59,19 @@
         return (long) (EVENT_GAP_OBJECTIVES * objectiveMs(eventGapObjectiveMs));
     }
 
+    /**
+     * Returns for how long a stream that its caller does not read keeps its place at the upstream.
+     *
+     * @param latencyObjectiveMs the objective of the route for the first event; 0 if it has none
+     * @param eventGapObjectiveMs the objective of the route for pauses between events; 0 if it has none
+     * @return the limit in milliseconds, after which callers that read would have given up the stream too
+     */
+    public static long unreadMs(int latencyObjectiveMs, int eventGapObjectiveMs) {
+        double byFirstEvent = UNREAD_FIRST_EVENT_OBJECTIVES * objectiveMs(latencyObjectiveMs);
+        double byEventGap = UNREAD_EVENT_GAP_OBJECTIVES * objectiveMs(eventGapObjectiveMs);
+        return (long) Math.max(MIN_UNREAD_MS, Math.max(byFirstEvent, byEventGap));
+    }
+
     private static long longest(double objectiveLimitMs, double recentMs) {
         return (long) Math.max(objectiveLimitMs, RECENT_MEANS * recentMs);
     }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
@@ -2,16 +2,12 @@
 
 import io.jayhead.dispatch.forward.AttemptOutcome;
 import io.jayhead.dispatch.forward.ForwardDecision;
-import io.jayhead.dispatch.forward.ForwardRules;
-import io.jayhead.dispatch.forward.ForwardState;
-import io.jayhead.dispatch.forward.RetryDelay;
 import io.jayhead.gateway.budget.ReservationResult;
 import io.jayhead.gateway.control.RoutingSnapshot;
 import io.jayhead.gateway.upstream.UpstreamConnection;
 import io.jayhead.gateway.upstream.UpstreamHandle;
 import io.jayhead.gateway.wire.CallerMetadata;
 import io.jayhead.model.Either;
-import io.jayhead.routing.catalog.Route;
 import io.jayhead.routing.catalog.RouteKind;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -31,6 +27,8 @@
     private final StreamRelay relay;
     private final ExchangeRecorder recorder;
     private final SilenceWatch silence;
+    private final UnreadStream unread = new UnreadStream();
+    private final AttemptCount attempts = new AttemptCount();
     private AdmittedRequest admitted;
     private ForwardedRequest forwarded;
     private UpstreamSelector selector;
@@ -38,8 +36,6 @@
     private GatePass pass;
     private ExchangeDeadline deadline;
     private UpstreamAttempt currentAttempt;
-    private int tries;
-    private int mayHaveRun;
     private boolean answerStarted;
     private boolean ended;
     private boolean callerGone;
@@ -106,24 +102,15 @@
     private void dispatch() {
         Either<Refusal, SelectedUpstream> selected = selector.select();
         if (!selected.isRight()) {
-            endUnsent(selected.getLeft());
+            giveUp("not sent again: " + selected.getLeft(), Refusal.OUTCOME_UNKNOWN, selected.getLeft());
             return;
         }
-        tries++;
+        attempts.chosen();
         SelectedUpstream upstream = selected.get();
         currentAttempt = new UpstreamAttempt(this, metadata.requestId(), upstream);
         currentAttempt.start(forwarded.maxConnections());
     }
 
-    /** Ends a request that is not sent again; the refusal applies if it has not run before. */
-    private void endUnsent(Refusal refusal) {
-        if (answerStarted) {
-            breakOff("not sent again: " + refusal);
-        } else {
-            refuse(mayHaveRun > 0 ? Refusal.OUTCOME_UNKNOWN : refusal);
-        }
-    }
-
     UpstreamFilter filter() {
         return context.filter();
     }
@@ -131,8 +118,9 @@
     void send(UpstreamAttempt attempt, UpstreamConnection connection) {
         Optional<String> resumeAfter = relay.events() > 0 ? Optional.of(relay.lastId()) : Optional.empty();
         FullHttpRequest message = forwarded.build(attempt.upstream().upstream().id(), deadline.leftMs(), resumeAfter);
-        mayHaveRun++;
+        attempts.sent();
         relay.restart();
+        unread.restart();
         connection.send(message, metadata.requestId(), attempt);
         silence.start();
     }
@@ -145,15 +133,32 @@
         if (ended) {
             return;
         }
-        boolean callerReadsSlowly = !caller.channel().isWritable();
-        if (!callerReadsSlowly && forwardDecision(AttemptOutcome.UNKNOWN) == ForwardDecision.TRY_ANOTHER) {
+        boolean callerReads = caller.channel().isWritable();
+        if (callerReads && mayTryAnother()) {
             currentAttempt.giveUp("no answer in time");
-            return;
-        }
-        if (!callerReadsSlowly) {
-            currentAttempt.reportSilence();
+        } else if (!callerReads && mayTryAnother() && unread.isDue(admitted.route())) {
+            suspend();
+        } else {
+            currentAttempt.reportSilence(callerReads);
+            silence.start();
         }
-        silence.start();
+    }
+
+    private boolean mayTryAnother() {
+        return forwardDecision(AttemptOutcome.UNKNOWN) == ForwardDecision.TRY_ANOTHER;
+    }
+
+    /** Tells whether the upstream of a stream may have cut it off because its caller did not read. */
+    boolean mayHaveBeenCutOff() {
+        return unread.longestHeldMs() >= silenceLimitMs();
+    }
+
+    /** Waits with the rest of a stream until its caller reads again. */
+    private void suspend() {
+        silence.stop();
+        currentAttempt.abort();
+        unread.suspend();
+        recorder.suspended(currentAttempt, unread.heldMs(), relay.events());
     }
 
     boolean isStreaming() {
@@ -201,6 +206,7 @@
             return;
         }
         if (!caller.channel().isWritable()) {
+            unread.hold();
             attempt.setReading(false);
         }
     }
@@ -228,8 +234,17 @@
 
     /** Resumes reading the answer of the upstream when the connection of the caller can take more bytes. */
     public void writabilityChanged() {
-        if (currentAttempt != null && caller.channel().isWritable()) {
+        if (ended || currentAttempt == null || !caller.channel().isWritable()) {
+            return;
+        }
+        boolean wasSuspended = unread.isSuspended();
+        unread.release();
+        if (!wasSuspended) {
             currentAttempt.setReading(true);
+        } else if (mayTryAnother()) {
+            tryAnother(currentAttempt);
+        } else {
+            breakOff("unread for too long");
         }
     }
 
@@ -255,7 +270,7 @@
 
     void attemptEnded(UpstreamAttempt attempt, AttemptOutcome outcome, String reason) {
         if (attempt.isSent() && outcome.isNotRun()) {
-            mayHaveRun--;
+            attempts.notRun();
         }
         if (ended) {
             runWithoutCaller.end();
@@ -275,20 +290,17 @@
     }
 
     private ForwardDecision forwardDecision(AttemptOutcome outcome) {
-        Route route = admitted.route();
-        ForwardState state = new ForwardState(
-                route.mayRunAgain(),
-                route.maxAttempts(),
-                mayHaveRun,
-                tries,
-                answerStarted,
-                route.resumable() && !relay.lastId().isEmpty(),
-                context.retries().allowsRetry(admitted.service().name()),
-                callerGone ? 0 : deadline.leftMs());
-        return ForwardRules.decide(state, outcome);
+        boolean retryAllowed = context.retries().allowsRetry(admitted.service().name());
+        long leftMs = callerGone ? 0 : deadline.leftMs();
+        boolean hasEventId = !relay.lastId().isEmpty();
+        return attempts.decide(admitted.route(), answerStarted, hasEventId, retryAllowed, leftMs, outcome);
     }
 
     private void tryAnother(UpstreamAttempt attempt) {
+        if (answerStarted && unread.isHeld()) {
+            suspend();
+            return;
+        }
         silence.stop();
         if (attempt.isSent()) {
             context.retries().recordRetry(admitted.service().name());
@@ -316,33 +328,25 @@
     }
 
     private void refuse(Refusal refusal) {
-        answers.refuse(refusal, retryDelayMs(refusal));
+        answers.refuse(refusal, RefusalDelay.retryAfterMs(refusal, context, pass));
         end(refusal.name(), currentAttempt);
     }
 
-    private long retryDelayMs(Refusal refusal) {
-        return switch (refusal) {
-            case BUDGET_UNAVAILABLE -> RetryDelay.forOutageMs(context.budgets().ledgerOutageMs());
-            case OVER_LIMIT -> pass.retryDelayMs();
-            default -> refusal.retryAfterMs();
-        };
-    }
-
     private void deadlinePassed() {
-        giveUp("time limit", mayHaveRun > 0 ? Refusal.TIMED_OUT : Refusal.NO_UPSTREAM);
+        giveUp("time limit", Refusal.TIMED_OUT, Refusal.NO_UPSTREAM);
     }
 
     /** Ends the request because the router stops, with a final answer unless its stream has begun. */
     public void stop() {
-        giveUp("planned stop", mayHaveRun > 0 ? Refusal.OUTCOME_UNKNOWN : Refusal.STOPPING);
+        giveUp("planned stop", Refusal.OUTCOME_UNKNOWN, Refusal.STOPPING);
     }
 
     /** Ends the request because its connection holds too much of the memory. */
     public void shed() {
-        giveUp("memory", mayHaveRun > 0 ? Refusal.OUTCOME_UNKNOWN : Refusal.MEMORY_EXHAUSTED);
+        giveUp("memory", Refusal.OUTCOME_UNKNOWN, Refusal.MEMORY_EXHAUSTED);
     }
 
-    private void giveUp(String reason, Refusal refusal) {
+    private void giveUp(String reason, Refusal ifMayHaveRun, Refusal ifNotRun) {
         if (ended) {
             return;
         }
@@ -352,7 +356,7 @@
         if (answerStarted) {
             breakOff(reason);
         } else {
-            refuse(refusal);
+            refuse(attempts.mayHaveRun() ? ifMayHaveRun : ifNotRun);
         }
     }
 
@@ -365,7 +369,8 @@
             return;
         }
         callerGone = true;
-        boolean mayStop = admitted == null || admitted.route().kind() != RouteKind.AT_MOST_ONCE || mayHaveRun == 0;
+        boolean mayStop =
+                admitted == null || admitted.route().kind() != RouteKind.AT_MOST_ONCE || !attempts.mayHaveRun();
         if (currentAttempt != null && mayStop) {
             currentAttempt.abort();
         }
@@ -385,16 +390,9 @@
         if (pass != null) {
             pass.leave();
         }
-        long consumedTokens = 0;
-        if (reservation != null) {
-            consumedTokens = reservation.consumedTokens(answerStarted, relay.events());
-            reservation.settle(consumedTokens);
-        }
+        long consumedTokens = reservation == null ? 0 : reservation.settleAnswer(answerStarted, relay.events());
         body.release();
         recorder.ended(
-                outcome,
-                Optional.ofNullable(admitted),
-                lastAttempt,
-                new ExchangeCounts(tries, mayHaveRun, relay.events(), consumedTokens));
+                outcome, Optional.ofNullable(admitted), lastAttempt, attempts.with(relay.events(), consumedTokens));
     }
 }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/ExchangeRecorder.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/ExchangeRecorder.java
@@ -51,6 +51,23 @@
                         leftMs);
     }
 
+    /** Records that a stream waits for its caller to read, without a place at an upstream. */
+    void suspended(UpstreamAttempt attempt, long unreadMs, int events) {
+        context.metrics().streamSuspended();
+        context.log()
+                .write(
+                        LogKind.ATTEMPT,
+                        "stream suspended",
+                        "request_id",
+                        metadata.requestId(),
+                        "upstream",
+                        upstream(attempt),
+                        "unread_ms",
+                        unreadMs,
+                        "events",
+                        events);
+    }
+
     void ended(String outcome, Optional<AdmittedRequest> request, UpstreamAttempt lastAttempt, ExchangeCounts counts) {
         String route = request.map(admitted -> admitted.route().name()).orElse("none");
         context.metrics().answered(route, outcome);
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/TokenReservation.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/TokenReservation.java
@@ -48,14 +48,20 @@
     }
 
     /**
-     * Returns the tokens that the request has consumed.
+     * Settles the reservation of a request that has ended.
      *
      * @param delivered whether the caller received a part of the answer; otherwise nothing is billed
      * @param events the number of events that were delivered
-     * @return the tokens to bill; 0 for requests without a size, and the most possible if the service sets no tokens
-     *     per event
+     * @return the tokens that are billed; 0 for requests without a size, and the most possible if the service sets no
+     *     tokens per event
      */
-    long consumedTokens(boolean delivered, int events) {
+    long settleAnswer(boolean delivered, int events) {
+        long consumedTokens = consumedTokens(delivered, events);
+        settle(consumedTokens);
+        return consumedTokens;
+    }
+
+    private long consumedTokens(boolean delivered, int events) {
         if (request.metadata().size().isEmpty() || !delivered) {
             return 0;
         }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamAttempt.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamAttempt.java
@@ -209,7 +209,9 @@
         if (ended) {
             return;
         }
-        upstream.answerBroken();
+        if (!exchange.mayHaveBeenCutOff()) {
+            upstream.answerBroken();
+        }
         if (!promptAnswered) {
             exchange.closedBeforeAnswer(upstream);
         }
@@ -246,9 +248,9 @@
         finish(sent ? AttemptOutcome.UNKNOWN : AttemptOutcome.NOT_SENT, reason);
     }
 
-    /** Records once that the upstream is silent; the attempt goes on. */
-    void reportSilence() {
-        if (!silenceReported) {
+    /** Records once that the upstream is silent although it is read; the attempt goes on. */
+    void reportSilence(boolean isRead) {
+        if (isRead && !silenceReported) {
             silenceReported = true;
             upstream.answerBroken();
         }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/metrics/GatewayMetrics.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/metrics/GatewayMetrics.java
@@ -72,6 +72,10 @@
             .help("Connections given up by what was scarce and by what they waited for")
             .labelNames("scarce", "phase")
             .register(registry);
+    private final Counter suspendedStreams = Counter.builder()
+            .name("jayhead_suspended_streams_total")
+            .help("Streams that gave up their place at an upstream because their caller did not read")
+            .register(registry);
     private final Gauge budgetTokens = Gauge.builder()
             .name("jayhead_budget_tokens")
             .help("Tokens of budgets at this router, by organisation and state")
@@ -235,6 +239,11 @@
         servicePromptTokensPerMs.labelValues(service).set(promptTokensPerMs);
     }
 
+    /** Counts a stream that gave up its place at an upstream because its caller did not read. */
+    public void streamSuspended() {
+        suspendedStreams.inc();
+    }
+
     /**
      * Counts a request for tokens of other routers.
      *
