Rank requests of one budget by the priority of their route

UrgentReserve leaves tokens to more urgent requests, but the rank was the priority of the organisation, which all requests of a budget share, so it never took effect where organisations have a priority. The tokens that a router borrows ahead counted as urgent too, whoever needs them.

Ruled out: too few tokens alone. 2.2 million of the busiest budget were unspent when its refusals began.

Change: in a budget the rank is the priority of the route (AdmittedRequest.budgetRank), and a router borrows ahead for requests that are at least as urgent as the one that waits.

OutageReplayTest replays urgent and large requests until the holders have nothing left.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetAccount.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetAccount.java
@@ -248,16 +248,20 @@
         borrowing = true;
         int rank = waiting.mostUrgentRank();
         long missingTokens = missingTokens(waiting.tokens(rank), rank);
-        LoanNeed need = new LoanNeed(missingTokens, missingTokens + tokensAhead(missingTokens), rank, ledgerOutage);
+        LoanNeed need =
+                new LoanNeed(missingTokens, missingTokens + tokensAhead(missingTokens, rank), rank, ledgerOutage);
         loans.borrow(need, this::credit, result -> borrowingEnded(rank, result));
     }
 
-    /** Returns the tokens to borrow for the next requests, so that not each of them needs a loan at a busy router. */
-    private long tokensAhead(long missingTokens) {
+    /**
+     * Returns the tokens to borrow for the next requests that are as urgent, so that not each of them needs a loan at a
+     * busy router.
+     */
+    private long tokensAhead(long missingTokens, int rank) {
         if (!ledgerOutage && isBudgetHolder.getAsBoolean()) {
             return 0;
         }
-        long demandTokens = (long) (demand.sustainedTokensPerS() * BORROWED_DEMAND_S);
+        long demandTokens = (long) (demand.sustainedTokensPerS(rank) * BORROWED_DEMAND_S);
         return Math.max(0, Math.min(demandTokens - missingTokens, missingTokens * MAX_AHEAD_FACTOR));
     }
 
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/RankedDemand.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/RankedDemand.java
@@ -25,9 +25,13 @@
         return moreUrgentThan(MAX_RANK + 1);
     }
 
-    /** Returns the demand that has lasted, see {@link DemandRate#sustainedTokensPerS()}, in tokens per second. */
-    double sustainedTokensPerS() {
+    /**
+     * Returns the demand that has lasted, see {@link DemandRate#sustainedTokensPerS()}, of requests that are at least
+     * as urgent as a rank, in tokens per second.
+     */
+    double sustainedTokensPerS(int leastUrgentRank) {
         return Arrays.stream(byRank)
+                .limit(leastUrgentRank + 1L)
                 .mapToDouble(DemandRate::sustainedTokensPerS)
                 .sum();
     }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/AdmittedRequest.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/AdmittedRequest.java
@@ -41,15 +41,11 @@
     }
 
     /**
-     * Returns the urgency of the request, from 0, the most urgent, to 9. The priority of the organisation takes
-     * precedence over that of the route.
+     * Returns the urgency of the request among those of its budget, from 0, the most urgent, to 9. It is the priority
+     * of its route, since all requests of a budget have the same organisation.
      */
-    int rank() {
-        int rank = organisation
-                .map(Organisation::priority)
-                .orElse(OptionalInt.empty())
-                .orElse(route.priority());
-        return Math.max(0, Math.min(MAX_RANK, rank));
+    int budgetRank() {
+        return Math.max(0, Math.min(MAX_RANK, route.priority()));
     }
 
     /** Returns the regions in which both its route and its organisation allow it to be processed. */
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/TokenReservation.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/TokenReservation.java
@@ -39,7 +39,12 @@
         long tokens = size.get().maxTokens();
         long prepaidTokens = prepaidOrganisation.get().prepaidTokens().getAsLong();
         budgets.reserve(
-                prepaidOrganisation.get().name(), prepaidTokens, tokens, request.rank(), LEDGER_WAIT_MS, result -> {
+                prepaidOrganisation.get().name(),
+                prepaidTokens,
+                tokens,
+                request.budgetRank(),
+                LEDGER_WAIT_MS,
+                result -> {
                     if (result == ReservationResult.RESERVED) {
                         reservedTokens = tokens;
                     }
--- a/jayhead-gateway/src/test/java/io/jayhead/gateway/budget/OutageReplayTest.java
+++ b/jayhead-gateway/src/test/java/io/jayhead/gateway/budget/OutageReplayTest.java
@@ -30,6 +30,8 @@
     private static final int REQUESTS = 400;
     private static final int REQUESTS_IN_FLIGHT = 20;
     private static final long MOST_TOKENS = 3_000;
+    private static final long URGENT_TOKENS = 300;
+    private static final long LARGE_TOKENS = 12_000;
     private static final long WAIT_MS = 5_000;
 
     private final Deque<Runnable> messages = new ArrayDeque<>();
@@ -66,6 +68,34 @@
         assertTrue(asked <= ROUTERS * HOLDERS * 5, "loans asked for: " + asked);
     }
 
+    /**
+     * Short urgent requests and large ones arrive until the holders have nothing left. In the other tests the ranks are
+     * drawn at random.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+    void urgentRequestsGoOnWhenTheTokensLeftDoNotServeAll(long seed) {
+        startOutage(100_000);
+        Random random = new Random(seed);
+        int urgentRefused = 0;
+        int largeRefused = 0;
+        for (int request = 0; request < REQUESTS; request++) {
+            boolean urgent = request % 2 == 0;
+            int refusedBefore = refused;
+            BudgetAccount account = accounts.get(HOLDERS + random.nextInt(ROUTERS - HOLDERS));
+            long tokens = urgent ? URGENT_TOKENS : LARGE_TOKENS;
+            account.reserve(10_000_000, tokens, urgent ? 0 : 2, WAIT_MS, result -> ended(account, tokens, result));
+            deliver(Integer.MAX_VALUE);
+            if (running.size() > REQUESTS_IN_FLIGHT) {
+                running.remove().run();
+            }
+            urgentRefused += urgent ? refused - refusedBefore : 0;
+            largeRefused += urgent ? 0 : refused - refusedBefore;
+        }
+        assertTrue(largeRefused > REQUESTS / 4, "large requests refused: " + largeRefused);
+        assertTrue(urgentRefused * 10 < largeRefused, "urgent requests refused: " + urgentRefused);
+    }
+
     private void startOutage(long tokensOfEachHolder) {
         for (int router = 0; router < ROUTERS; router++) {
             boolean isHolder = router < HOLDERS;
