Refer borrowers to routers that have borrowed most

The holders had lent all they had within a second of the cut; what was left lay at other routers that had borrowed ahead, and nobody asks those.

Change: a holder that lends less than asked names the two routers to which it has lent most lately (BorrowReply.borrower_vms, RecentBorrowers). The borrower asks up to two of them after the holders (Referrals); what they name is not followed, so a refusal costs two messages more at most. A lender that is no holder does not count the demand of the borrower as its own.

Weighed: asking any routers (71 of them, most have nothing); holding more (stranded by kills); giving tokens back to holders in a cut (a message for each remainder).

State: decaying rates at the lender, on the traffic thread, lost with it. A lost answer loses what was lent, as before. Routers of the build before ignore the field and name nobody.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetAccount.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetAccount.java
@@ -153,15 +153,16 @@
      * @param tokens the tokens that the borrower needs
      * @param rank the urgency of the requests that need them; 0 is the most urgent
      * @param borrowerAsksLedger whether the borrower is a holder of the budget and can reach the ledger, so that it
-     *     takes tokens from the ledger itself; if not, its demand is added to that of this router, which, as a holder,
-     *     requests the missing tokens from the ledger
+     *     takes tokens from the ledger itself; if not, a holder adds its demand to its own and requests the missing
+     *     tokens from the ledger
      * @param reply receives the number of tokens lent, possibly 0, at once or after the ledger has answered
      */
     void lend(long tokens, int rank, boolean borrowerAsksLedger, LongConsumer reply) {
-        if (!borrowerAsksLedger) {
+        boolean isHolder = isBudgetHolder.getAsBoolean();
+        if (!borrowerAsksLedger && isHolder) {
             demand.add(rank, tokens);
         }
-        boolean canAsk = !borrowerAsksLedger && !ledgerOutage && isBudgetHolder.getAsBoolean();
+        boolean canAsk = !borrowerAsksLedger && !ledgerOutage && isHolder;
         long lendable = lendableTokens(tokens, rank);
         if (lendable < tokens && canAsk && !(isExhausted(tokens) && isPageFresh())) {
             waitingLoans.add(new WaitingLoan(tokens, System.nanoTime(), reply));
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetAccounts.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetAccounts.java
@@ -40,6 +40,7 @@
     private final PeerLoans loans;
     private final String vmName;
     private final Map<String, BudgetAccount> accounts = new HashMap<>();
+    private final Map<String, RecentBorrowers> borrowers = new HashMap<>();
     private boolean ledgerOutage;
     private long ledgerOutageSinceNs;
 
@@ -141,7 +142,7 @@
         CompletableFuture<Frame> answer = new CompletableFuture<>();
         lender.lend(borrow.getTokens(), borrow.getRank(), borrowerAsksLedger, lent -> {
             logLoan(borrow, lent);
-            answer.complete(PeerLoans.reply(borrow, lent));
+            answer.complete(PeerLoans.reply(borrow, lent, otherBorrowers(borrow, lent)));
         });
         if (!answer.isDone()) {
             traffic.schedule(lender::answerLateLoans, LOAN_CHECK_MS, TimeUnit.MILLISECONDS);
@@ -149,6 +150,13 @@
         return answer;
     }
 
+    /** Records a loan, and returns the routers to ask next if it does not cover the need. */
+    private List<String> otherBorrowers(Borrow borrow, long lent) {
+        RecentBorrowers recent = borrowers.computeIfAbsent(borrow.getOrganisation(), name -> new RecentBorrowers());
+        recent.lent(borrow.getVm(), lent);
+        return lent < borrow.getTokens() ? recent.largestExcept(borrow.getVm()) : List.of();
+    }
+
     private void logLoan(Borrow borrow, long lent) {
         log.write(
                 LogKind.BUDGET,
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/PeerLoans.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/PeerLoans.java
@@ -138,7 +138,7 @@
     }
 
     /**
-     * Asks the holders of a budget for tokens, one after the other.
+     * Asks the holders of a budget for tokens, one after the other, and then routers to which they have lent most.
      *
      * @param organisation the organisation
      * @param need the tokens that are needed
@@ -154,16 +154,23 @@
         Lenders budgetLenders = lenders.computeIfAbsent(organisation, name -> new Lenders());
         List<RouterAddress> askedPeers =
                 budgetLenders.toAsk(peers, need).stream().limit(MAX_PEERS).toList();
-        askNext(new BorrowContext(organisation, budgetLenders, onLoan, onDone), need, askedPeers);
+        Referrals referrals = new Referrals(vmName);
+        askNext(new BorrowContext(organisation, budgetLenders, referrals, onLoan, onDone), need, askedPeers);
     }
 
     private void askNext(BorrowContext context, LoanNeed need, List<RouterAddress> peers) {
-        if (need.neededTokens() <= 0 || peers.isEmpty()) {
-            context.onDone().accept(need.neededTokens() <= 0 ? LoanResult.COVERED : LoanResult.NOT_COVERED);
+        if (need.neededTokens() <= 0) {
+            context.onDone().accept(LoanResult.COVERED);
             return;
         }
-        RouterAddress peer = peers.get(0);
-        List<RouterAddress> remainingPeers = peers.subList(1, peers.size());
+        List<RouterAddress> toAsk = peers.isEmpty() ? referred(context, need) : peers;
+        if (toAsk.isEmpty()) {
+            context.onDone().accept(LoanResult.NOT_COVERED);
+            return;
+        }
+        RouterAddress peer = toAsk.get(0);
+        context.referrals().asked(peer.vmName());
+        List<RouterAddress> remainingPeers = toAsk.subList(1, toAsk.size());
         LoanRequest request = new LoanRequest(
                 tokens -> {
                     logLoan(context.organisation(), peer, need, tokens);
@@ -187,10 +194,21 @@
                     silentSinceNs.remove(peer.vmName());
                     long lentTokens = frame.getBorrowReply().getTokens();
                     context.lenders().answered(peer.vmName(), need, lentTokens);
+                    context.referrals().named(frame.getBorrowReply().getBorrowerVmsList());
                     request.answered(lentTokens);
                 }));
     }
 
+    /** Returns the routers that are asked after the holders, as far as they have not lacked tokens lately. */
+    private List<RouterAddress> referred(BorrowContext context, LoanNeed need) {
+        List<String> named = context.referrals().take();
+        long nowNs = System.nanoTime();
+        List<RouterAddress> answering = routers.get().stream()
+                .filter(router -> named.contains(router.vmName()) && !isSilent(router, nowNs))
+                .toList();
+        return context.lenders().toAsk(answering, need);
+    }
+
     private Frame message(String organisation, LoanNeed need) {
         Borrow borrow = Borrow.newBuilder()
                 .setVm(vmName)
@@ -222,15 +240,28 @@
         return since != null && nowNs - since < SILENT_PEER_NS;
     }
 
-    static Frame reply(Borrow request, long tokens) {
+    /**
+     * Builds the answer to a request for a loan.
+     *
+     * @param request the request
+     * @param tokens the tokens lent
+     * @param borrowerVms the VMs of other routers that may have tokens left
+     * @return the message
+     */
+    static Frame reply(Borrow request, long tokens, List<String> borrowerVms) {
         return Frame.newBuilder()
                 .setBorrowReply(BorrowReply.newBuilder()
                         .setTransferId(request.getTransferId())
-                        .setTokens(tokens))
+                        .setTokens(tokens)
+                        .addAllBorrowerVms(borrowerVms))
                 .build();
     }
 
     /** What a sequence of loan requests to several routers has in common. */
     private record BorrowContext(
-            String organisation, Lenders lenders, LongConsumer onLoan, Consumer<LoanResult> onDone) {}
+            String organisation,
+            Lenders lenders,
+            Referrals referrals,
+            LongConsumer onLoan,
+            Consumer<LoanResult> onDone) {}
 }
--- a/jayhead-peer/src/main/java/io/jayhead/peer/pb/BorrowReply.java
+++ b/jayhead-peer/src/main/java/io/jayhead/peer/pb/BorrowReply.java
@@ -29,6 +29,8 @@
   }
   private BorrowReply() {
     transferId_ = "";
+    borrowerVms_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -98,6 +100,59 @@
     return tokens_;
   }
 
+  public static final int BORROWER_VMS_FIELD_NUMBER = 3;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.LazyStringArrayList borrowerVms_ =
+      com.google.protobuf.LazyStringArrayList.emptyList();
+  /**
+   * <pre>
+   * The VMs to which the receiver has lent most lately, if it lends less than asked; they may have tokens left.
+   * </pre>
+   *
+   * <code>repeated string borrower_vms = 3;</code>
+   * @return A list containing the borrowerVms.
+   */
+  public com.google.protobuf.ProtocolStringList
+      getBorrowerVmsList() {
+    return borrowerVms_;
+  }
+  /**
+   * <pre>
+   * The VMs to which the receiver has lent most lately, if it lends less than asked; they may have tokens left.
+   * </pre>
+   *
+   * <code>repeated string borrower_vms = 3;</code>
+   * @return The count of borrowerVms.
+   */
+  public int getBorrowerVmsCount() {
+    return borrowerVms_.size();
+  }
+  /**
+   * <pre>
+   * The VMs to which the receiver has lent most lately, if it lends less than asked; they may have tokens left.
+   * </pre>
+   *
+   * <code>repeated string borrower_vms = 3;</code>
+   * @param index The index of the element to return.
+   * @return The borrowerVms at the given index.
+   */
+  public java.lang.String getBorrowerVms(int index) {
+    return borrowerVms_.get(index);
+  }
+  /**
+   * <pre>
+   * The VMs to which the receiver has lent most lately, if it lends less than asked; they may have tokens left.
+   * </pre>
+   *
+   * <code>repeated string borrower_vms = 3;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the borrowerVms at the given index.
+   */
+  public com.google.protobuf.ByteString
+      getBorrowerVmsBytes(int index) {
+    return borrowerVms_.getByteString(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -118,6 +173,9 @@
     if (tokens_ != 0L) {
       output.writeUInt64(2, tokens_);
     }
+    for (int i = 0; i < borrowerVms_.size(); i++) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 3, borrowerVms_.getRaw(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -134,6 +192,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(2, tokens_);
     }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < borrowerVms_.size(); i++) {
+        dataSize += computeStringSizeNoTag(borrowerVms_.getRaw(i));
+      }
+      size += dataSize;
+      size += 1 * getBorrowerVmsList().size();
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -153,6 +219,8 @@
         .equals(other.getTransferId())) return false;
     if (getTokens()
         != other.getTokens()) return false;
+    if (!getBorrowerVmsList()
+        .equals(other.getBorrowerVmsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -169,6 +237,10 @@
     hash = (37 * hash) + TOKENS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getTokens());
+    if (getBorrowerVmsCount() > 0) {
+      hash = (37 * hash) + BORROWER_VMS_FIELD_NUMBER;
+      hash = (53 * hash) + getBorrowerVmsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -302,6 +374,8 @@
       bitField0_ = 0;
       transferId_ = "";
       tokens_ = 0L;
+      borrowerVms_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
       return this;
     }
 
@@ -341,6 +415,10 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.tokens_ = tokens_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        borrowerVms_.makeImmutable();
+        result.borrowerVms_ = borrowerVms_;
+      }
     }
 
     @java.lang.Override
@@ -363,6 +441,16 @@
       if (other.getTokens() != 0L) {
         setTokens(other.getTokens());
       }
+      if (!other.borrowerVms_.isEmpty()) {
+        if (borrowerVms_.isEmpty()) {
+          borrowerVms_ = other.borrowerVms_;
+          bitField0_ |= 0x00000004;
+        } else {
+          ensureBorrowerVmsIsMutable();
+          borrowerVms_.addAll(other.borrowerVms_);
+        }
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -399,6 +487,12 @@
               bitField0_ |= 0x00000002;
               break;
             } // case 16
+            case 26: {
+              java.lang.String s = input.readStringRequireUtf8();
+              ensureBorrowerVmsIsMutable();
+              borrowerVms_.add(s);
+              break;
+            } // case 26
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -532,6 +626,153 @@
       return this;
     }
 
+    private com.google.protobuf.LazyStringArrayList borrowerVms_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    private void ensureBorrowerVmsIsMutable() {
+      if (!borrowerVms_.isModifiable()) {
+        borrowerVms_ = new com.google.protobuf.LazyStringArrayList(borrowerVms_);
+      }
+      bitField0_ |= 0x00000004;
+    }
+    /**
+     * <pre>
+     * The VMs to which the receiver has lent most lately, if it lends less than asked; they may have tokens left.
+     * </pre>
+     *
+     * <code>repeated string borrower_vms = 3;</code>
+     * @return A list containing the borrowerVms.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getBorrowerVmsList() {
+      borrowerVms_.makeImmutable();
+      return borrowerVms_;
+    }
+    /**
+     * <pre>
+     * The VMs to which the receiver has lent most lately, if it lends less than asked; they may have tokens left.
+     * </pre>
+     *
+     * <code>repeated string borrower_vms = 3;</code>
+     * @return The count of borrowerVms.
+     */
+    public int getBorrowerVmsCount() {
+      return borrowerVms_.size();
+    }
+    /**
+     * <pre>
+     * The VMs to which the receiver has lent most lately, if it lends less than asked; they may have tokens left.
+     * </pre>
+     *
+     * <code>repeated string borrower_vms = 3;</code>
+     * @param index The index of the element to return.
+     * @return The borrowerVms at the given index.
+     */
+    public java.lang.String getBorrowerVms(int index) {
+      return borrowerVms_.get(index);
+    }
+    /**
+     * <pre>
+     * The VMs to which the receiver has lent most lately, if it lends less than asked; they may have tokens left.
+     * </pre>
+     *
+     * <code>repeated string borrower_vms = 3;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the borrowerVms at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getBorrowerVmsBytes(int index) {
+      return borrowerVms_.getByteString(index);
+    }
+    /**
+     * <pre>
+     * The VMs to which the receiver has lent most lately, if it lends less than asked; they may have tokens left.
+     * </pre>
+     *
+     * <code>repeated string borrower_vms = 3;</code>
+     * @param index The index to set the value at.
+     * @param value The borrowerVms to set.
+     * @return This builder for chaining.
+     */
+    public Builder setBorrowerVms(
+        int index, java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureBorrowerVmsIsMutable();
+      borrowerVms_.set(index, value);
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The VMs to which the receiver has lent most lately, if it lends less than asked; they may have tokens left.
+     * </pre>
+     *
+     * <code>repeated string borrower_vms = 3;</code>
+     * @param value The borrowerVms to add.
+     * @return This builder for chaining.
+     */
+    public Builder addBorrowerVms(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureBorrowerVmsIsMutable();
+      borrowerVms_.add(value);
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The VMs to which the receiver has lent most lately, if it lends less than asked; they may have tokens left.
+     * </pre>
+     *
+     * <code>repeated string borrower_vms = 3;</code>
+     * @param values The borrowerVms to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllBorrowerVms(
+        java.lang.Iterable<java.lang.String> values) {
+      ensureBorrowerVmsIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, borrowerVms_);
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The VMs to which the receiver has lent most lately, if it lends less than asked; they may have tokens left.
+     * </pre>
+     *
+     * <code>repeated string borrower_vms = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearBorrowerVms() {
+      borrowerVms_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+      bitField0_ = (bitField0_ & ~0x00000004);;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The VMs to which the receiver has lent most lately, if it lends less than asked; they may have tokens left.
+     * </pre>
+     *
+     * <code>repeated string borrower_vms = 3;</code>
+     * @param value The bytes of the borrowerVms to add.
+     * @return This builder for chaining.
+     */
+    public Builder addBorrowerVmsBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      ensureBorrowerVmsIsMutable();
+      borrowerVms_.add(value);
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:io.jayhead.peer.BorrowReply)
   }
 
--- a/jayhead-peer/src/main/java/io/jayhead/peer/pb/BorrowReplyOrBuilder.java
+++ b/jayhead-peer/src/main/java/io/jayhead/peer/pb/BorrowReplyOrBuilder.java
@@ -31,4 +31,45 @@
    * @return The tokens.
    */
   long getTokens();
+
+  /**
+   * <pre>
+   * The VMs to which the receiver has lent most lately, if it lends less than asked; they may have tokens left.
+   * </pre>
+   *
+   * <code>repeated string borrower_vms = 3;</code>
+   * @return A list containing the borrowerVms.
+   */
+  java.util.List<java.lang.String>
+      getBorrowerVmsList();
+  /**
+   * <pre>
+   * The VMs to which the receiver has lent most lately, if it lends less than asked; they may have tokens left.
+   * </pre>
+   *
+   * <code>repeated string borrower_vms = 3;</code>
+   * @return The count of borrowerVms.
+   */
+  int getBorrowerVmsCount();
+  /**
+   * <pre>
+   * The VMs to which the receiver has lent most lately, if it lends less than asked; they may have tokens left.
+   * </pre>
+   *
+   * <code>repeated string borrower_vms = 3;</code>
+   * @param index The index of the element to return.
+   * @return The borrowerVms at the given index.
+   */
+  java.lang.String getBorrowerVms(int index);
+  /**
+   * <pre>
+   * The VMs to which the receiver has lent most lately, if it lends less than asked; they may have tokens left.
+   * </pre>
+   *
+   * <code>repeated string borrower_vms = 3;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the borrowerVms at the given index.
+   */
+  com.google.protobuf.ByteString
+      getBorrowerVmsBytes(int index);
 }
--- a/jayhead-peer/src/main/java/io/jayhead/peer/pb/Peer.java
+++ b/jayhead-peer/src/main/java/io/jayhead/peer/pb/Peer.java
@@ -223,16 +223,16 @@
       "BODY\020\004\022\022\n\016NOT_REGISTERED\020\005\"~\n\006Borrow\022\n\n\002" +
       "vm\030\001 \001(\t\022\024\n\014organisation\030\002 \001(\t\022\016\n\006budget" +
       "\030\003 \001(\t\022\023\n\013transfer_id\030\004 \001(\t\022\016\n\006tokens\030\005 " +
-      "\001(\004\022\014\n\004rank\030\006 \001(\r\022\017\n\007cut_off\030\007 \001(\010\"2\n\013Bo" +
+      "\001(\004\022\014\n\004rank\030\006 \001(\r\022\017\n\007cut_off\030\007 \001(\010\"H\n\013Bo" +
       "rrowReply\022\023\n\013transfer_id\030\001 \001(\t\022\016\n\006tokens" +
-      "\030\002 \001(\004\"U\n\020ReplicateEntries\022\016\n\006holder\030\001 \001" +
-      "(\t\0221\n\007entries\030\002 \003(\0132 .io.jayhead.peer.Re" +
-      "plicatedEntry\"S\n\017ReplicatedEntry\022\024\n\014orga" +
-      "nisation\030\001 \001(\t\022\024\n\014taken_tokens\030\002 \001(\004\022\024\n\014" +
-      "tokens_per_s\030\003 \001(\004\"\'\n\025ReplicateEntriesRe" +
-      "ply\022\016\n\006holder\030\001 \001(\t\"(\n\007Failure\022\014\n\004code\030\001" +
-      " \001(\t\022\017\n\007message\030\002 \001(\tB\026\n\022io.jayhead.peer" +
-      ".pbP\001b\006proto3"
+      "\030\002 \001(\004\022\024\n\014borrower_vms\030\003 \003(\t\"U\n\020Replicat" +
+      "eEntries\022\016\n\006holder\030\001 \001(\t\0221\n\007entries\030\002 \003(" +
+      "\0132 .io.jayhead.peer.ReplicatedEntry\"S\n\017R" +
+      "eplicatedEntry\022\024\n\014organisation\030\001 \001(\t\022\024\n\014" +
+      "taken_tokens\030\002 \001(\004\022\024\n\014tokens_per_s\030\003 \001(\004" +
+      "\"\'\n\025ReplicateEntriesReply\022\016\n\006holder\030\001 \001(" +
+      "\t\"(\n\007Failure\022\014\n\004code\030\001 \001(\t\022\017\n\007message\030\002 " +
+      "\001(\tB\026\n\022io.jayhead.peer.pbP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -351,7 +351,7 @@
     internal_static_io_jayhead_peer_BorrowReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_io_jayhead_peer_BorrowReply_descriptor,
-        new java.lang.String[] { "TransferId", "Tokens", });
+        new java.lang.String[] { "TransferId", "Tokens", "BorrowerVms", });
     internal_static_io_jayhead_peer_ReplicateEntries_descriptor =
       getDescriptor().getMessageType(19);
     internal_static_io_jayhead_peer_ReplicateEntries_fieldAccessorTable = new
