Refuse requests whose heads do not end in time

Cause: HeaderTimeoutMs of the configuration was not read. A caller that sends a line of a head now and then is never idle, so that its connection, descriptor and memory stayed in use until the router ran short of them.

A request whose predecessor is still being answered is refused after that answer. Counter jayhead_callers_shed_total{scarce="time"}, Refusal HEAD_TIMED_OUT.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/edge/CallerConnection.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/edge/CallerConnection.java
@@ -11,6 +11,7 @@
 import io.jayhead.gateway.log.LogKind;
 import io.jayhead.gateway.memory.ChargedHeaders;
 import io.jayhead.gateway.memory.ConnectionMemory;
+import io.jayhead.routing.catalog.CallerLimits;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -55,6 +56,7 @@
     private Channel channel;
     private ConnectionMemory memory;
     private InboundPieces pieces;
+    private HeadDeadline headDeadline;
     private Exchange exchange;
     private FullHttpRequest servedRequest;
     private boolean keepAlive = true;
@@ -64,13 +66,19 @@
     }
 
     /** Starts the accounting of the connection. */
-    ConnectionMemory open(Channel accepted) {
+    ConnectionMemory open(Channel accepted, CallerLimits limits) {
         channel = accepted;
         memory = context.memory().open(this::shed);
-        pieces = new InboundPieces(memory);
+        headDeadline = new HeadDeadline(limits.headerTimeoutMs(), this::headTimedOut);
+        pieces = new InboundPieces(memory, headDeadline);
         return memory;
     }
 
+    /** Returns the handler that follows the decoder of the connection. */
+    HeadDeadline headDeadline() {
+        return headDeadline;
+    }
+
     /** Returns the handler that precedes the decoder of the connection. */
     InboundPieces pieces() {
         return pieces;
@@ -311,22 +319,31 @@
             ImmediateClose.close(channel);
             return;
         }
-        refuseShed();
-        channel.eventLoop().schedule(() -> channel.close(), REFUSAL_LINGER_MS, TimeUnit.MILLISECONDS);
+        refuseShed(Refusal.MEMORY_EXHAUSTED);
+    }
+
+    /** Refuses a request whose head takes too long, unless the answer would have the place of another one. */
+    private void headTimedOut() {
+        if (exchange == null && !pieces.isDiscarding()) {
+            recordShed("time");
+            refuseShed(Refusal.HEAD_TIMED_OUT);
+        }
     }
 
     /** Answers the open or unfinished request, and discards everything else that has arrived and will arrive. */
-    private void refuseShed() {
+    private void refuseShed(Refusal refusal) {
+        channel.eventLoop().schedule(() -> channel.close(), REFUSAL_LINGER_MS, TimeUnit.MILLISECONDS);
         keepAlive = false;
         pieces.discard();
         if (exchange == null) {
-            new AnswerWriter(context, this).refuse(Refusal.MEMORY_EXHAUSTED, Refusal.MEMORY_EXHAUSTED.retryAfterMs());
+            new AnswerWriter(context, this).refuse(refusal, refusal.retryAfterMs());
         } else {
             exchange.shed();
         }
         dropPipelined();
         channel.pipeline().remove(RequestAggregator.class);
         channel.pipeline().remove(BodyPages.class);
+        channel.pipeline().remove(HeadDeadline.class);
         channel.pipeline().remove(HttpServerCodec.class);
         memory.close();
     }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/edge/CallerServer.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/edge/CallerServer.java
@@ -95,7 +95,7 @@
     private void initConnection(Channel channel) {
         CallerLimits limits = context.snapshot().get().catalog().limits();
         CallerConnection connection = new CallerConnection(context);
-        ConnectionMemory memory = connection.open(channel);
+        ConnectionMemory memory = connection.open(channel, limits);
         HttpDecoderConfig decoding = new HttpDecoderConfig()
                 .setMaxInitialLineLength(MAX_LINE_BYTES)
                 .setMaxHeaderSize(limits.maxHeaderBytes())
@@ -107,6 +107,7 @@
                 .addLast(new IdleStateHandler(0, 0, limits.idleTimeoutMs() + IDLE_MARGIN_MS, TimeUnit.MILLISECONDS))
                 .addLast(connection.pieces())
                 .addLast(new HttpServerCodec(decoding))
+                .addLast(connection.headDeadline())
                 .addLast(new BodyPages(memory))
                 .addLast(new RequestAggregator(limits.maxBodyBytes(), connection::isServing))
                 .addLast(connection);
--- /dev/null
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/edge/HeadDeadline.java
@@ -0,0 +1,90 @@
+package io.jayhead.gateway.edge;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Limits how long a caller may take for the head of a request; follows the decoder of its connection.
+ *
+ * <p>The load pattern: many callers send a line now and then and never the end of a head, so that their connections are
+ * never idle and keep descriptors and memory for good.
+ */
+final class HeadDeadline extends ChannelInboundHandlerAdapter implements HeadListener {
+
+    /** For bytes that were sent in time and have not been read yet. */
+    private static final long MARGIN_MS = 1_000;
+
+    private final long limitMs;
+    private final Runnable onExpired;
+    private ChannelHandlerContext context;
+    private boolean headPending = true;
+    private ScheduledFuture<?> timer;
+
+    /**
+     * Creates a handler for a connection on which nothing has arrived.
+     *
+     * @param limitMs the time for a head in milliseconds
+     * @param onExpired is called once a head has taken longer, and again after the same time if the connection is open
+     */
+    HeadDeadline(int limitMs, Runnable onExpired) {
+        this.limitMs = limitMs + MARGIN_MS;
+        this.onExpired = onExpired;
+    }
+
+    @Override
+    public boolean isHeadPending() {
+        return headPending;
+    }
+
+    @Override
+    public void headBegun() {
+        if (headPending && timer == null) {
+            schedule();
+        }
+    }
+
+    private void schedule() {
+        timer = context.executor().schedule(this::expired, limitMs, TimeUnit.MILLISECONDS);
+    }
+
+    private void expired() {
+        timer = null;
+        if (context.channel().isActive()) {
+            schedule();
+            onExpired.run();
+        }
+    }
+
+    private void cancel() {
+        if (timer != null) {
+            timer.cancel(false);
+            timer = null;
+        }
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext added) {
+        context = added;
+    }
+
+    @Override
+    public void handlerRemoved(ChannelHandlerContext removed) {
+        cancel();
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext handler, Object message) {
+        if (message instanceof HttpRequest) {
+            headPending = false;
+            cancel();
+        }
+        if (message instanceof LastHttpContent) {
+            headPending = true;
+        }
+        handler.fireChannelRead(message);
+    }
+}
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/edge/InboundPieces.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/edge/InboundPieces.java
@@ -18,10 +18,16 @@
     private static final int PIECE_BYTES = 8_192;
 
     private final ConnectionMemory memory;
+    private final HeadListener head;
     private boolean discarding;
 
     InboundPieces(ConnectionMemory memory) {
+        this(memory, HeadListener.NONE);
+    }
+
+    InboundPieces(ConnectionMemory memory, HeadListener head) {
         this.memory = memory;
+        this.head = head;
     }
 
     /** Discards everything that arrives from now on. */
@@ -48,13 +54,28 @@
         }
     }
 
+    /** Tells whether there are only line ends, which callers may send between two requests. */
+    private static boolean isBlank(byte[] bytes) {
+        for (byte next : bytes) {
+            if (next != '\r' && next != '\n') {
+                return false;
+            }
+        }
+        return true;
+    }
+
     private void pass(ChannelHandlerContext context, ByteBuf bytes) {
         byte[] copy = new byte[Math.min(PIECE_BYTES, bytes.readableBytes())];
         bytes.readBytes(copy);
         ByteBuf piece = Unpooled.wrappedBuffer(copy);
         memory.received(copy.length);
+        boolean beginsInHead = head.isHeadPending() && !isBlank(copy);
         context.fireChannelRead(piece);
-        memory.settleReceived(piece.refCnt() == 0 ? 0 : copy.length);
+        boolean isKept = piece.refCnt() > 0;
+        memory.settleReceived(isKept ? copy.length : 0);
+        if (beginsInHead || isKept) {
+            head.headBegun();
+        }
         memory.shedIfExceeded();
     }
 }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Refusal.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Refusal.java
@@ -6,6 +6,8 @@
 public enum Refusal {
     /** The request cannot be read. */
     MALFORMED(HttpResponseStatus.BAD_REQUEST, 0),
+    /** The head of the request did not arrive in time. */
+    HEAD_TIMED_OUT(HttpResponseStatus.REQUEST_TIMEOUT, 0),
     /** No route matches the host and path. */
     NO_ROUTE(HttpResponseStatus.NOT_FOUND, 0),
     /** The API key is missing or unknown. */
@@ -52,7 +54,7 @@
     }
 
     /**
-     * Returns the status of the answer; 503 is used only for requests that have not run and will not run.
+     * Returns the status of the answer; 408 and 503 are used only for requests that have not run and will not run.
      *
      * @return the status
      */
