--- a/jayhead-routing/src/main/java/io/jayhead/routing/catalog/CallerKeys.java
+++ b/jayhead-routing/src/main/java/io/jayhead/routing/catalog/CallerKeys.java
@@ -1,11 +1,14 @@
 package io.jayhead.routing.catalog;
 
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * Holds the organisations of a configuration and the API keys of their callers; immutable.
@@ -78,6 +81,30 @@
         return Optional.ofNullable(byName.get(name));
     }
 
+    /**
+     * Returns all organisations, also those without a key.
+     *
+     * @return the organisations by name
+     */
+    public List<Organisation> organisations() {
+        return byName.values().stream()
+                .sorted(Comparator.comparing(Organisation::name))
+                .toList();
+    }
+
+    /**
+     * Returns the API keys of an organisation.
+     *
+     * @param name its name
+     * @return the keys; empty if it has none or is unknown
+     */
+    public Set<String> keysOf(String name) {
+        return byKey.entrySet().stream()
+                .filter(key -> key.getValue().name().equals(name))
+                .map(Map.Entry::getKey)
+                .collect(Collectors.toSet());
+    }
+
     /** Returns the priorities of all organisations; empty for each that has none. */
     List<OptionalInt> priorities() {
         return byName.values().stream().map(Organisation::priority).toList();
--- a/jayhead-routing/src/main/java/io/jayhead/routing/catalog/Catalog.java
+++ b/jayhead-routing/src/main/java/io/jayhead/routing/catalog/Catalog.java
@@ -106,6 +106,27 @@
                 .findFirst();
     }
 
+    /**
+     * Returns all routes.
+     *
+     * @return the routes, by host and then from the longest prefix to the shortest
+     */
+    public List<Route> routes() {
+        return routesByHost.keySet().stream()
+                .sorted()
+                .flatMap(host -> routesByHost.get(host).stream())
+                .toList();
+    }
+
+    /**
+     * Returns the profiles of all services.
+     *
+     * @return the profiles by name
+     */
+    public Map<String, ServiceProfile> services() {
+        return services;
+    }
+
     /**
      * Returns the organisations and the API keys of their callers.
      *
