Heed engines that say that they leave, or want no requests for a while

UpstreamNotices remembers them by incarnation, so that a ready entry in the registry, or an older copy of it, changes nothing; UpstreamFilter asks it for each choice and once more before a request is sent. If the last upstreams pause, the refusal names the time of the first one (UPSTREAMS_PAUSED); if they leave, it is NO_UPSTREAM at once. Any answer to an open request counts, whatever its status; one that names another request, and one that was given up, does not.

Not built: other routers do not learn of a notice, and the load does not come back step by step after a pause.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
@@ -328,7 +328,7 @@
     }
 
     private void refuse(Refusal refusal) {
-        answers.refuse(refusal, RefusalDelay.retryAfterMs(refusal, context, pass));
+        answers.refuse(refusal, RefusalDelay.retryAfterMs(refusal, context, admitted, pass));
         end(refusal.name(), currentAttempt);
     }
 
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Refusal.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Refusal.java
@@ -29,6 +29,8 @@
     NO_ALLOWED_REGION(HttpResponseStatus.SERVICE_UNAVAILABLE, 2_000),
     /** The upstreams that are left warm up, and have got what they take from this router for now. */
     WARMING_UP(HttpResponseStatus.SERVICE_UNAVAILABLE, 1_000),
+    /** The upstreams that are left want no requests for a while, as they have said. */
+    UPSTREAMS_PAUSED(HttpResponseStatus.SERVICE_UNAVAILABLE, 0),
     /** The upstreams that were tried are too busy to accept the request. */
     OVERLOADED(HttpResponseStatus.SERVICE_UNAVAILABLE, 700),
     /**
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamAttempt.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamAttempt.java
@@ -135,6 +135,7 @@
         head = answer;
         metadata = answerMetadata;
         upstream.loadReported(metadata.load());
+        exchange.filter().heard(upstream.upstream(), metadata.notice());
         if (isSuccess() && !isGenuine()) {
             giveUp("answer without a request id or a seal, or with an encoded body");
             return;
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamFilter.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamFilter.java
@@ -2,6 +2,7 @@
 
 import io.jayhead.gateway.control.RoutingSnapshot;
 import io.jayhead.gateway.metrics.GatewayMetrics;
+import io.jayhead.gateway.wire.UpstreamNotice;
 import io.jayhead.model.Either;
 import io.jayhead.routing.catalog.AllowedRegions;
 import io.jayhead.routing.placement.PlacementCandidate;
@@ -18,11 +19,14 @@
     private static final String REGION = "region";
     private static final String EVACUATED = "evacuated";
     private static final String WARMING_UP = "warming up";
+    private static final String LEAVING = "leaving";
+    private static final String PAUSED = "paused";
 
     private final Map<String, String> regionByZone;
     private final Supplier<RoutingSnapshot> snapshot;
     private final GatewayMetrics metrics;
     private final WarmUpLimiter warmUps;
+    private final UpstreamNotices notices = new UpstreamNotices();
 
     /**
      * Creates a filter.
@@ -55,10 +59,15 @@
         if (allowed.isEmpty()) {
             return Either.left(candidates.isEmpty() ? Refusal.NO_UPSTREAM : Refusal.NO_ALLOWED_REGION);
         }
-        List<PlacementCandidate> usable = exclude(allowed, EVACUATED, this::isEvacuated);
-        if (usable.isEmpty()) {
+        List<PlacementCandidate> staying =
+                exclude(exclude(allowed, EVACUATED, this::isEvacuated), LEAVING, notices::isLeaving);
+        if (staying.isEmpty()) {
             return Either.left(Refusal.NO_UPSTREAM);
         }
+        List<PlacementCandidate> usable = exclude(staying, PAUSED, this::isPaused);
+        if (usable.isEmpty()) {
+            return Either.left(Refusal.UPSTREAMS_PAUSED);
+        }
         List<PlacementCandidate> withRoom = exclude(usable, WARMING_UP, upstream -> !warmUps.allows(upstream));
         return withRoom.isEmpty() ? Either.left(Refusal.WARMING_UP) : Either.right(withRoom);
     }
@@ -71,7 +80,42 @@
      * @return true if it still takes requests
      */
     boolean maySend(Upstream upstream) {
-        return snapshot.get().registry().isReady(upstream) && !isEvacuated(upstream) && warmUps.trySend(upstream);
+        return snapshot.get().registry().isReady(upstream)
+                && !isEvacuated(upstream)
+                && !notices.isLeaving(upstream)
+                && !isPaused(upstream)
+                && warmUps.trySend(upstream);
+    }
+
+    /**
+     * Records what an upstream has said with an answer about the requests that it takes.
+     *
+     * @param upstream the upstream
+     * @param notice what it has said
+     */
+    void heard(Upstream upstream, UpstreamNotice notice) {
+        if (notices.heard(upstream, notice)) {
+            metrics.upstreamLeft();
+        }
+    }
+
+    /**
+     * Returns when the first paused upstream of a service takes requests again.
+     *
+     * @param service the name of the service
+     * @return the time in milliseconds from now; 0 if no upstream is paused
+     */
+    long firstReturnMs(String service) {
+        return snapshot.get().registry().ready(service).stream()
+                .filter(upstream -> !notices.isLeaving(upstream))
+                .mapToLong(notices::pauseLeftMs)
+                .filter(leftMs -> leftMs > 0)
+                .min()
+                .orElse(0);
+    }
+
+    private boolean isPaused(Upstream upstream) {
+        return notices.pauseLeftMs(upstream) > 0;
     }
 
     /**
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/metrics/GatewayMetrics.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/metrics/GatewayMetrics.java
@@ -44,6 +44,10 @@
             .help("Times that ready upstreams were no candidates for an attempt, by reason")
             .labelNames("reason")
             .register(registry);
+    private final Counter leftUpstreams = Counter.builder()
+            .name("jayhead_left_upstreams_total")
+            .help("Incarnations of upstreams that have said with an answer that they leave")
+            .register(registry);
     private final Counter warmUpRequests = Counter.builder()
             .name("jayhead_warm_up_requests_total")
             .help("Requests sent to upstreams that warm up and take only few requests a second")
@@ -164,6 +168,11 @@
         excludedUpstreams.labelValues(reason).inc(upstreams);
     }
 
+    /** Counts an incarnation of an upstream that has said with an answer that it leaves. */
+    public void upstreamLeft() {
+        leftUpstreams.inc();
+    }
+
     /** Counts a request that is sent to an upstream that warms up. */
     public void warmUpRequest() {
         warmUpRequests.inc();
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/wire/AnswerMetadata.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/wire/AnswerMetadata.java
@@ -13,6 +13,7 @@
  * @param encoded whether the body has a content encoding, such as compression
  * @param load the load that the upstream reports, without figures if it reports none
  * @param idleTimeoutMs the milliseconds for which the upstream keeps an idle connection open; empty if not reported
+ * @param notice what the upstream says about the requests that it takes from now on
  */
 public record AnswerMetadata(
         Optional<String> requestId,
@@ -20,4 +21,5 @@
         boolean provenNotRun,
         boolean encoded,
         ReportedLoad load,
-        OptionalLong idleTimeoutMs) {}
+        OptionalLong idleTimeoutMs,
+        UpstreamNotice notice) {}
--- a/jayhead-gateway/src/test/java/io/jayhead/gateway/upstream/UpstreamConnectionTest.java
+++ b/jayhead-gateway/src/test/java/io/jayhead/gateway/upstream/UpstreamConnectionTest.java
@@ -5,6 +5,7 @@
 import io.jayhead.gateway.wire.AnswerMetadata;
 import io.jayhead.gateway.wire.CallerMetadata;
 import io.jayhead.gateway.wire.ForwardMetadata;
+import io.jayhead.gateway.wire.UpstreamNotice;
 import io.jayhead.gateway.wire.WireDialect;
 import io.jayhead.routing.placement.ReportedLoad;
 import io.jayhead.routing.registry.Upstream;
@@ -182,7 +183,8 @@
         @Override
         public AnswerMetadata readAnswer(HttpResponse answer) {
             Optional<String> id = Optional.ofNullable(answer.headers().get("Request-Id"));
-            return new AnswerMetadata(id, true, false, false, ReportedLoad.empty(), OptionalLong.empty());
+            return new AnswerMetadata(
+                    id, true, false, false, ReportedLoad.empty(), OptionalLong.empty(), UpstreamNotice.NONE);
         }
 
         @Override
