Leave tokens to urgent requests in the first seconds of an outage too

Cause: the ledger call that shows an outage fails only after 1.5 s. Until then a holder that lacks tokens lets loans wait for the ledger for 45 ms and then gave each of them all that was free, whatever its rank.

Change: a loan that is answered without the ledger leaves what more urgent requests are expected to need (UrgentReserve). The log lines of loans have the rank.

BudgetAccountTest.aLoanThatHasWaitedTooLongLeavesTokensToMoreUrgentOnes fails without the change (9,000 tokens lent of 9,000; expected 6,500).

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetAccount.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetAccount.java
@@ -10,6 +10,7 @@
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import java.util.function.Predicate;
+import java.util.function.ToLongFunction;
 
 /** Holds the tokens of one budget at this router and the requests that wait for tokens; used by the traffic thread. */
 final class BudgetAccount {
@@ -123,7 +124,7 @@
         leftTokens = left;
         updateWallet();
         serveWaiting();
-        answerLoans(loan -> loan.tokens() <= wallet.freeTokens() || isExhausted(loan.tokens()));
+        answerLoans(loan -> loan.tokens() <= wallet.freeTokens() || isExhausted(loan.tokens()), loan -> 0);
         freeTokensAtLastRead = Math.max(0, wallet.freeTokens());
         if (waiting.any(request -> isExhausted(request.tokens()))) {
             borrow();
@@ -143,7 +144,7 @@
     /** Answers waiting loans and borrows for waiting requests, since the ledger will not answer in time. */
     void ledgerUnavailable() {
         ledgerOutage = ledgerCallPending;
-        answerLoans(loan -> true);
+        answerLoans(loan -> true, loan -> urgentReserve(loan.rank()));
         borrow();
     }
 
@@ -165,7 +166,7 @@
         boolean canAsk = !borrowerAsksLedger && !ledgerOutage && isHolder;
         long lendable = lendableTokens(tokens, rank);
         if (lendable < tokens && canAsk && !(isExhausted(tokens) && isPageFresh())) {
-            waitingLoans.add(new WaitingLoan(tokens, System.nanoTime(), reply));
+            waitingLoans.add(new WaitingLoan(tokens, rank, System.nanoTime(), reply));
             requestTokensForWaiting();
             return;
         }
@@ -174,17 +175,20 @@
         prefetchTokens();
     }
 
-    /** Answers the loans that have waited too long with the tokens that are free. */
+    /**
+     * Answers the loans that have waited too long with the tokens that are free, less what more urgent requests are
+     * expected to need: the ledger may be out of reach before this router has noticed.
+     */
     void answerLateLoans() {
         long nowNs = System.nanoTime();
-        answerLoans(loan -> nowNs - loan.sinceNs() >= LOAN_WAIT_NS);
+        answerLoans(loan -> nowNs - loan.sinceNs() >= LOAN_WAIT_NS, loan -> urgentReserve(loan.rank()));
     }
 
-    private void answerLoans(Predicate<WaitingLoan> condition) {
+    private void answerLoans(Predicate<WaitingLoan> condition, ToLongFunction<WaitingLoan> heldBack) {
         List<WaitingLoan> answered = waitingLoans.stream().filter(condition).toList();
         waitingLoans.removeAll(answered);
         for (WaitingLoan loan : answered) {
-            long lent = Math.min(loan.tokens(), Math.max(0, wallet.freeTokens()));
+            long lent = Math.min(loan.tokens(), Math.max(0, wallet.freeTokens() - heldBack.applyAsLong(loan)));
             deductLent(lent);
             loan.reply().accept(lent);
         }
@@ -210,7 +214,11 @@
     }
 
     private long heldBackTokens(int rank) {
-        return ledgerOutage ? UrgentReserve.tokens(demand.moreUrgentThan(rank), freeTokensAtLastRead) : 0;
+        return ledgerOutage ? urgentReserve(rank) : 0;
+    }
+
+    private long urgentReserve(int rank) {
+        return UrgentReserve.tokens(demand.moreUrgentThan(rank), freeTokensAtLastRead);
     }
 
     private void deductLent(long tokens) {
@@ -385,5 +393,5 @@
     }
 
     /** A loan to another router that waits for the ledger. */
-    private record WaitingLoan(long tokens, long sinceNs, LongConsumer reply) {}
+    private record WaitingLoan(long tokens, int rank, long sinceNs, LongConsumer reply) {}
 }
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetAccounts.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/budget/BudgetAccounts.java
@@ -165,6 +165,8 @@
                 borrow.getOrganisation(),
                 "to",
                 borrow.getVm(),
+                "rank",
+                borrow.getRank(),
                 "asked",
                 borrow.getTokens(),
                 "tokens",
--- a/jayhead-gateway/src/test/java/io/jayhead/gateway/budget/BudgetAccountTest.java
+++ b/jayhead-gateway/src/test/java/io/jayhead/gateway/budget/BudgetAccountTest.java
@@ -19,6 +19,8 @@
     private static final long PREPAID = 1_000_000;
     private static final long WAIT_MS = 400;
     private static final int RANK = 1;
+    /** Longer than a loan waits for the ledger. */
+    private static final long LATE_MS = 100;
 
     private final List<BudgetNeed> needs = new ArrayList<>();
     private final List<ReservationResult> results = new ArrayList<>();
@@ -79,6 +81,22 @@
         assertEquals(List.of(1_000L), lent);
     }
 
+    /** The first call of an outage fails only after a while, in which loans would otherwise take all that is left. */
+    @Test
+    void aLoanThatHasWaitedTooLongLeavesTokensToMoreUrgentOnes() throws InterruptedException {
+        BudgetAccount account = account(noLoans);
+        account.ledgerRead(10_000, 500_000, 0);
+        reserve(account, 1_000, 0);
+        lend(account, 50_000);
+        assertEquals(List.of(), lent);
+        Thread.sleep(LATE_MS);
+        account.answerLateLoans();
+        assertEquals(List.of(6_500L), lent);
+        account.ledgerUnavailable();
+        reserve(account, 2_000, 0);
+        assertEquals(List.of(ReservationResult.RESERVED, ReservationResult.RESERVED), results);
+    }
+
     @Test
     void anAccountForWhichThereWasNothingToTakeAsksAgainAfterAnOutage() {
         BudgetAccount account = account(noLoans);
