Release the place of a suspended stream at the gate of its service

Cause: a suspended stream has no attempt at any upstream, but still counted as in flight in the order of its service (ServiceAdmission), so that callers that do not read would have taken the room of others there until their deadlines.

Change: it leaves the gate when it is suspended, and goes on without asking again, since it was admitted before. UnreadStreamContractTest passes as before; the count at the gate has no test of its own.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
@@ -157,6 +157,7 @@
     private void suspend() {
         silence.stop();
         currentAttempt.abort();
+        pass.leave();
         unread.suspend();
         recorder.suspended(currentAttempt, unread.heldMs(), relay.events());
     }
