Cover four seconds of urgent demand in the reserve again

What is left in a cut after its first seconds is used within about four more, so a longer reserve stays unused while others are refused.

--- a/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/UrgentReserve.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/prepaid/UrgentReserve.java
@@ -8,8 +8,8 @@
  */
 public final class UrgentReserve {
 
-    /** The reserve covers the demand of more urgent requests for as long as tokens are prefetched at most. */
-    private static final double COVERED_S = GrantRule.MAX_PREFETCH_S;
+    /** The seconds of demand of more urgent requests that the reserve covers. */
+    private static final double COVERED_S = 4;
     /** The largest share of the tokens free at the start of an outage that is reserved. */
     private static final double MAX_SHARE = 0.25;
 
