Let go of the heads of connections that were shed

The context of a handler that has left the pipeline still points to its neighbours, so each connection that was shed kept its decoder with a head of 394 KB until it was closed a second later, after the account had released it.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/edge/HeadDeadline.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/edge/HeadDeadline.java
@@ -1,5 +1,6 @@
 package io.jayhead.gateway.edge;
 
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.HttpRequest;
@@ -20,7 +21,9 @@
 
     private final long limitMs;
     private final Runnable onExpired;
-    private ChannelHandlerContext context;
+    /** A context of the pipeline would keep the decoder and its head in memory after both have been removed. */
+    private Channel channel;
+
     private boolean headPending = true;
     private ScheduledFuture<?> timer;
 
@@ -48,12 +51,12 @@
     }
 
     private void schedule() {
-        timer = context.executor().schedule(this::expired, limitMs, TimeUnit.MILLISECONDS);
+        timer = channel.eventLoop().schedule(this::expired, limitMs, TimeUnit.MILLISECONDS);
     }
 
     private void expired() {
         timer = null;
-        if (context.channel().isActive()) {
+        if (channel.isActive()) {
             schedule();
             onExpired.run();
         }
@@ -68,7 +71,7 @@
 
     @Override
     public void handlerAdded(ChannelHandlerContext added) {
-        context = added;
+        channel = added.channel();
     }
 
     @Override
