Begin the time for a head with a head, not with a whole request

Connections that were idle for longer than HeaderTimeoutMs and 1 s were refused with 408 and closed, though callers use them again.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/edge/HeadDeadline.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/edge/HeadDeadline.java
@@ -24,7 +24,11 @@
     /** A context of the pipeline would keep the decoder and its head in memory after both have been removed. */
     private Channel channel;
 
+    /** Whether the next bytes belong to a head, or are line ends before one. */
     private boolean headPending = true;
+    /** Whether a part of a head has arrived, but not all of it. */
+    private boolean begun;
+
     private ScheduledFuture<?> timer;
 
     /**
@@ -39,13 +43,14 @@
     }
 
     @Override
-    public boolean isHeadPending() {
-        return headPending;
+    public void arriving(boolean blank) {
+        begun |= headPending && !blank;
     }
 
     @Override
-    public void headBegun() {
-        if (headPending && timer == null) {
+    public void decoded(boolean kept) {
+        begun |= headPending && kept;
+        if (begun && timer == null) {
             schedule();
         }
     }
@@ -83,6 +88,7 @@
     public void channelRead(ChannelHandlerContext handler, Object message) {
         if (message instanceof HttpRequest) {
             headPending = false;
+            begun = false;
             cancel();
         }
         if (message instanceof LastHttpContent) {
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/edge/InboundPieces.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/edge/InboundPieces.java
@@ -54,7 +54,6 @@
         }
     }
 
-    /** Tells whether there are only line ends, which callers may send between two requests. */
     private static boolean isBlank(byte[] bytes) {
         for (byte next : bytes) {
             if (next != '\r' && next != '\n') {
@@ -69,13 +68,11 @@
         bytes.readBytes(copy);
         ByteBuf piece = Unpooled.wrappedBuffer(copy);
         memory.received(copy.length);
-        boolean beginsInHead = head.isHeadPending() && !isBlank(copy);
+        head.arriving(isBlank(copy));
         context.fireChannelRead(piece);
         boolean isKept = piece.refCnt() > 0;
         memory.settleReceived(isKept ? copy.length : 0);
-        if (beginsInHead || isKept) {
-            head.headBegun();
-        }
+        head.decoded(isKept);
         memory.shedIfExceeded();
     }
 }
