--- a/review/stand-2/stand.py
+++ b/review/stand-2/stand.py
@@ -26,6 +26,9 @@
 BROKEN = 1
 NOT_RUN = 2
 WHOLE_LIMIT_S = 110
+# A page of a listing: "about 500 or 1 MB at most".
+PAGE_ITEMS = 500
+PAGE_BYTES = 1000000
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 
 
@@ -74,7 +77,7 @@
                 length = int(self.headers.get('Content-Length') or 0)
                 body = self.rfile.read(length)
                 era, status, answer = store.call(self.command, self.path, body)
-                data = json.dumps(answer).encode()
+                data = json.dumps(answer, separators=(",", ":")).encode()
                 head = 'HTTP/1.1 %d X\r\nContent-Type: application/json\r\nStore-Era: %d\r\nContent-Length: %d\r\n\r\n'
                 self.wfile.write((head % (status, era, len(data))).encode() + data)
 
@@ -158,8 +161,14 @@
             return (200, found) if found else (404, {})
         if method == 'GET':
             names = sorted(name for of, name in self.objects if of == kind and name > query.get('After', ''))
-            items = [self.objects[(kind, name)] for name in names[:500]]
-            return 200, {'Items': items, 'More': len(names) > 500, 'CurrentRev': self.revision}
+            items, size = [], 0
+            for name in names[:PAGE_ITEMS]:
+                stored = self.objects[(kind, name)]
+                size += len(json.dumps(stored, separators=(',', ':')))
+                if items and size > PAGE_BYTES:
+                    break
+                items.append(stored)
+            return 200, {'Items': items, 'More': len(names) > len(items), 'CurrentRev': self.revision}
         name = path[1] if len(path) > 1 else body.get('Metadata', {}).get('Name')
         current = self.objects.get((kind, name))
         if method == 'POST':
