--- a/review/6/case.py
+++ b/review/6/case.py
@@ -13,8 +13,8 @@
 # ValueBytes is 1,048,576.
 ENTRY_BYTES = 1000000
 SECONDS = 12
-CLIENTS = 10
-FIRST_EVENT_S = 0.9
+CLIENTS = 16
+FIRST_EVENT_S = 0.7
 EVENTS = 5
 HEADERS = 'Model: m\r\nToken-Count: 1460,25\r\nPrompt-Prefix: 5c1e07a2:800,91bd3f06:410,e4402b7d:250'
 RESTART_S = 0.5
@@ -73,6 +73,8 @@
             if kept and not got.status and request_id in at_sound:
                 unanswered.append(request_id)
             kept = got.complete
+            if got.status == 503:
+                time.sleep(0.5)
             if not got.complete or got.headers.get('connection') == 'close':
                 connection.close()
                 connection = None
