Break a stream off that ends inside an event, however it is framed

Cause: StreamRelay.mayEnd looked for a part of an event only in answers without a length or chunks and in resumed streams. The end that a framed answer names was believed.

Ruled out: a decoder that ends broken chunks (the last chunk was valid), an answer of another attempt (one attempt each).

Change: a stream that ends inside an event is broken off; it goes on at another engine where it may be resumed. Lines that end with a carriage return alone are recognised, since a whole stream of such lines would be broken off otherwise (EventFramerTest). An answer that names another type than an event stream and its own end is passed on as before.

--- a/jayhead-dispatch/src/main/java/io/jayhead/dispatch/forward/EventFramer.java
+++ b/jayhead-dispatch/src/main/java/io/jayhead/dispatch/forward/EventFramer.java
@@ -4,6 +4,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import java.util.regex.Pattern;
 
 /**
  * Splits the bytes of a stream into complete events in the server-sent events format (WHATWG HTML).
@@ -16,9 +18,13 @@
     public static final int MAX_EVENT_BYTES = 65_536;
 
     private static final String ID_FIELD = "id:";
+    private static final Pattern LINE_END = Pattern.compile("\r\n|\r|\n");
 
     private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
     private boolean lineIsEmpty = true;
+    /** Whether the last byte was a carriage return, which ends a line together with a line feed or alone. */
+    private boolean afterCarriageReturn;
+
     private boolean tooLong;
 
     /**
@@ -30,28 +36,49 @@
     public List<StreamEvent> add(byte[] bytes) {
         List<StreamEvent> events = new ArrayList<>();
         for (byte next : bytes) {
+            if (afterCarriageReturn && next != '\n') {
+                endLine(events);
+            }
             if (pending.size() >= MAX_EVENT_BYTES) {
                 tooLong = true;
                 return events;
             }
             pending.write(next);
-            if (next == '\r') {
-                continue;
-            }
-            if (next != '\n') {
+            afterCarriageReturn = next == '\r';
+            if (next == '\n') {
+                endLine(events);
+            } else if (!afterCarriageReturn) {
                 lineIsEmpty = false;
-                continue;
-            }
-            if (lineIsEmpty) {
-                byte[] event = pending.toByteArray();
-                pending.reset();
-                events.add(new StreamEvent(event, idOf(event)));
             }
-            lineIsEmpty = true;
         }
         return events;
     }
 
+    private void endLine(List<StreamEvent> events) {
+        if (lineIsEmpty) {
+            events.add(takeEvent());
+        }
+        lineIsEmpty = true;
+    }
+
+    private StreamEvent takeEvent() {
+        byte[] event = pending.toByteArray();
+        pending.reset();
+        return new StreamEvent(event, idOf(event));
+    }
+
+    /**
+     * Ends the stream.
+     *
+     * @return the last event if a carriage return alone ends its empty line, since a line feed could still have
+     *     followed; otherwise empty
+     */
+    public Optional<StreamEvent> end() {
+        boolean complete = afterCarriageReturn && lineIsEmpty;
+        afterCarriageReturn = false;
+        return complete ? Optional.of(takeEvent()) : Optional.empty();
+    }
+
     /**
      * Tells whether an event was longer than {@link #MAX_EVENT_BYTES}, so that the stream cannot be read on.
      *
@@ -72,7 +99,7 @@
 
     private static String idOf(byte[] event) {
         String text = new String(event, StandardCharsets.UTF_8);
-        for (String line : text.split("\r?\n")) {
+        for (String line : LINE_END.split(text)) {
             if (line.startsWith(ID_FIELD)) {
                 return line.substring(ID_FIELD.length()).strip();
             }
--- a/jayhead-dispatch/src/test/java/io/jayhead/dispatch/forward/EventFramerTest.java
+++ b/jayhead-dispatch/src/test/java/io/jayhead/dispatch/forward/EventFramerTest.java
@@ -47,6 +47,30 @@
         assertEquals(true, event.numericId().isEmpty());
     }
 
+    /** A router that takes this stream for one that ends inside an event would break a complete answer off. */
+    @Property
+    void aCarriageReturnAloneEndsALineToo(@ForAll @IntRange(min = 1, max = 20) int chunkBytes) {
+        String text = "id: 1\rdata: a\r\rid: 2\r\ndata: b\r\n\r\nid: 3\rdata: c\r\r";
+        EventFramer framer = new EventFramer();
+        List<StreamEvent> events = new ArrayList<>();
+        for (int start = 0; start < text.length(); start += chunkBytes) {
+            String piece = text.substring(start, Math.min(text.length(), start + chunkBytes));
+            events.addAll(framer.add(piece.getBytes(StandardCharsets.UTF_8)));
+        }
+        framer.end().ifPresent(events::add);
+        assertEquals(
+                List.of("1", "2", "3"), events.stream().map(StreamEvent::id).toList());
+        assertEquals(0, framer.incompleteEvent().length);
+    }
+
+    @Test
+    void aLineThatEndsWithACarriageReturnEndsNoEvent() {
+        EventFramer framer = new EventFramer();
+        framer.add("id: 1\rdata: a\r".getBytes(StandardCharsets.UTF_8));
+        assertTrue(framer.end().isEmpty());
+        assertEquals("id: 1\rdata: a\r", new String(framer.incompleteEvent(), StandardCharsets.UTF_8));
+    }
+
     @Test
     void anEventWithoutEndIsNotKeptBeyondTheLimit() {
         EventFramer framer = new EventFramer();
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/StreamRelay.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/StreamRelay.java
@@ -44,11 +44,16 @@
     /** Forwards the events that the bytes complete; returns whether there were any. */
     boolean add(byte[] bytes) {
         List<StreamEvent> complete = framer.add(bytes);
+        forward(complete);
+        return !complete.isEmpty() && !foreign;
+    }
+
+    private void forward(List<StreamEvent> complete) {
         eventsOfAttempt += complete.size();
         for (StreamEvent event : complete) {
             if (hasPartOfAnswer(event) || isForeign(event)) {
                 foreign = true;
-                return false;
+                return;
             }
             if (isRepeated(event)) {
                 continue;
@@ -61,29 +66,28 @@
                 lastNumericId = event.numericId();
             }
         }
-        return !complete.isEmpty();
-    }
-
-    void end() {
-        byte[] incompleteEvent = framer.incompleteEvent();
-        if (incompleteEvent.length > 0) {
-            caller.stream(incompleteEvent);
-        }
-        caller.endStream();
     }
 
     /**
-     * Tells whether the stream is complete if the answer of the current attempt ends here. An answer without a length
-     * may have been broken off, and one that continues the stream of another may be no stream at all.
+     * Ends the answer of the current attempt and tells whether the stream is complete. A stream that ends inside an
+     * event has been broken off, also where its last chunk or its length says otherwise. An answer without a length may
+     * have been broken off between two events too.
      *
      * @param framed whether the answer names its own end
      */
-    boolean mayEnd(boolean framed) {
+    boolean endAttempt(boolean framed) {
+        forward(framer.end().stream().toList());
         boolean insideEvent = framer.incompleteEvent().length > 0;
-        if (!framed) {
-            return forwardedInAttempt && !insideEvent;
+        return !insideEvent && !foreign && (framed || forwardedInAttempt);
+    }
+
+    /** Ends the answer to the caller, after the bytes of an answer that has no events. */
+    void end() {
+        byte[] rest = framer.incompleteEvent();
+        if (rest.length > 0) {
+            caller.stream(rest);
         }
-        return !resumed || !insideEvent;
+        caller.endStream();
     }
 
     /** Returns why the answer of the current attempt cannot be passed on further; empty if it can. */
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamAttempt.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamAttempt.java
@@ -187,7 +187,7 @@
             finish(AttemptOutcome.FAILED, "answered with " + head.status().code() + " to go on with a stream");
             return;
         }
-        if (streaming && !exchange.relay().mayEnd(AnswerHead.isFramed(head))) {
+        if (streaming && !endStream()) {
             broken("stream ended inside an event");
             return;
         }
@@ -268,6 +268,12 @@
         return code >= 200 && code < 300;
     }
 
+    /** A framed answer that names another type has no events, so only its framing tells where it ends. */
+    private boolean endStream() {
+        boolean framed = AnswerHead.isFramed(head);
+        return framed && !mayBeEvents() || exchange.relay().endAttempt(framed);
+    }
+
     private boolean mayBeEvents() {
         String type = head.headers().get(HttpHeaderNames.CONTENT_TYPE);
         return type == null || AsciiString.of(type).toLowerCase().startsWith(HttpHeaderValues.TEXT_EVENT_STREAM);
