Read whole events of engines in bin/jayhead

Callers saw: a generation that ended as complete, and was billed, although its engine broke off inside the last event; a token without text where it broke off behind "data:".

Cause: EngineClient read lines. A last line without its end, or without the empty line that ends its event, counted as an event.

Change: the client reads events with EventFramer, which the gateway uses too. Events without data and such without an index of a token are left out. An event of more than 64 KB breaks the attempt off, so a line without end takes no memory any more.

--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/upstream/EngineClient.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/upstream/EngineClient.java
@@ -6,7 +6,10 @@
 import io.jayhead.daemon.control.HybridClock;
 import io.jayhead.dispatch.DispatchEvent;
 import io.jayhead.dispatch.Usage;
+import io.jayhead.dispatch.forward.EventFramer;
+import io.jayhead.dispatch.forward.StreamEvent;
 import java.io.IOException;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -17,6 +20,7 @@
 import okhttp3.Request;
 import okhttp3.RequestBody;
 import okhttp3.Response;
+import okio.Buffer;
 import okio.BufferedSource;
 
 /** Runs generations on model engines and turns their answers into dispatch events. */
@@ -24,7 +28,7 @@
 
     private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final MediaType JSON = MediaType.get("application/json");
-    private static final String DATA_PREFIX = "data:";
+    private static final long READ_BYTES = 8_192;
     private static final long CANCEL_TIMEOUT_MS = 900;
 
     /** The fencing token that an incarnation sends; a reclaim raises the token of its holder to 2. */
@@ -169,19 +173,31 @@
         }
 
         /**
-         * Reads events up to the end marker; a stream without it was cut off, even if the connection closed cleanly.
+         * Reads events up to the end marker; a stream without it was cut off, even if the connection closed cleanly. A
+         * part of an event is none, so a stream that ends inside its end marker was cut off too.
          */
         private void readStream(BufferedSource source) throws IOException {
-            while (true) {
-                String line = source.readUtf8Line();
-                if (line == null) {
-                    events.accept(new DispatchEvent.ConnectionBroken(attemptNumber, true));
+            EventFramer framer = new EventFramer();
+            Buffer received = new Buffer();
+            while (!framer.isTooLong() && source.read(received, READ_BYTES) >= 0) {
+                if (readAll(framer.add(received.readByteArray()))) {
                     return;
                 }
-                if (line.startsWith(DATA_PREFIX) && read(MAPPER.readTree(line.substring(DATA_PREFIX.length())))) {
-                    return;
+            }
+            if (!readAll(framer.end().stream().toList())) {
+                events.accept(new DispatchEvent.ConnectionBroken(attemptNumber, true));
+            }
+        }
+
+        /** Returns whether one of the events ends the attempt. */
+        private boolean readAll(List<StreamEvent> complete) throws IOException {
+            for (StreamEvent event : complete) {
+                String data = event.data();
+                if (!data.isBlank() && read(MAPPER.readTree(data))) {
+                    return true;
                 }
             }
+            return false;
         }
 
         private boolean read(JsonNode data) {
@@ -201,6 +217,10 @@
                         attemptNumber, data.path("prompt_tokens").asLong()));
                 return false;
             }
+            if (!data.path("index").isIntegralNumber()) {
+                // An event that this router does not know is no token.
+                return false;
+            }
             events.accept(new DispatchEvent.TokenReceived(
                     attemptNumber,
                     data.path("index").asLong(),
--- a/jayhead-dispatch/src/main/java/io/jayhead/dispatch/forward/EventFramer.java
+++ b/jayhead-dispatch/src/main/java/io/jayhead/dispatch/forward/EventFramer.java
@@ -5,7 +5,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.regex.Pattern;
 
 /**
  * Splits the bytes of a stream into complete events in the server-sent events format (WHATWG HTML).
@@ -18,7 +17,6 @@
     public static final int MAX_EVENT_BYTES = 65_536;
 
     private static final String ID_FIELD = "id:";
-    private static final Pattern LINE_END = Pattern.compile("\r\n|\r|\n");
 
     private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
     private boolean lineIsEmpty = true;
@@ -99,7 +97,7 @@
 
     private static String idOf(byte[] event) {
         String text = new String(event, StandardCharsets.UTF_8);
-        for (String line : LINE_END.split(text)) {
+        for (String line : StreamEvent.LINE_END.split(text)) {
             if (line.startsWith(ID_FIELD)) {
                 return line.substring(ID_FIELD.length()).strip();
             }
