Check answers against the grammar of HTTP/1.1 while they are decoded

Cause: Netty's decoder reads leniently. It takes any number for a status, ends a field name at the first blank, takes a line without a colon for a field and reads a chunk size up to the first other byte. AnswerHead.isSingle looked for a second status line only.

Ruled out: a change of status or names on the way to the caller.

Change: AnswerSyntax reads the bytes that the decoder has read, in any parts, and refuses status lines, field lines, chunk lines and trailers of another form, also in informational answers. Nothing that was decoded from them is passed on. 101 is no answer. The store's connections use the same decoder.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/AnswerDecoder.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/AnswerDecoder.java
@@ -2,11 +2,17 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.CorruptedFrameException;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 
 /**
  * Decodes the answers on a connection that carries one request at a time. Bytes that arrive while no request is open
@@ -21,8 +27,10 @@
     private static final int MAX_KEPT_CAPACITY_BYTES = 8_192;
 
     private final Runnable onIdleBytes;
+    private final AnswerSyntax syntax = new AnswerSyntax();
     private HttpMethod method = HttpMethod.GET;
     private boolean requestOpen;
+    private boolean corrupted;
 
     /**
      * Creates a decoder of a connection without a request.
@@ -42,6 +50,7 @@
     public void openRequest(HttpMethod requestMethod) {
         method = requestMethod;
         requestOpen = true;
+        syntax.beginAnswer();
     }
 
     /**
@@ -66,6 +75,55 @@
         onIdleBytes.run();
     }
 
+    /**
+     * Decodes the next bytes, and refuses those that only a lenient reading makes a part of an answer. What they were
+     * decoded to is not passed on.
+     */
+    @Override
+    protected void decode(ChannelHandlerContext context, ByteBuf buffer, List<Object> decoded) throws Exception {
+        if (corrupted) {
+            buffer.skipBytes(buffer.readableBytes());
+            return;
+        }
+        int start = buffer.readerIndex();
+        int earlier = decoded.size();
+        super.decode(context, buffer, decoded);
+        if (hasFailed(decoded)) {
+            return;
+        }
+        try {
+            syntax.read(buffer, start, buffer.readerIndex());
+        } catch (CorruptedFrameException noAnswer) {
+            corrupted = true;
+            discard(decoded, earlier);
+            throw noAnswer;
+        }
+        for (int index = earlier; index < decoded.size(); index++) {
+            followAnswer(decoded.get(index));
+        }
+    }
+
+    private static boolean hasFailed(List<Object> decoded) {
+        Object last = decoded.isEmpty() ? null : decoded.get(decoded.size() - 1);
+        return last instanceof HttpObject part && part.decoderResult().isFailure();
+    }
+
+    private static void discard(List<Object> decoded, int first) {
+        while (decoded.size() > first) {
+            ReferenceCountUtil.release(decoded.remove(decoded.size() - 1));
+        }
+    }
+
+    /** Tells the check of the syntax where heads and answers end. */
+    private void followAnswer(Object message) {
+        if (message instanceof HttpResponse head && HttpUtil.isTransferEncodingChunked(head)) {
+            syntax.beginChunks();
+        }
+        if (message instanceof LastHttpContent) {
+            syntax.beginAnswer();
+        }
+    }
+
     /**
      * Shrinks the buffer of which the decoder keeps a last incomplete line while reading pauses. Otherwise each
      * connection with a caller that reads slowly would keep a read buffer of up to 64 KB.
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamConnection.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/UpstreamConnection.java
@@ -160,7 +160,9 @@
         embeddedAnswer = new EmbeddedAnswer(this::namesRequest, framed);
         AnswerMetadata metadata = dialect.readAnswer(head);
         Optional<String> answeredId = metadata.requestId();
-        if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+        if (head.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
+            fail("change to another protocol");
+        } else if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             ignore(AnswerState.INTERIM);
         } else if (answeredId.isPresent() && !answeredId.get().equals(requestId)) {
             pool.unsolicited(UnsolicitedBytes.OTHER_REQUEST, requestId);
