Refuse odd and cut off answers in the clients of bin/jayhead

Cause: OkHttp takes any three characters that are a number for a status, any line for a header, and reads an answer after a failed write; the write takes the error of the reset off the socket, so the part ends regularly.

Change: AnswerGuard, a network interceptor, checks status, names and values as received, and that a request with a body was written if its answer does not name its own end. A call that fails there counts as sent and unanswered.

--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/upstream/UpstreamHttpClients.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/upstream/UpstreamHttpClients.java
@@ -1,6 +1,7 @@
 package io.jayhead.daemon.upstream;
 
 import io.jayhead.model.UpstreamName;
+import io.jayhead.platform.AnswerGuard;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
 import java.util.concurrent.TimeUnit;
@@ -32,6 +33,7 @@
                 .writeTimeout(0, TimeUnit.MILLISECONDS)
                 .retryOnConnectionFailure(false)
                 .followRedirects(false)
+                .addNetworkInterceptor(new AnswerGuard())
                 .build();
     }
 
--- a/jayhead-daemon/src/test/java/io/jayhead/daemon/upstream/RawUpstream.java
+++ b/jayhead-daemon/src/test/java/io/jayhead/daemon/upstream/RawUpstream.java
@@ -1,5 +1,6 @@
 package io.jayhead.daemon.upstream;
 
+import java.io.EOFException;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
@@ -8,11 +9,15 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 
-/** Answers each request with the same bytes, whatever they are, and then closes the connection. */
+/** Answers each request with the same bytes, whatever they are, and then closes or resets the connection. */
 final class RawUpstream implements AutoCloseable {
 
+    /** Time for the client to fill the socket buffers with its request. */
+    private static final long UPLOAD_MS = 200;
+
     private final ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
     private volatile byte[] answer = {};
+    private volatile boolean early;
 
     RawUpstream() throws IOException {
         Thread acceptor = new Thread(this::accept);
@@ -29,6 +34,12 @@
         answer = text.getBytes(StandardCharsets.ISO_8859_1);
     }
 
+    /** Answers the next requests as soon as it has their head, and resets the connection before it reads their body. */
+    void answerEarlyAndReset(String text) {
+        answer(text);
+        early = true;
+    }
+
     @Override
     public void close() throws IOException {
         server.close();
@@ -50,29 +61,36 @@
 
     private void serve(Socket socket) {
         try (socket) {
-            readRequest(socket.getInputStream());
+            int bodyBytes = readHead(socket.getInputStream());
+            if (early) {
+                socket.getOutputStream().write(answer);
+                Thread.sleep(UPLOAD_MS);
+                socket.setSoLinger(true, 0);
+                return;
+            }
+            socket.getInputStream().readNBytes(bodyBytes);
             socket.getOutputStream().write(answer);
-        } catch (IOException closed) {
+        } catch (IOException | InterruptedException closed) {
             // The client closed the connection.
             return;
         }
     }
 
-    private static void readRequest(InputStream input) throws IOException {
+    /** Reads a head and returns the length of the body that follows it. */
+    private static int readHead(InputStream input) throws IOException {
         StringBuilder head = new StringBuilder();
         while (head.indexOf("\r\n\r\n") < 0) {
             int next = input.read();
             if (next < 0) {
-                return;
+                throw new EOFException();
             }
             head.append((char) next);
         }
         String lengthField = "content-length: ";
         String text = head.toString().toLowerCase(Locale.ROOT);
         int start = text.indexOf(lengthField);
-        if (start >= 0) {
-            String length = text.substring(start + lengthField.length(), text.indexOf("\r\n", start));
-            input.readNBytes(Integer.parseInt(length));
-        }
+        return start < 0
+                ? 0
+                : Integer.parseInt(text.substring(start + lengthField.length(), text.indexOf("\r\n", start)));
     }
 }
--- a/jayhead-platform/src/main/java/io/jayhead/platform/HttpCaller.java
+++ b/jayhead-platform/src/main/java/io/jayhead/platform/HttpCaller.java
@@ -38,6 +38,7 @@
                 .readTimeout(0, TimeUnit.MILLISECONDS)
                 .writeTimeout(0, TimeUnit.MILLISECONDS)
                 .eventListenerFactory(SendProgress::of)
+                .addNetworkInterceptor(new AnswerGuard())
                 .build();
     }
 
