Bound the answers that bin/jayhead reads from upstreams and its platform

Beside it: a report of a cancellation that was cut off or no JSON ended the callback with an exception, and the attempt got no event.

An unreadable report of a cancellation has no usage.

--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/recovery/FenceClient.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/recovery/FenceClient.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.jayhead.daemon.upstream.UpstreamHttpClients;
 import io.jayhead.model.IncarnationId;
+import io.jayhead.platform.BoundedBody;
 import io.jayhead.settlement.charge.ChargeEntry;
 import java.io.IOException;
 import java.util.List;
@@ -70,7 +71,7 @@
                     charges.complete(
                             response.isSuccessful()
                                     ? RecoveredCharges.parse(
-                                            holder, response.body().string())
+                                            holder, BoundedBody.text(response.body(), BoundedBody.MAX_ANSWER_BYTES))
                                     : Optional.empty());
                 } catch (IOException e) {
                     charges.complete(Optional.empty());
--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/upstream/EngineClient.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/upstream/EngineClient.java
@@ -8,6 +8,7 @@
 import io.jayhead.dispatch.Usage;
 import io.jayhead.dispatch.forward.EventFramer;
 import io.jayhead.dispatch.forward.StreamEvent;
+import io.jayhead.platform.BoundedBody;
 import java.io.IOException;
 import java.util.List;
 import java.util.Optional;
@@ -103,10 +104,8 @@
             }
 
             @Override
-            public void onResponse(Call call, Response response) throws IOException {
-                try (response) {
-                    events.accept(new DispatchEvent.Cancelled(attempt.number(), usage(response)));
-                }
+            public void onResponse(Call call, Response response) {
+                events.accept(new DispatchEvent.Cancelled(attempt.number(), usage(response)));
             }
         });
     }
@@ -126,16 +125,21 @@
                 .header("X-Fence-Number", FIRST_FENCING_TOKEN);
     }
 
-    private static Optional<Usage> usage(Response response) throws IOException {
-        if (!response.isSuccessful()) {
-            return Optional.empty();
-        }
-        JsonNode root = MAPPER.readTree(response.body().string());
-        if (!root.path("output_tokens").isNumber()) {
+    /** Reads the report of a cancellation; empty if the engine refused it or its report is unreadable or cut off. */
+    private static Optional<Usage> usage(Response response) {
+        try (response) {
+            if (!response.isSuccessful()) {
+                return Optional.empty();
+            }
+            JsonNode root = MAPPER.readTree(BoundedBody.text(response.body(), BoundedBody.MAX_REPORT_BYTES));
+            return root.path("output_tokens").isNumber()
+                    ? Optional.of(new Usage(
+                            root.path("prompt_tokens").asLong(),
+                            root.path("output_tokens").asLong()))
+                    : Optional.empty();
+        } catch (IOException unreadable) {
             return Optional.empty();
         }
-        return Optional.of(new Usage(
-                root.path("prompt_tokens").asLong(), root.path("output_tokens").asLong()));
     }
 
     private final class StreamCallback implements Callback {
@@ -164,7 +168,7 @@
                     readStream(response.body().source());
                     return;
                 }
-                String code = UpstreamErrors.code(response.body().string());
+                String code = UpstreamErrors.code(BoundedBody.text(response.body(), BoundedBody.MAX_REPORT_BYTES));
                 events.accept(new DispatchEvent.Refused(
                         attemptNumber, response.code(), code, UpstreamErrors.isDefiniteRefusal(response.code(), code)));
             } catch (IOException e) {
--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/upstream/PlainServiceClient.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/upstream/PlainServiceClient.java
@@ -1,6 +1,7 @@
 package io.jayhead.daemon.upstream;
 
 import io.jayhead.dispatch.DispatchEvent;
+import io.jayhead.platform.BoundedBody;
 import java.io.IOException;
 import java.util.function.Consumer;
 import okhttp3.Call;
@@ -75,7 +76,7 @@
     }
 
     private static DispatchEvent toEvent(int attemptNumber, Response response) throws IOException {
-        String body = response.body().string();
+        String body = BoundedBody.text(response.body(), BoundedBody.MAX_ANSWER_BYTES);
         String code = UpstreamErrors.code(body);
         boolean didNotRun = UpstreamErrors.isDefiniteRefusal(response.code(), code);
         if (didNotRun || response.code() >= SERVER_ERROR) {
--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/upstream/UpstreamPoller.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/upstream/UpstreamPoller.java
@@ -7,6 +7,7 @@
 import io.jayhead.model.UpstreamName;
 import io.jayhead.model.fleet.UpstreamSpec;
 import io.jayhead.model.fleet.UpstreamType;
+import io.jayhead.platform.BoundedBody;
 import io.jayhead.routing.CacheEvent;
 import io.jayhead.routing.LoadReport;
 import java.io.IOException;
@@ -82,7 +83,7 @@
             public void onResponse(Call call, Response response) throws IOException {
                 try (response) {
                     JsonNode body = response.isSuccessful()
-                            ? MAPPER.readTree(response.body().string())
+                            ? MAPPER.readTree(BoundedBody.text(response.body(), BoundedBody.MAX_REPORT_BYTES))
                             : null;
                     control.execute(() -> {
                         polling.remove(upstream.name());
--- a/jayhead-daemon/src/test/java/io/jayhead/daemon/upstream/RawUpstream.java
+++ b/jayhead-daemon/src/test/java/io/jayhead/daemon/upstream/RawUpstream.java
@@ -15,9 +15,14 @@
     /** Time for the client to fill the socket buffers with its request. */
     private static final long UPLOAD_MS = 200;
 
+    /** How often an endless text is repeated in one write. */
+    private static final int REPETITIONS = 10_000;
+
     private final ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
     private volatile byte[] answer = {};
     private volatile boolean early;
+    private volatile byte[] repeated = {};
+    private volatile long repeatedBytes;
 
     RawUpstream() throws IOException {
         Thread acceptor = new Thread(this::accept);
@@ -40,6 +45,13 @@
         early = true;
     }
 
+    /** Answers the next requests with a text that is followed by another again and again, up to a number of bytes. */
+    void answerEndlessly(String start, String next, long mostBytes) {
+        answer(start);
+        repeated = next.repeat(REPETITIONS).getBytes(StandardCharsets.ISO_8859_1);
+        repeatedBytes = mostBytes;
+    }
+
     @Override
     public void close() throws IOException {
         server.close();
@@ -70,6 +82,9 @@
             }
             socket.getInputStream().readNBytes(bodyBytes);
             socket.getOutputStream().write(answer);
+            for (long sent = 0; sent < repeatedBytes; sent += repeated.length) {
+                socket.getOutputStream().write(repeated);
+            }
         } catch (IOException | InterruptedException closed) {
             // The client closed the connection.
             return;
--- a/jayhead-platform/src/main/java/io/jayhead/platform/HttpAnswer.java
+++ b/jayhead-platform/src/main/java/io/jayhead/platform/HttpAnswer.java
@@ -1,7 +1,6 @@
 package io.jayhead.platform;
 
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 import okhttp3.Response;
 import okhttp3.ResponseBody;
 
@@ -32,7 +31,7 @@
         String body = "";
         String failure = "";
         try (ResponseBody content = response.body()) {
-            body = new String(content.bytes(), StandardCharsets.UTF_8);
+            body = BoundedBody.text(content, BoundedBody.MAX_ANSWER_BYTES);
         } catch (IOException e) {
             failure = "answer cut off: " + e;
         }
