Read lists of the platform in bin/jayhead without a tree

An object of very many values took 20 to 32 times its size. An object in the place of the list was taken for an empty list.

Change: JsonList keeps the known fields of each entry and passes other values over; a list that is none, or an entry that is no object, is refused.

--- a/jayhead-platform/src/main/java/io/jayhead/platform/JsonAnswers.java
+++ b/jayhead-platform/src/main/java/io/jayhead/platform/JsonAnswers.java
@@ -1,7 +1,5 @@
 package io.jayhead.platform;
 
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import io.jayhead.model.AvailabilityZone;
 import io.jayhead.model.VmName;
 import java.io.IOException;
@@ -11,50 +9,35 @@
 /** Decodes the JSON answers of the platform. */
 final class JsonAnswers {
 
-    private static final ObjectMapper MAPPER = new ObjectMapper();
-
     private JsonAnswers() {}
 
     static ListResult.Listed list(String body) throws IOException {
-        JsonNode root = MAPPER.readTree(body);
+        JsonList list = JsonList.read(body, "items");
         List<StoredObject> objects = new ArrayList<>();
-        for (JsonNode item : required(root, "items")) {
-            objects.add(new StoredObject(
-                    required(item, "name").asText(),
-                    required(item, "version").asLong(),
-                    required(item, "body").asText()));
+        for (JsonFields item : list.entries()) {
+            objects.add(new StoredObject(item.text("name"), item.number("version"), item.text("body")));
         }
-        return new ListResult.Listed(required(root, "revision").asLong(), objects);
+        return new ListResult.Listed(list.header().number("revision"), objects);
     }
 
     static WatchResult.Changed watch(String body) throws IOException {
-        JsonNode root = MAPPER.readTree(body);
+        JsonList list = JsonList.read(body, "changes");
         List<ObjectChange> changes = new ArrayList<>();
-        for (JsonNode change : required(root, "changes")) {
-            changes.add(new ObjectChange(
-                    required(change, "name").asText(),
-                    change.path("version").asLong(),
-                    change.path("deleted").asBoolean()));
+        for (JsonFields change : list.entries()) {
+            changes.add(
+                    new ObjectChange(change.text("name"), change.numberOrZero("version"), change.isTrue("deleted")));
         }
-        return new WatchResult.Changed(required(root, "revision").asLong(), changes);
+        return new WatchResult.Changed(list.header().number("revision"), changes);
     }
 
     static VmListResult.Listed vms(String body) throws IOException {
         List<VmRecord> vms = new ArrayList<>();
-        for (JsonNode vm : required(MAPPER.readTree(body), "vms")) {
+        for (JsonFields vm : JsonList.read(body, "vms").entries()) {
             vms.add(new VmRecord(
-                    VmName.of(required(vm, "name").asText()),
-                    AvailabilityZone.of(required(vm, "availability_zone").asText()),
-                    "leaving".equals(required(vm, "state").asText())));
+                    VmName.of(vm.text("name")),
+                    AvailabilityZone.of(vm.text("availability_zone")),
+                    "leaving".equals(vm.text("state"))));
         }
         return new VmListResult.Listed(vms);
     }
-
-    private static JsonNode required(JsonNode node, String field) throws IOException {
-        JsonNode value = node.get(field);
-        if (value == null) {
-            throw new IOException("answer without field " + field);
-        }
-        return value;
-    }
 }
