Break a stream off inside an event whatever type it names

The engines of the soak named text/plain for their streams, so the soak could not have seen the fault. They name the type of events, and end half of their truncated streams inside an event with the last chunk.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamAttempt.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamAttempt.java
@@ -268,10 +268,11 @@
         return code >= 200 && code < 300;
     }
 
-    /** A framed answer that names another type has no events, so only its framing tells where it ends. */
+    /** A framed answer that names another type and has no event is no stream, so only its framing tells its end. */
     private boolean endStream() {
         boolean framed = AnswerHead.isFramed(head);
-        return framed && !mayBeEvents() || exchange.relay().endAttempt(framed);
+        boolean isOther = !mayBeEvents() && exchange.relay().eventsOfAttempt() == 0;
+        return framed && isOther || exchange.relay().endAttempt(framed);
     }
 
     private boolean mayBeEvents() {
