Drop a bound that says nothing from the check of field values

Every byte from 0x80 on is above a blank, and Character.digit knows no digits among the other bytes of Latin-1. Found on reading the diff; no change of behaviour.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/ChunkSize.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/ChunkSize.java
@@ -55,7 +55,7 @@
     }
 
     private static boolean isDigit(int next) {
-        return Character.digit(next, HEXADECIMAL) >= 0 && next < FieldLines.FIRST_OBSOLETE_TEXT;
+        return Character.digit(next, HEXADECIMAL) >= 0;
     }
 
     /** Returns the size that the line names. */
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/FieldLines.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/upstream/FieldLines.java
@@ -12,9 +12,6 @@
 final class FieldLines {
 
     private static final String TOKEN_PUNCTUATION = "!#$%&'*+-.^_`|~";
-    /** Bytes from here on are characters beyond ASCII, which are allowed in values. */
-    static final int FIRST_OBSOLETE_TEXT = 0x80;
-
     private static final int DELETE = 0x7f;
 
     private Position position = Position.LINE_START;
@@ -71,8 +68,8 @@
      * @throws CorruptedFrameException if it is a control character other than a tab
      */
     static void requireText(int next) {
-        boolean text = next == '\t' || next >= ' ' && next != DELETE || next >= FIRST_OBSOLETE_TEXT;
-        if (!text) {
+        boolean isText = next == '\t' || next >= ' ' && next != DELETE;
+        if (!isText) {
             throw new CorruptedFrameException("a control character " + next + " in a head");
         }
     }
