--- a/review/stand-3/stand.py
+++ b/review/stand-3/stand.py
@@ -22,6 +22,9 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 START_S = time.monotonic()
 
+LOOPBACK_ADDRESSES = ("127.0.0.1", "127.0.0.11", "127.0.0.12")
+"""Those of the stand-ins and of the routers."""
+
 HELD = 0
 BROKEN = 1
 COULD_NOT_RUN = 2
@@ -61,15 +64,20 @@
     port = 11000 + (os.getpid() * 37) % 8000
     while len(found) < count:
         port += 1
-        with socket.socket() as probe:
-            try:
-                probe.bind(("0.0.0.0", port))
-                found.append(port)
-            except OSError:
-                continue
+        if all(is_free((address, port)) for address in LOOPBACK_ADDRESSES):
+            found.append(port)
     return found
 
 
+def is_free(address):
+    with socket.socket() as probe:
+        try:
+            probe.bind(address)
+        except OSError:
+            return False
+    return True
+
+
 class Store:
     """The platform's store: objects with revisions, conditional writes, lists and watches."""
 
