review: case 14, keep the crash inside one dose of the site file

Share 0.25 lasts 2.0 s in the site file; the script had engines down for 4.5 s, a time that goes with a smaller share.

--- a/review/14/case.py
+++ b/review/14/case.py
@@ -12,9 +12,9 @@
 
 ENGINES = 13
 CRASHED_ENGINES = 3
-"""A share of 0.25 of the engines, as in the days of the site, rounded down."""
+"""A share of 0.25 of the engines for 2 s, as on the day scale-1 of the site, rounded down."""
 
-DOWN_S = 4.5
+DOWN_S = 2.0
 STABLE_S = 3
 FIRST_EVENT_S = 0.4
 EVENTS = 10
