Call no request "not run" without proof from its upstream

What callers saw: a booking that an engine had run was answered 429 or 408; the client took that for the promise that it had not run, and the second try ran too.

Cause: only answers from 500 on counted as failures of an upstream, and only a 503 was kept from callers. A 408 or 429 without Not-Executed was passed on like any answer. Ruled out: a rejection that the router had misread (no booking reached a second engine), and the client (it may repeat after these statuses). In bin/jayhead the same held for 408, 421 and 429 of services, its own 503 platform_unavailable was sent for calls that had run, and a 408 to a write counted as not written.

Change: NotRunStatus names the four statuses for both routers. Without proof an answer with one of them is a failure: a request that may be repeated goes to another upstream, any other is answered 502. The status of an ErrorCode follows the verdict. Codes and proofs stay as they were.

--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/request/BookingAnswerWriter.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/request/BookingAnswerWriter.java
@@ -83,7 +83,7 @@
     private void refuse(ErrorCode code, Verdict verdict, String message) {
         String path = verdict.isNotRun() ? "" : statusPath;
         String body = ErrorBody.of(code, verdict, message, request.key().value(), path);
-        send(code.httpStatus(), body, code.code(), verdict);
+        send(code.httpStatus(verdict), body, code.code(), verdict);
     }
 
     private synchronized void send(int status, String body, String code, Verdict verdict) {
--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/request/GenerationAnswerWriter.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/request/GenerationAnswerWriter.java
@@ -83,7 +83,7 @@
         ended = true;
         String body = ErrorBody.of(code, verdict, message, requestId);
         if (!started) {
-            send(code.httpStatus(), body);
+            send(code.httpStatus(verdict), body);
             return;
         }
         response.sendEvent("error", body);
--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/request/StatusAnswerWriter.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/request/StatusAnswerWriter.java
@@ -31,7 +31,7 @@
         recordAnswer(code.code(), verdict);
         String body = ErrorBody.of(
                 code, verdict, "the status could not be read", request.key().value());
-        response.send(code.httpStatus(), GenerationAnswerWriter.JSON, body.getBytes(StandardCharsets.UTF_8));
+        response.send(code.httpStatus(verdict), GenerationAnswerWriter.JSON, body.getBytes(StandardCharsets.UTF_8));
     }
 
     private void recordAnswer(String code, Verdict verdict) {
--- a/jayhead-daemon/src/main/java/io/jayhead/daemon/upstream/PlainServiceClient.java
+++ b/jayhead-daemon/src/main/java/io/jayhead/daemon/upstream/PlainServiceClient.java
@@ -1,6 +1,7 @@
 package io.jayhead.daemon.upstream;
 
 import io.jayhead.dispatch.DispatchEvent;
+import io.jayhead.model.NotRunStatus;
 import io.jayhead.platform.BoundedBody;
 import java.io.IOException;
 import java.util.function.Consumer;
@@ -78,10 +79,11 @@
     private static DispatchEvent toEvent(int attemptNumber, Response response) throws IOException {
         String body = BoundedBody.text(response.body(), BoundedBody.MAX_ANSWER_BYTES);
         String code = UpstreamErrors.code(body);
-        boolean didNotRun = UpstreamErrors.isDefiniteRefusal(response.code(), code);
-        if (didNotRun || response.code() >= SERVER_ERROR) {
-            return new DispatchEvent.Refused(attemptNumber, response.code(), code, didNotRun);
+        int status = response.code();
+        boolean didNotRun = UpstreamErrors.isDefiniteRefusal(status, code);
+        if (didNotRun || status >= SERVER_ERROR || NotRunStatus.matches(status)) {
+            return new DispatchEvent.Refused(attemptNumber, status, code, didNotRun);
         }
-        return new DispatchEvent.Answered(attemptNumber, response.code(), body);
+        return new DispatchEvent.Answered(attemptNumber, status, body);
     }
 }
--- a/jayhead-daemon/src/test/java/io/jayhead/daemon/upstream/RawUpstream.java
+++ b/jayhead-daemon/src/test/java/io/jayhead/daemon/upstream/RawUpstream.java
@@ -8,6 +8,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** Answers each request with the same bytes, whatever they are, and then closes or resets the connection. */
 final class RawUpstream implements AutoCloseable {
@@ -18,6 +19,7 @@
     /** How often an endless text is repeated in one write. */
     private static final int REPETITIONS = 10_000;
 
+    private final AtomicInteger requests = new AtomicInteger();
     private final ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
     private volatile byte[] answer = {};
     private volatile boolean early;
@@ -34,6 +36,11 @@
         return "http://127.0.0.1:" + server.getLocalPort();
     }
 
+    /** Returns how many requests have arrived. */
+    int requests() {
+        return requests.get();
+    }
+
     /** Sets the answer to the next requests; each character is one byte. */
     void answer(String text) {
         answer = text.getBytes(StandardCharsets.ISO_8859_1);
@@ -74,6 +81,7 @@
     private void serve(Socket socket) {
         try (socket) {
             int bodyBytes = readHead(socket.getInputStream());
+            requests.incrementAndGet();
             if (early) {
                 socket.getOutputStream().write(answer);
                 Thread.sleep(UPLOAD_MS);
--- /dev/null
+++ b/jayhead-daemon/src/test/java/io/jayhead/daemon/upstream/UnprovenRefusalTest.java
@@ -0,0 +1,78 @@
+package io.jayhead.daemon.upstream;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.jayhead.dispatch.DispatchEvent;
+import io.jayhead.model.AvailabilityZone;
+import io.jayhead.model.IncarnationId;
+import io.jayhead.model.UpstreamName;
+import io.jayhead.model.fleet.UpstreamSpec;
+import io.jayhead.model.fleet.UpstreamType;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Guards against a status that says that a booking has not run, without proof of that from the service: it is passed on
+ * as the answer, or the booking is sent once more.
+ */
+class UnprovenRefusalTest {
+
+    private static final long LIMIT_MS = 5_000;
+
+    private final RawUpstream server = new RawUpstream();
+    private final UpstreamHttpClients http = new UpstreamHttpClients();
+    private final PlainServiceClient client = new PlainServiceClient(http);
+
+    UnprovenRefusalTest() throws IOException {}
+
+    @AfterEach
+    void stop() throws IOException {
+        http.close();
+        server.close();
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {408, 421, 429, 503})
+    void aRefusalThatIsNotDocumentedIsNoAnswerAndProvesNothing(int status) throws Exception {
+        answer(status, "{\"code\":\"busy\"}");
+        assertEquals(new DispatchEvent.Refused(1, status, "busy", false), book());
+        assertEquals(1, server.requests());
+    }
+
+    @Test
+    void aDocumentedRefusalProvesThatTheBookingHasNotRun() throws Exception {
+        answer(503, "{\"code\":\"draining\"}");
+        assertEquals(new DispatchEvent.Refused(1, 503, "draining", true), book());
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {200, 201, 400, 404, 409, 422})
+    void otherAnswersArePassedOnAsTheyAre(int status) throws Exception {
+        answer(status, "{\"code\":\"other\"}");
+        assertEquals(new DispatchEvent.Answered(1, status, "{\"code\":\"other\"}"), book());
+    }
+
+    private void answer(int status, String body) {
+        server.answer("HTTP/1.1 " + status + " Status\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+    }
+
+    private DispatchEvent book() throws Exception {
+        UpstreamSpec upstream = new UpstreamSpec(
+                UpstreamName.of("desk"),
+                UpstreamType.PLAIN_SERVICE,
+                AvailabilityZone.of("zone-1"),
+                server.address(),
+                false,
+                false);
+        AttemptRequest attempt = new AttemptRequest(1, upstream, "r1", IncarnationId.of("vm-1/1"), 5, 0, true);
+        CompletableFuture<DispatchEvent> event = new CompletableFuture<>();
+        client.call(attempt, "POST", "/bookings", "{}".getBytes(StandardCharsets.US_ASCII), event::complete);
+        return event.get(LIMIT_MS, TimeUnit.MILLISECONDS);
+    }
+}
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
@@ -8,10 +8,10 @@
 import io.jayhead.gateway.upstream.UpstreamHandle;
 import io.jayhead.gateway.wire.CallerMetadata;
 import io.jayhead.model.Either;
+import io.jayhead.model.NotRunStatus;
 import io.jayhead.routing.catalog.RouteKind;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.Optional;
 
 /** Handles one request of a caller from its arrival to its settlement; used by the traffic thread. */
@@ -310,17 +310,16 @@
     }
 
     /**
-     * Passes a failure of the upstream on to the caller. A 503 tells callers that the request has not run; without
-     * proof of that from the upstream, the caller is told instead that the outcome is unknown.
+     * Passes a failure of the upstream on to the caller. If its status tells callers that the request has not run, of
+     * which the upstream gave no proof, the caller is told instead that the outcome is unknown.
      */
     private void passFailure(UpstreamAttempt attempt) {
-        HttpResponseStatus status = attempt.head().status();
-        if (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
+        if (NotRunStatus.matches(attempt.statusCode())) {
             refuse(Refusal.OUTCOME_UNKNOWN);
             return;
         }
         passOn(attempt, attempt.body());
-        end("upstream failure " + status.code(), attempt);
+        end("upstream failure " + attempt.statusCode(), attempt);
     }
 
     private void breakOff(String reason) {
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamAttempt.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamAttempt.java
@@ -6,6 +6,7 @@
 import io.jayhead.gateway.upstream.UpstreamConnection;
 import io.jayhead.gateway.upstream.UpstreamHandle;
 import io.jayhead.gateway.wire.AnswerMetadata;
+import io.jayhead.model.NotRunStatus;
 import io.jayhead.routing.placement.ExpectedWork;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -177,7 +178,7 @@
             finish(AttemptOutcome.REJECTED, "rejected with " + head.status().code() + unnamed);
             return;
         }
-        if (head.status().code() >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code()) {
+        if (isFailure(head.status().code())) {
             upstream.reportedFailure();
             finish(AttemptOutcome.FAILED, "failed with " + head.status().code());
             return;
@@ -268,6 +269,11 @@
         return code >= 200 && code < 300;
     }
 
+    /** Tells whether a status is a failure of the upstream, as is one that says without proof that nothing has run. */
+    private static boolean isFailure(int httpStatus) {
+        return httpStatus >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code() || NotRunStatus.matches(httpStatus);
+    }
+
     /** A framed answer that names another type and has no event is no stream, so only its framing tells its end. */
     private boolean endStream() {
         boolean framed = AnswerHead.isFramed(head);
--- a/jayhead-model/src/main/java/io/jayhead/model/ErrorCode.java
+++ b/jayhead-model/src/main/java/io/jayhead/model/ErrorCode.java
@@ -64,6 +64,18 @@
         return httpStatus;
     }
 
+    /**
+     * Returns the HTTP status of an answer with this code to a request that was admitted. A status that says that the
+     * request has not run is replaced by 502 if it may have run.
+     *
+     * @param verdict whether the request ran
+     * @return the status
+     */
+    public int httpStatus(Verdict verdict) {
+        boolean untrue = NotRunStatus.matches(httpStatus) && !verdict.isNotRun();
+        return untrue ? UPSTREAM_FAILED.httpStatus : httpStatus;
+    }
+
     /**
      * Returns the name that callers and operators receive.
      *
--- a/jayhead-platform/src/main/java/io/jayhead/platform/WriteAnswers.java
+++ b/jayhead-platform/src/main/java/io/jayhead/platform/WriteAnswers.java
@@ -4,6 +4,7 @@
 final class WriteAnswers {
 
     private static final int STATUS_NOT_FOUND = 404;
+    private static final int STATUS_REQUEST_TIMEOUT = 408;
     private static final int STATUS_CONDITION_FAILED = 412;
     private static final int STATUS_TOO_MANY = 429;
     private static final int STATUS_SERVER_ERROR = 500;
@@ -40,6 +41,7 @@
         return switch (answer.status()) {
             case STATUS_CONDITION_FAILED, STATUS_NOT_FOUND -> new WriteResult.Conflict();
             case STATUS_TOO_MANY, STATUS_UNAVAILABLE -> new WriteResult.NotWritten(reason, true, answer.retryAfterMs());
+            case STATUS_REQUEST_TIMEOUT -> new WriteResult.Unknown(reason);
             default ->
                 // A 500, 502 or 504 of an intermediary does not say whether the write reached the platform.
                 answer.status() >= STATUS_SERVER_ERROR
--- a/jayhead-platform/src/test/java/io/jayhead/platform/HttpObjectStoreTest.java
+++ b/jayhead-platform/src/test/java/io/jayhead/platform/HttpObjectStoreTest.java
@@ -70,6 +70,7 @@
                 fault("outage", status(503), new WriteResult.NotWritten("status 503", true, 0), true),
                 fault("too large", status(413), new WriteResult.NotWritten("status 413", false, 0), false),
                 fault("no condition", status(428), new WriteResult.NotWritten("status 428", false, 0), false),
+                fault("request timeout", status(408), new WriteResult.Unknown("status 408"), false),
                 fault("gateway error", status(502), new WriteResult.Unknown("status 502"), true),
                 fault("no version", status(200), new WriteResult.Unknown("status 200 without a version"), false),
                 fault("timeout", status(200).setSocketPolicy(SocketPolicy.NO_RESPONSE), null, true),
