Keep OkHttp from sending a request again after 503 with Retry-After: 0

What callers of bin/jayhead would see: a booking that its service answers 503 with Retry-After: 0 is sent a second time by the HTTP client itself, below the retry rules, and may run twice. A write to the platform is repeated too.

Cause: OkHttp follows such a 503 once, also with retryOnConnectionFailure(false) and followRedirects(false). Ruled out by the same test: 408 and 421, which it does not follow with these settings.

Change: AnswerGuard, through which all answers of both clients pass, hides the header if it names zero seconds; nothing else reads that value.

Measured: UnprovenRefusalTest.aRefusalThatAllowsAnImmediateRetryIsNot- FollowedByOne 2 of 2 and HttpObjectStoreTest "outage with an immediate retry" failed before (a second request arrived), all pass now, with OddAnswerTest.

--- a/jayhead-daemon/src/test/java/io/jayhead/daemon/upstream/UnprovenRefusalTest.java
+++ b/jayhead-daemon/src/test/java/io/jayhead/daemon/upstream/UnprovenRefusalTest.java
@@ -45,6 +45,15 @@
         assertEquals(1, server.requests());
     }
 
+    /** The HTTP client by itself sends a request again that was answered 503 with this header, a booking too. */
+    @ParameterizedTest
+    @ValueSource(strings = {"0", "00"})
+    void aRefusalThatAllowsAnImmediateRetryIsNotFollowedByOne(String retryAfter) throws Exception {
+        server.answer("HTTP/1.1 503 Busy\r\nRetry-After: " + retryAfter + "\r\nContent-Length: 0\r\n\r\n");
+        assertEquals(new DispatchEvent.Refused(1, 503, "", false), book());
+        assertEquals(1, server.requests());
+    }
+
     @Test
     void aDocumentedRefusalProvesThatTheBookingHasNotRun() throws Exception {
         answer(503, "{\"code\":\"draining\"}");
--- a/jayhead-platform/src/main/java/io/jayhead/platform/AnswerGuard.java
+++ b/jayhead-platform/src/main/java/io/jayhead/platform/AnswerGuard.java
@@ -12,12 +12,16 @@
  * range, a line that is no header, and an answer without a length on a connection that ended while its request was
  * written. Such a call fails as one without an answer does, and its connection is closed.
  *
+ * <p>It also hides a Retry-After of zero seconds. The client by itself sends a request again that is answered 503 with
+ * it, although the first one may have run.
+ *
  * <p>It is a network interceptor, so that it sees the answer as it was received.
  */
 public final class AnswerGuard implements Interceptor {
 
     private static final int FIRST_STATUS = 100;
     private static final int LAST_STATUS = 599;
+    private static final String RETRY_AFTER = "Retry-After";
     private static final String TOKEN_PUNCTUATION = "!#$%&'*+-.^_`|~";
     private static final char DELETE = '\u007f';
 
@@ -35,7 +39,14 @@
             answer.close();
             throw new ProtocolException(fault);
         }
-        return answer;
+        return allowsImmediateRetry(answer)
+                ? answer.newBuilder().removeHeader(RETRY_AFTER).build()
+                : answer;
+    }
+
+    private static boolean allowsImmediateRetry(Response answer) {
+        String seconds = answer.header(RETRY_AFTER, "");
+        return !seconds.isEmpty() && seconds.chars().allMatch(digit -> digit == '0');
     }
 
     private static String fault(Response answer, TrackedBody body) {
--- a/jayhead-platform/src/test/java/io/jayhead/platform/HttpObjectStoreTest.java
+++ b/jayhead-platform/src/test/java/io/jayhead/platform/HttpObjectStoreTest.java
@@ -68,6 +68,11 @@
                         new WriteResult.NotWritten("status 429", true, 2_000),
                         true),
                 fault("outage", status(503), new WriteResult.NotWritten("status 503", true, 0), true),
+                fault(
+                        "outage with an immediate retry",
+                        status(503).setHeader("Retry-After", "0"),
+                        new WriteResult.NotWritten("status 503", true, 0),
+                        true),
                 fault("too large", status(413), new WriteResult.NotWritten("status 413", false, 0), false),
                 fault("no condition", status(428), new WriteResult.NotWritten("status 428", false, 0), false),
                 fault("request timeout", status(408), new WriteResult.Unknown("status 408"), false),
