Try a blocked prompt part again, so that a crash of engines blocks no route

What callers saw: after three engines had crashed at one moment and come back, a route with little traffic was refused with 503 for ten minutes, while the first route was served.

Cause: a part under which three upstreams end is blocked, only an answer under it takes the record back, and nothing under it is sent. Ruled out: engines that are not used again (the first route was served by them) and the configuration (the route was served before); the log has PROMPT_BLOCKED for each refusal.

Change: up to two requests in the whole fleet are sent under a block, each written to the record of the part under its revision before it is sent. An answer removes the record as before. The first one is due 2 s after the last end if the upstreams ended within 500 ms, else after 30 s, the second 60 s after the first. Trials and times are merged when records are. A trial is never repeated. Retry-After names the next trial. A record that is read again unchanged keeps its time. PromptPass takes the matter out of Exchange.

The whole suite was not run on this commit.

--- a/jayhead-admission/src/main/java/io/jayhead/admission/quarantine/PromptQuarantine.java
+++ b/jayhead-admission/src/main/java/io/jayhead/admission/quarantine/PromptQuarantine.java
@@ -4,8 +4,10 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 /**
@@ -14,6 +16,11 @@
  * <p>An upstream that ends fails all requests that it was about to answer, so most recorded parts are sound. The
  * blocked parts are a greedy cover of the ends (Chvatal 1979): the part under which most upstreams ended is blocked
  * first, and these upstreams no longer count against other parts.
+ *
+ * <p>Upstreams that end at one moment for another reason may have nothing in flight but requests with one part, which
+ * is then blocked though it is sound. Only an answer shows that, so a few requests with a blocked part are tried: the
+ * first one soon if the upstreams ended together, and much later if they ended one after the other, as they do under a
+ * part that ends them.
  */
 public final class PromptQuarantine {
 
@@ -22,6 +29,15 @@
     /** A part is forgotten after this time without another end under it. */
     public static final long KEEP_MS = 600_000;
 
+    /** So many requests are tried in all under one block; a part that ends upstreams ends no more of them. */
+    public static final int MAX_TRIALS = 2;
+    /** The time without a change after which a part is tried under which upstreams ended at one moment. */
+    public static final long TRIAL_AFTER_MOMENT_MS = 2_000;
+    /** The time without a change after which a part is tried under which upstreams ended one after the other. */
+    public static final long TRIAL_AFTER_SERIES_MS = 30_000;
+    /** The time without a change after which a part is tried once more. */
+    public static final long NEXT_TRIAL_MS = 60_000;
+
     private static final PromptQuarantine EMPTY = new PromptQuarantine(Map.of());
 
     private final Map<String, Entry> entries;
@@ -42,13 +58,17 @@
     }
 
     /**
-     * Adds or replaces the record of a part.
+     * Adds or replaces the record of a part; one that is the same as before keeps the time of its last change.
      *
      * @param crashes the upstreams that ended under the part
      * @param nowMs the current time
      * @return the new quarantine
      */
     public PromptQuarantine with(PartCrashes crashes, long nowMs) {
+        Entry known = entries.get(crashes.part());
+        if (known != null && known.crashes().equals(crashes)) {
+            return this;
+        }
         Map<String, Entry> next = new HashMap<>(entries);
         next.put(crashes.part(), new Entry(crashes, nowMs));
         return new PromptQuarantine(next);
@@ -69,6 +89,18 @@
         return new PromptQuarantine(next);
     }
 
+    /**
+     * Removes the records of all parts but some.
+     *
+     * @param parts the parts whose records are kept
+     * @return the new quarantine
+     */
+    public PromptQuarantine retaining(Collection<String> parts) {
+        Map<String, Entry> next = new HashMap<>(entries);
+        next.keySet().retainAll(parts);
+        return next.size() == entries.size() ? this : new PromptQuarantine(next);
+    }
+
     /**
      * Removes the records that have not changed for {@link #KEEP_MS}.
      *
@@ -101,6 +133,39 @@
         return !blocked.isEmpty() && parts.stream().anyMatch(blocked::contains);
     }
 
+    /**
+     * Finds the part that alone keeps a prompt from being sent, so that a request with it may be tried.
+     *
+     * @param parts the parts of the prompt that other prompts may share
+     * @return the part; empty if none of them is blocked, or several are
+     */
+    public Optional<String> onlyBlocked(Collection<String> parts) {
+        List<String> found = parts.stream().filter(blocked::contains).distinct().toList();
+        return found.size() == 1 ? Optional.of(found.get(0)) : Optional.empty();
+    }
+
+    /**
+     * Returns when the next request with a blocked part may be tried.
+     *
+     * @param part the part
+     * @param nowMs the current time
+     * @return the milliseconds until then, 0 from then on; empty if the part is not blocked or no trial is left
+     */
+    public OptionalLong nextTrialInMs(String part, long nowMs) {
+        if (!blocked.contains(part) || entries.get(part).crashes().trials().size() >= MAX_TRIALS) {
+            return OptionalLong.empty();
+        }
+        Entry entry = entries.get(part);
+        return OptionalLong.of(Math.max(0, entry.changedAtMs() + trialAfterMs(entry.crashes()) - nowMs));
+    }
+
+    private static long trialAfterMs(PartCrashes crashes) {
+        if (!crashes.trials().isEmpty()) {
+            return NEXT_TRIAL_MS;
+        }
+        return crashes.times().areOneMoment() ? TRIAL_AFTER_MOMENT_MS : TRIAL_AFTER_SERIES_MS;
+    }
+
     /**
      * Returns all recorded parts.
      *
--- a/jayhead-admission/src/test/java/io/jayhead/admission/quarantine/PromptQuarantineTest.java
+++ b/jayhead-admission/src/test/java/io/jayhead/admission/quarantine/PromptQuarantineTest.java
@@ -6,6 +6,8 @@
 
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
@@ -93,6 +95,75 @@
         assertTrue(crashes.upstreams().contains("first"));
     }
 
+    @Test
+    void aPartIsTriedSoonOnlyIfItsUpstreamsEndedAtOneMoment() {
+        assertEquals(
+                OptionalLong.of(PromptQuarantine.TRIAL_AFTER_MOMENT_MS),
+                quarantine(ended(1_000, 1_400)).nextTrialInMs("part", 0));
+        assertEquals(
+                OptionalLong.of(PromptQuarantine.TRIAL_AFTER_SERIES_MS),
+                quarantine(ended(1_000, 1_600)).nextTrialInMs("part", 0));
+        assertEquals(
+                OptionalLong.of(PromptQuarantine.TRIAL_AFTER_SERIES_MS),
+                quarantine(new PartCrashes("part", 0, Set.of("e1", "e2", "e3"))).nextTrialInMs("part", 0));
+    }
+
+    @Test
+    void aTrialIsDueFromItsTimeOn() {
+        PromptQuarantine quarantine = quarantine(ended(1_000, 1_400));
+        assertEquals(OptionalLong.of(1), quarantine.nextTrialInMs("part", PromptQuarantine.TRIAL_AFTER_MOMENT_MS - 1));
+        assertEquals(OptionalLong.of(0), quarantine.nextTrialInMs("part", PromptQuarantine.TRIAL_AFTER_MOMENT_MS));
+        assertEquals(OptionalLong.of(0), quarantine.nextTrialInMs("part", PromptQuarantine.KEEP_MS));
+    }
+
+    @Test
+    void aFailedTrialDelaysTheNextOneAndTheLastOneEndsThem() {
+        PartCrashes once = ended(1_000, 1_400).withTrial("t1");
+        PromptQuarantine quarantine = quarantine(once);
+        assertEquals(OptionalLong.of(PromptQuarantine.NEXT_TRIAL_MS), quarantine.nextTrialInMs("part", 0));
+        PromptQuarantine twice = quarantine.with(once.withTrial("t2"), 0);
+        assertEquals(OptionalLong.empty(), twice.nextTrialInMs("part", PromptQuarantine.KEEP_MS));
+        assertTrue(twice.blocks(List.of("part")));
+    }
+
+    @Test
+    void aRecordThatIsReadAgainDelaysNoTrial() {
+        PromptQuarantine quarantine = quarantine(ended(1_000, 1_400));
+        PromptQuarantine readAgain = quarantine.retaining(Set.of("part")).with(ended(1_000, 1_400), 1_500);
+        assertEquals(OptionalLong.of(500), readAgain.nextTrialInMs("part", 1_500));
+        assertEquals(Set.of(), quarantine.retaining(Set.of()).parts());
+    }
+
+    @Test
+    void onlyARequestWithASingleBlockedPartIsTried() {
+        PromptQuarantine quarantine = quarantine(
+                new PartCrashes("bad", 1, Set.of("e1", "e2", "e3")),
+                new PartCrashes("worse", 1, Set.of("e4", "e5", "e6")),
+                new PartCrashes("sound", 0, Set.of("e1")));
+        assertEquals(Optional.of("bad"), quarantine.onlyBlocked(List.of("sound", "bad")));
+        assertEquals(Optional.empty(), quarantine.onlyBlocked(List.of("worse", "bad")));
+        assertEquals(Optional.empty(), quarantine.onlyBlocked(List.of("sound")));
+        assertEquals(OptionalLong.empty(), quarantine.nextTrialInMs("sound", PromptQuarantine.KEEP_MS));
+        assertEquals(OptionalLong.empty(), quarantine.nextTrialInMs("unknown", 0));
+    }
+
+    @Test
+    void mergedRecordsHaveTheTrialsAndTimesOfBoth() {
+        PartCrashes left = new PartCrashes("part", 0, Set.of("e1"), new EndTimes(10, 20), Set.of("t1"));
+        PartCrashes right = new PartCrashes("part", 0, Set.of("e2"), new EndTimes(5, 15), Set.of("t2"));
+        PartCrashes merged = left.merge(right);
+        assertEquals(new EndTimes(5, 20), merged.times());
+        assertEquals(Set.of("t1", "t2"), merged.trials());
+        assertEquals(merged, right.merge(left));
+        PartCrashes unknown = new PartCrashes("part", 0, Set.of("e3"));
+        assertEquals(EndTimes.unknown(), merged.merge(unknown).times());
+    }
+
+    /** Three upstreams that ended between two times. */
+    private static PartCrashes ended(long firstMs, long lastMs) {
+        return new PartCrashes("part", 0, Set.of("e1", "e2", "e3"), new EndTimes(firstMs, lastMs), Set.of());
+    }
+
     private static PromptQuarantine record(PromptQuarantine quarantine, PartCrashes crashes) {
         return quarantine.with(
                 quarantine
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlPlane.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/ControlPlane.java
@@ -11,6 +11,7 @@
 import io.jayhead.gateway.log.StructuredLog;
 import io.jayhead.gateway.metrics.GatewayMetrics;
 import io.jayhead.gateway.quarantine.CrashListener;
+import io.jayhead.gateway.quarantine.PromptTrial;
 import io.jayhead.peer.PeerClient;
 import io.jayhead.peer.pb.Frame;
 import io.jayhead.peer.pb.ReplicateEntries;
@@ -24,10 +25,12 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /**
  * Follows the platform, publishes routing snapshots and updates the ledger of prepaid tokens. Its state is confined to
@@ -327,6 +330,11 @@
         loop.execute(() -> quarantine.answered(part));
     }
 
+    @Override
+    public void requestTrial(String part, Consumer<Optional<PromptTrial>> decided) {
+        loop.execute(() -> quarantine.requestTrial(part, decided));
+    }
+
     private void expireEntries() {
         boolean firstRouter =
                 snapshot.routers().stream().noneMatch(router -> router.vmName().compareTo(self.vmName()) < 0);
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/PlatformClient.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/PlatformClient.java
@@ -168,6 +168,15 @@
      */
     CompletionStage<StoredCrashes> recordCrashes(PartCrashes crashes);
 
+    /**
+     * Replaces the record of a part of prompts if it has not changed.
+     *
+     * @param crashes the new content
+     * @param revision the revision that the record must have
+     * @return the stored record, whether or not it was replaced
+     */
+    CompletionStage<StoredCrashes> replaceCrashes(PartCrashes crashes, long revision);
+
     /**
      * Removes the record of a part of prompts if it has not changed.
      *
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/control/QuarantineUpdater.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/control/QuarantineUpdater.java
@@ -4,6 +4,7 @@
 import io.jayhead.admission.quarantine.PromptQuarantine;
 import io.jayhead.gateway.log.LogKind;
 import io.jayhead.gateway.log.StructuredLog;
+import io.jayhead.gateway.quarantine.PromptTrial;
 import io.netty.channel.EventLoop;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -13,6 +14,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -25,6 +27,8 @@
  */
 final class QuarantineUpdater {
 
+    private static final String RECORD_TRIAL = "record trial";
+
     private final PlatformClient platform;
     private final PlatformHealth health;
     private final EventLoop loop;
@@ -36,6 +40,7 @@
     private final Map<String, PartCrashes> unrecorded = new LinkedHashMap<>();
 
     private final Set<String> removalsInFlight = new HashSet<>();
+    private final Set<String> trialsInFlight = new HashSet<>();
     private boolean recordInFlight;
     private PromptQuarantine quarantine = PromptQuarantine.empty();
 
@@ -73,6 +78,40 @@
         remove(part);
     }
 
+    /**
+     * Decides whether one request with a blocked part may be sent, and records it first. The revision lets only one
+     * router take a trial; a call without an answer may have taken it, so that nobody has it.
+     */
+    void requestTrial(String part, Consumer<Optional<PromptTrial>> decided) {
+        if (!isTrialDue(part) || !trialsInFlight.add(part)) {
+            decided.accept(Optional.empty());
+            return;
+        }
+        PromptTrial trial = new PromptTrial(
+                part, Long.toHexString(ThreadLocalRandom.current().nextLong()));
+        PartCrashes tried = quarantine.find(part).orElseThrow().withTrial(trial.id());
+        platform.replaceCrashes(tried, revisions.get(part)).whenComplete((stored, failure) -> {
+            trialsInFlight.remove(part);
+            if (failure != null) {
+                health.failed(RECORD_TRIAL, failure);
+                decided.accept(Optional.empty());
+                return;
+            }
+            health.succeeded(RECORD_TRIAL);
+            publish(stored(quarantine, stored));
+            boolean taken = stored.crashes().trials().contains(trial.id());
+            log.write(LogKind.STATE, "prompt part tried", "part", part, "taken", taken);
+            decided.accept(taken ? Optional.of(trial) : Optional.empty());
+        });
+    }
+
+    private boolean isTrialDue(String part) {
+        boolean recorded = revisions.containsKey(part) && !unrecorded.containsKey(part);
+        return recorded
+                && !health.isUnavailable()
+                && quarantine.nextTrialInMs(part, nowMs()).orElse(1) == 0;
+    }
+
     /** Removes records that have not changed for a long time; one router also removes them from the platform. */
     void expire(boolean removesForAll) {
         PromptQuarantine next = quarantine.expired(nowMs());
@@ -97,7 +136,10 @@
 
     /** Takes over all records of the platform. */
     void listed(CrashListing listing) {
-        PromptQuarantine next = PromptQuarantine.empty();
+        List<String> parts = listing.records().stream()
+                .map(stored -> stored.crashes().part())
+                .toList();
+        PromptQuarantine next = quarantine.retaining(parts);
         revisions.clear();
         for (StoredCrashes stored : listing.records()) {
             revisions.put(stored.crashes().part(), stored.revision());
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
@@ -5,7 +5,6 @@
 import io.jayhead.gateway.budget.ReservationResult;
 import io.jayhead.gateway.control.RoutingSnapshot;
 import io.jayhead.gateway.upstream.UpstreamConnection;
-import io.jayhead.gateway.upstream.UpstreamHandle;
 import io.jayhead.gateway.wire.CallerMetadata;
 import io.jayhead.model.Either;
 import io.jayhead.model.NotRunStatus;
@@ -29,6 +28,7 @@
     private final SilenceWatch silence;
     private final UnreadStream unread = new UnreadStream();
     private final AttemptCount attempts = new AttemptCount();
+    private final PromptPass prompt;
     private AdmittedRequest admitted;
     private ForwardedRequest forwarded;
     private UpstreamSelector selector;
@@ -54,6 +54,7 @@
         this.request = request;
         this.body = new RequestBody(request);
         this.metadata = context.dialect().readCaller(request.headers());
+        this.prompt = new PromptPass(context.promptGuard(), context.snapshot(), metadata);
         this.answers = new AnswerWriter(context, caller);
         this.relay = new StreamRelay(caller);
         this.silence = new SilenceWatch(context.loop(), this::silenceLimitMs, this::silent);
@@ -75,10 +76,15 @@
             return;
         }
         admitted = decision.get();
+        prompt.enter(this::promptAllowed, () -> refuse(Refusal.PROMPT_BLOCKED));
+    }
+
+    private void promptAllowed() {
         context.retries().recordRequest(admitted.service().name());
         forwarded = new ForwardedRequest(context.dialect(), request, admitted);
-        selector = new UpstreamSelector(context, admitted, forwarded);
-        deadline = new ExchangeDeadline(context.loop(), startNs, admitted.limitMs(), this::deadlinePassed);
+        selector = new UpstreamSelector(context, admitted, forwarded, prompt);
+        Runnable onDeadline = () -> giveUp("time limit", Refusal.TIMED_OUT, Refusal.NO_UPSTREAM);
+        deadline = new ExchangeDeadline(context.loop(), startNs, admitted.limitMs(), onDeadline);
         reservation = new TokenReservation(context.budgets(), admitted);
         reservation.reserve(this::reserved);
     }
@@ -119,6 +125,7 @@
         Optional<String> resumeAfter = relay.events() > 0 ? Optional.of(relay.lastId()) : Optional.empty();
         FullHttpRequest message = forwarded.build(attempt.upstream().upstream().id(), deadline.leftMs(), resumeAfter);
         attempts.sent();
+        prompt.sent();
         relay.restart();
         unread.restart();
         connection.send(message, metadata.requestId(), attempt);
@@ -172,12 +179,8 @@
         pass.answered(answerMs);
     }
 
-    void promptAnswered() {
-        context.promptGuard().answered(metadata.sharedParts());
-    }
-
-    void closedBeforeAnswer(UpstreamHandle upstream) {
-        context.promptGuard().closedBeforeAnswer(metadata.requestId(), metadata.sharedParts(), upstream);
+    PromptPass prompt() {
+        return prompt;
     }
 
     AnswerBody newBody() {
@@ -328,14 +331,10 @@
     }
 
     private void refuse(Refusal refusal) {
-        answers.refuse(refusal, RefusalDelay.retryAfterMs(refusal, context, admitted, pass));
+        answers.refuse(refusal, RefusalDelay.retryAfterMs(refusal, context, admitted, prompt, pass));
         end(refusal.name(), currentAttempt);
     }
 
-    private void deadlinePassed() {
-        giveUp("time limit", Refusal.TIMED_OUT, Refusal.NO_UPSTREAM);
-    }
-
     /** Ends the request because the router stops, with a final answer unless its stream has begun. */
     public void stop() {
         giveUp("planned stop", Refusal.OUTCOME_UNKNOWN, Refusal.STOPPING);
@@ -382,6 +381,7 @@
 
     private void end(String outcome, UpstreamAttempt lastAttempt) {
         ended = true;
+        prompt.end();
         context.drain().closed();
         if (deadline != null) {
             deadline.cancel();
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/RequestAdmission.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/RequestAdmission.java
@@ -52,9 +52,6 @@
         if (metadata.requestId().isEmpty() || metadata.malformedSize()) {
             return Either.left(Refusal.MALFORMED);
         }
-        if (snapshot.quarantine().blocks(metadata.sharedPartIds())) {
-            return Either.left(Refusal.PROMPT_BLOCKED);
-        }
         String service = route.serviceFor(metadata.requestId().hashCode());
         AdmittedRequest admitted =
                 new AdmittedRequest(metadata, route, catalog.service(service), organisation, catalog.ranks());
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamAttempt.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamAttempt.java
@@ -215,7 +215,7 @@
             upstream.answerBroken();
         }
         if (!promptAnswered) {
-            exchange.closedBeforeAnswer(upstream);
+            exchange.prompt().closedBeforeAnswer(upstream);
         }
         finish(AttemptOutcome.UNKNOWN, reason);
     }
@@ -293,7 +293,7 @@
     private void promptAnswered() {
         if (!promptAnswered) {
             promptAnswered = true;
-            exchange.promptAnswered();
+            exchange.prompt().answered();
         }
     }
 
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamSelector.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/UpstreamSelector.java
@@ -17,18 +17,20 @@
     private final GatewayContext context;
     private final AdmittedRequest admitted;
     private final ForwardedRequest forwarded;
+    private final PromptPass prompt;
     private final Set<String> triedIncarnations = new HashSet<>();
 
-    UpstreamSelector(GatewayContext context, AdmittedRequest admitted, ForwardedRequest forwarded) {
+    UpstreamSelector(GatewayContext context, AdmittedRequest admitted, ForwardedRequest forwarded, PromptPass prompt) {
         this.context = context;
         this.admitted = admitted;
         this.forwarded = forwarded;
+        this.prompt = prompt;
     }
 
     /** Selects an upstream that has not been tried for this request, or returns why there is none. */
     Either<Refusal, SelectedUpstream> select() {
         RoutingSnapshot snapshot = context.snapshot().get();
-        if (snapshot.quarantine().blocks(admitted.metadata().sharedPartIds())) {
+        if (!prompt.maySend()) {
             return Either.left(Refusal.PROMPT_BLOCKED);
         }
         String service = admitted.service().name();
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/quarantine/PartHistory.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/quarantine/PartHistory.java
@@ -1,5 +1,6 @@
 package io.jayhead.gateway.quarantine;
 
+import io.jayhead.admission.quarantine.EndTimes;
 import io.jayhead.admission.quarantine.PartCrashes;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -34,11 +35,12 @@
      * @param part the part
      * @param depth the number of parts before it
      * @param incarnation the upstream
+     * @param atMs the time of day in milliseconds since 1970
      * @return what is to be reported; empty if the part is probably sound
      */
-    Optional<PartCrashes> crashed(String part, int depth, String incarnation) {
+    Optional<PartCrashes> crashed(String part, int depth, String incarnation, long atMs) {
         Entry known = entries.get(part);
-        PartCrashes end = new PartCrashes(part, depth, Set.of(incarnation));
+        PartCrashes end = new PartCrashes(part, depth, Set.of(incarnation), EndTimes.of(atMs), Set.of());
         boolean answered = known != null && known.answered();
         PartCrashes ends = known == null
                 ? end
--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/quarantine/PromptGuard.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/quarantine/PromptGuard.java
@@ -1,6 +1,7 @@
 package io.jayhead.gateway.quarantine;
 
 import io.jayhead.admission.quarantine.PartCrashes;
+import io.jayhead.admission.quarantine.PromptQuarantine;
 import io.jayhead.gateway.control.RoutingSnapshot;
 import io.jayhead.gateway.log.LogKind;
 import io.jayhead.gateway.log.StructuredLog;
@@ -8,10 +9,14 @@
 import io.jayhead.gateway.wire.PromptPart;
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 /**
@@ -32,6 +37,8 @@
     private final CrashListener listener;
     private final StructuredLog log;
     private final PartHistory history = new PartHistory();
+    /** Trials by part whose request ended before it was sent. */
+    private final Map<String, PromptTrial> unusedTrials = new HashMap<>();
 
     /**
      * Creates a guard that has seen nothing.
@@ -87,14 +94,77 @@
         }
     }
 
+    /**
+     * Asks whether a request may be sent as a trial although a part of its prompt is blocked.
+     *
+     * @param sharedParts the identities of the parts of its prompt that other prompts may share
+     * @param decided receives the trial, or empty if the request must not be sent; possibly before this method returns
+     */
+    public void requestTrial(List<String> sharedParts, Consumer<Optional<PromptTrial>> decided) {
+        PromptQuarantine quarantine = snapshot.get().quarantine();
+        Optional<String> part = quarantine.onlyBlocked(sharedParts);
+        if (part.isEmpty()) {
+            decided.accept(Optional.empty());
+            return;
+        }
+        PromptTrial unused = unusedTrials.remove(part.get());
+        if (unused != null && isOnRecord(unused, quarantine)) {
+            decided.accept(Optional.of(unused));
+        } else if (isDue(part.get(), quarantine)) {
+            listener.requestTrial(part.get(), trial -> loop.execute(() -> decided.accept(trial)));
+        } else {
+            decided.accept(Optional.empty());
+        }
+    }
+
+    /**
+     * Takes a trial back whose request was not sent.
+     *
+     * @param trial the trial
+     */
+    public void unused(PromptTrial trial) {
+        unusedTrials.put(trial.part(), trial);
+    }
+
+    /**
+     * Returns when a request with a blocked part may come again.
+     *
+     * @param sharedParts the identities of the parts of its prompt that other prompts may share
+     * @return the milliseconds until a trial is due; empty if none will be
+     */
+    public OptionalLong nextTrialInMs(List<String> sharedParts) {
+        PromptQuarantine quarantine = snapshot.get().quarantine();
+        return quarantine
+                .onlyBlocked(sharedParts)
+                .map(part -> quarantine.nextTrialInMs(part, nowMs()))
+                .orElse(OptionalLong.empty());
+    }
+
+    /** Tells whether a trial belongs to the present record of its part, and not to one that was removed. */
+    private static boolean isOnRecord(PromptTrial trial, PromptQuarantine quarantine) {
+        return quarantine
+                .find(trial.part())
+                .filter(crashes -> crashes.trials().contains(trial.id()))
+                .isPresent();
+    }
+
+    private static boolean isDue(String part, PromptQuarantine quarantine) {
+        return quarantine.nextTrialInMs(part, nowMs()).orElse(1) == 0;
+    }
+
+    private static long nowMs() {
+        return System.nanoTime() / 1_000_000;
+    }
+
     private void ended(String requestId, List<PromptPart> sharedParts, String incarnation) {
         List<PartCrashes> reports = new ArrayList<>();
+        long atMs = System.currentTimeMillis();
         for (int depth = 0; depth < sharedParts.size(); depth++) {
             String part = sharedParts.get(depth).id();
             if (part.isEmpty() || part.length() > MAX_NAME_LENGTH) {
                 continue;
             }
-            Optional<PartCrashes> report = history.crashed(part, depth, incarnation);
+            Optional<PartCrashes> report = history.crashed(part, depth, incarnation, atMs);
             report.ifPresent(reports::add);
         }
         log.write(
--- a/jayhead-gateway/src/test/java/io/jayhead/gateway/quarantine/PartHistoryTest.java
+++ b/jayhead-gateway/src/test/java/io/jayhead/gateway/quarantine/PartHistoryTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import io.jayhead.admission.quarantine.EndTimes;
 import io.jayhead.admission.quarantine.PartCrashes;
 import java.util.Optional;
 import java.util.Set;
@@ -14,28 +15,32 @@
 
     @Test
     void theFirstEndUnderAPartThatWasNeverAnsweredIsReported() {
-        assertEquals(Optional.of(new PartCrashes("p", 1, Set.of("e1"))), history.crashed("p", 1, "e1"));
+        assertEquals(
+                Optional.of(new PartCrashes("p", 1, Set.of("e1"), new EndTimes(7, 7), Set.of())),
+                history.crashed("p", 1, "e1", 7));
     }
 
     @Test
     void twoEndsSinceTheLastAnswerAreReportedTogether() {
         history.answered("p");
-        assertEquals(Optional.empty(), history.crashed("p", 0, "e1"));
-        assertEquals(Optional.of(new PartCrashes("p", 0, Set.of("e1", "e2"))), history.crashed("p", 0, "e2"));
+        assertEquals(Optional.empty(), history.crashed("p", 0, "e1", 7));
+        assertEquals(
+                Optional.of(new PartCrashes("p", 0, Set.of("e1", "e2"), new EndTimes(7, 9), Set.of())),
+                history.crashed("p", 0, "e2", 9));
     }
 
     @Test
     void severalRequestsAtOneEndedUpstreamCountOnce() {
         history.answered("p");
-        history.crashed("p", 0, "e1");
-        assertEquals(Optional.empty(), history.crashed("p", 0, "e1"));
+        history.crashed("p", 0, "e1", 7);
+        assertEquals(Optional.empty(), history.crashed("p", 0, "e1", 7));
     }
 
     @Test
     void anAnswerClearsTheEndsBeforeIt() {
         history.answered("p");
-        history.crashed("p", 0, "e1");
+        history.crashed("p", 0, "e1", 7);
         history.answered("p");
-        assertEquals(Optional.empty(), history.crashed("p", 0, "e2"));
+        assertEquals(Optional.empty(), history.crashed("p", 0, "e2", 9));
     }
 }
