--- a/jayhead-daemon/src/test/java/io/jayhead/daemon/upstream/BoundedAnswersTest.java
+++ b/jayhead-daemon/src/test/java/io/jayhead/daemon/upstream/BoundedAnswersTest.java
@@ -4,11 +4,7 @@
 
 import io.jayhead.daemon.control.HybridClock;
 import io.jayhead.dispatch.DispatchEvent;
-import io.jayhead.model.AvailabilityZone;
-import io.jayhead.model.IncarnationId;
-import io.jayhead.model.UpstreamName;
 import io.jayhead.model.fleet.UpstreamSpec;
-import io.jayhead.model.fleet.UpstreamType;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.BlockingQueue;
@@ -27,15 +23,8 @@
 
     private final RawUpstream server = new RawUpstream();
     private final UpstreamHttpClients http = new UpstreamHttpClients();
-    private final UpstreamSpec upstream = new UpstreamSpec(
-            UpstreamName.of("desk"),
-            UpstreamType.PLAIN_SERVICE,
-            AvailabilityZone.of("zone-1"),
-            server.address(),
-            false,
-            false);
-    private final AttemptRequest attempt =
-            new AttemptRequest(1, upstream, "r1", IncarnationId.of("vm-1/1"), 5, 0, true);
+    private final UpstreamSpec upstream = TestAttempts.service(server.address());
+    private final AttemptRequest attempt = TestAttempts.first(upstream);
 
     BoundedAnswersTest() throws IOException {}
 
--- a/jayhead-daemon/src/test/java/io/jayhead/daemon/upstream/RepeatedAnswerTest.java
+++ b/jayhead-daemon/src/test/java/io/jayhead/daemon/upstream/RepeatedAnswerTest.java
@@ -4,11 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.jayhead.dispatch.DispatchEvent;
-import io.jayhead.model.AvailabilityZone;
-import io.jayhead.model.IncarnationId;
-import io.jayhead.model.UpstreamName;
 import io.jayhead.model.fleet.UpstreamSpec;
-import io.jayhead.model.fleet.UpstreamType;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -39,13 +35,7 @@
     private final ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
     private final UpstreamHttpClients http = new UpstreamHttpClients();
     private final PlainServiceClient client = new PlainServiceClient(http);
-    private final UpstreamSpec upstream = new UpstreamSpec(
-            UpstreamName.of("desk"),
-            UpstreamType.PLAIN_SERVICE,
-            AvailabilityZone.of("zone-1"),
-            "http://127.0.0.1:" + server.getLocalPort(),
-            false,
-            false);
+    private final UpstreamSpec upstream = TestAttempts.service("http://127.0.0.1:" + server.getLocalPort());
     private volatile When when;
     private volatile String copy;
 
@@ -95,7 +85,7 @@
     }
 
     private String call(String path) throws Exception {
-        AttemptRequest attempt = new AttemptRequest(1, upstream, path, IncarnationId.of("vm-1/1"), 5, 0, false);
+        AttemptRequest attempt = TestAttempts.pooled(upstream, path);
         CompletableFuture<DispatchEvent> event = new CompletableFuture<>();
         Call call = client.call(attempt, "POST", path, "{}".getBytes(StandardCharsets.US_ASCII), event::complete);
         try {
--- a/jayhead-daemon/src/test/java/io/jayhead/daemon/upstream/StreamEndTest.java
+++ b/jayhead-daemon/src/test/java/io/jayhead/daemon/upstream/StreamEndTest.java
@@ -4,11 +4,7 @@
 
 import io.jayhead.daemon.control.HybridClock;
 import io.jayhead.dispatch.DispatchEvent;
-import io.jayhead.model.AvailabilityZone;
-import io.jayhead.model.IncarnationId;
-import io.jayhead.model.UpstreamName;
 import io.jayhead.model.fleet.UpstreamSpec;
-import io.jayhead.model.fleet.UpstreamType;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
@@ -28,13 +24,7 @@
     private final RawUpstream server = new RawUpstream();
     private final UpstreamHttpClients http = new UpstreamHttpClients();
     private final EngineClient client = new EngineClient(http, HybridClock.system());
-    private final UpstreamSpec upstream = new UpstreamSpec(
-            UpstreamName.of("engine"),
-            UpstreamType.MODEL_ENGINE,
-            AvailabilityZone.of("zone-1"),
-            server.address(),
-            false,
-            false);
+    private final UpstreamSpec upstream = TestAttempts.engine(server.address());
 
     StreamEndTest() throws IOException {}
 
@@ -69,7 +59,7 @@
     private List<String> eventsOf(String stream) throws Exception {
         server.answer("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
                 + Integer.toHexString(stream.length()) + "\r\n" + stream + "\r\n0\r\n\r\n");
-        AttemptRequest attempt = new AttemptRequest(1, upstream, "r1", IncarnationId.of("vm-1/1"), 5, 0, true);
+        AttemptRequest attempt = TestAttempts.first(upstream);
         BlockingQueue<DispatchEvent> received = new LinkedBlockingQueue<>();
         client.generate(attempt, "large", "a prompt", 10, received::add);
         List<String> events = new ArrayList<>();
--- a/jayhead-daemon/src/test/java/io/jayhead/daemon/upstream/UnprovenRefusalTest.java
+++ b/jayhead-daemon/src/test/java/io/jayhead/daemon/upstream/UnprovenRefusalTest.java
@@ -3,11 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import io.jayhead.dispatch.DispatchEvent;
-import io.jayhead.model.AvailabilityZone;
-import io.jayhead.model.IncarnationId;
-import io.jayhead.model.UpstreamName;
 import io.jayhead.model.fleet.UpstreamSpec;
-import io.jayhead.model.fleet.UpstreamType;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
@@ -72,14 +68,8 @@
     }
 
     private DispatchEvent book() throws Exception {
-        UpstreamSpec upstream = new UpstreamSpec(
-                UpstreamName.of("desk"),
-                UpstreamType.PLAIN_SERVICE,
-                AvailabilityZone.of("zone-1"),
-                server.address(),
-                false,
-                false);
-        AttemptRequest attempt = new AttemptRequest(1, upstream, "r1", IncarnationId.of("vm-1/1"), 5, 0, true);
+        UpstreamSpec upstream = TestAttempts.service(server.address());
+        AttemptRequest attempt = TestAttempts.first(upstream);
         CompletableFuture<DispatchEvent> event = new CompletableFuture<>();
         client.call(attempt, "POST", "/bookings", "{}".getBytes(StandardCharsets.US_ASCII), event::complete);
         return event.get(LIMIT_MS, TimeUnit.MILLISECONDS);
