Move the delivery of the answer out of Exchange

AnswerDelivery now knows whether an answer has begun and records its first byte; behaviour is the same.

--- a/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
+++ b/jayhead-gateway/src/main/java/io/jayhead/gateway/exchange/Exchange.java
@@ -22,7 +22,7 @@
     private final RequestBody body;
     private final CallerMetadata metadata;
     private final long startNs = System.nanoTime();
-    private final AnswerWriter answers;
+    private final AnswerDelivery delivery;
     private final StreamRelay relay;
     private final ExchangeRecorder recorder;
     private final SilenceWatch silence;
@@ -36,7 +36,6 @@
     private GatePass pass;
     private ExchangeDeadline deadline;
     private UpstreamAttempt currentAttempt;
-    private boolean answerStarted;
     private boolean ended;
     private boolean callerGone;
     private RunWithoutCaller runWithoutCaller = RunWithoutCaller.none();
@@ -55,10 +54,10 @@
         this.body = new RequestBody(request);
         this.metadata = context.dialect().readCaller(request.headers());
         this.prompt = new PromptPass(context.promptGuard(), context.snapshot(), metadata);
-        this.answers = new AnswerWriter(context, caller);
         this.relay = new StreamRelay(caller);
         this.silence = new SilenceWatch(context.loop(), this::silenceLimitMs, this::silent);
         this.recorder = new ExchangeRecorder(context, metadata, startNs);
+        this.delivery = new AnswerDelivery(new AnswerWriter(context, caller), recorder);
         context.drain().opened();
     }
 
@@ -221,19 +220,14 @@
 
     /** Tells whether the caller has received the head of an answer, which another answer cannot replace. */
     boolean hasAnswerStarted() {
-        return answerStarted;
+        return delivery.hasStarted();
     }
 
     private void startStream(UpstreamAttempt attempt) {
-        if (answerStarted) {
-            return;
-        }
-        answerStarted = true;
-        answers.startStream(attempt);
+        delivery.startStream(attempt, admitted);
         if (!admitted.route().resumable()) {
             body.release();
         }
-        recorder.firstByte(admitted.route().name());
     }
 
     /** Resumes reading the answer of the upstream when the connection of the caller can take more bytes. */
@@ -261,17 +255,11 @@
             startStream(attempt);
             relay.end();
         } else {
-            passOn(attempt, body);
+            delivery.passOn(attempt, body, admitted);
         }
         end(ExchangeRecorder.SERVED, attempt);
     }
 
-    private void passOn(UpstreamAttempt attempt, AnswerBody body) {
-        answerStarted = attempt.isSuccess();
-        answers.passOn(attempt, body.take());
-        recorder.firstByte(admitted.route().name());
-    }
-
     void attemptEnded(UpstreamAttempt attempt, AttemptOutcome outcome, String reason) {
         if (attempt.isSent() && outcome.isNotRun()) {
             attempts.notRun();
@@ -297,11 +285,11 @@
         boolean retryAllowed = context.retries().allowsRetry(admitted.service().name());
         long leftMs = callerGone ? 0 : deadline.leftMs();
         boolean hasEventId = !relay.lastId().isEmpty();
-        return attempts.decide(admitted.route(), answerStarted, hasEventId, retryAllowed, leftMs, outcome);
+        return attempts.decide(admitted.route(), delivery.hasStarted(), hasEventId, retryAllowed, leftMs, outcome);
     }
 
     private void tryAnother(UpstreamAttempt attempt) {
-        if (answerStarted && unread.isHeld()) {
+        if (delivery.hasStarted() && unread.isHeld()) {
             suspend();
             return;
         }
@@ -321,7 +309,7 @@
             refuse(Refusal.OUTCOME_UNKNOWN);
             return;
         }
-        passOn(attempt, attempt.body());
+        delivery.passOn(attempt, attempt.body(), admitted);
         end("upstream failure " + attempt.statusCode(), attempt);
     }
 
@@ -331,7 +319,7 @@
     }
 
     private void refuse(Refusal refusal) {
-        answers.refuse(refusal, RefusalDelay.retryAfterMs(refusal, context, admitted, prompt, pass));
+        delivery.refuse(refusal, RefusalDelay.retryAfterMs(refusal, context, admitted, prompt, pass));
         end(refusal.name(), currentAttempt);
     }
 
@@ -352,7 +340,7 @@
         if (currentAttempt != null) {
             currentAttempt.abort();
         }
-        if (answerStarted) {
+        if (delivery.hasStarted()) {
             breakOff(reason);
         } else {
             refuse(attempts.mayHaveRun() ? ifMayHaveRun : ifNotRun);
@@ -390,7 +378,7 @@
         if (pass != null) {
             pass.leave();
         }
-        long consumedTokens = reservation == null ? 0 : reservation.settleAnswer(answerStarted, relay.events());
+        long consumedTokens = reservation == null ? 0 : reservation.settleAnswer(delivery.hasStarted(), relay.events());
         body.release();
         recorder.ended(
                 outcome, Optional.ofNullable(admitted), lastAttempt, attempts.with(relay.events(), consumedTokens));
